--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Measures the decision modules on seeded traces.
+
+fn main() {}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line tool of cowslipport.
+
+fn main() {}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tasks, sockets and edges of the daemon.
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of cowslipport.
+
+fn main() {}
--- /dev/null
+++ b/gen/src/main.rs
@@ -0,0 +1,100 @@
+//! Generates the Rust code of the schemas in `lib/src/protos`.
+//!
+//! With `--check`, compares the generated code with the committed one and
+//! fails if they differ.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Why the code could not be generated.
+#[derive(Debug, thiserror::Error)]
+enum GenError {
+    #[error("schemas do not compile: {0}")]
+    Compile(#[from] protox::Error),
+    #[error("cannot access {path}: {source}")]
+    Io { path: PathBuf, source: io::Error },
+    #[error("generated code differs from the committed one: {}", files.join(", "))]
+    Differs { files: Vec<String> },
+}
+
+const SCHEMAS: [&str; 4] = ["config.proto", "control.proto", "platform.proto", "peer.proto"];
+
+fn main() -> ExitCode {
+    let check = std::env::args().any(|argument| argument == "--check");
+    match run(check) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(check: bool) -> Result<(), GenError> {
+    let protos = Path::new(env!("CARGO_MANIFEST_DIR")).join("../lib/src/protos");
+    let scratch = Path::new(env!("CARGO_MANIFEST_DIR")).join("../target/generated");
+    fs::create_dir_all(&scratch).map_err(|source| io_error(&scratch, source))?;
+    generate(&protos, &scratch)?;
+    let generated = read_sources(&scratch)?;
+    if check {
+        return compare(&generated, &read_sources(&protos)?);
+    }
+    for (name, source) in &generated {
+        let path = protos.join(name);
+        fs::write(&path, source).map_err(|source| io_error(&path, source))?;
+    }
+    Ok(())
+}
+
+fn generate(protos: &Path, out: &Path) -> Result<(), GenError> {
+    let descriptors = protox::compile(SCHEMAS, [protos])?;
+    tonic_prost_build::configure()
+        .out_dir(out)
+        .btree_map(".")
+        .type_attribute(".cowslipport.config", "#[derive(serde::Serialize, serde::Deserialize)]")
+        .type_attribute(".cowslipport.config", "#[serde(default, deny_unknown_fields)]")
+        .field_attribute(".cowslipport.config.Manifest.data_centre", SKIP_EMPTY)
+        .field_attribute(".cowslipport.config.Manifest.pool", SKIP_EMPTY)
+        .field_attribute(".cowslipport.config.Manifest.team", SKIP_EMPTY)
+        .field_attribute(".cowslipport.config.Manifest.budget", SKIP_EMPTY)
+        .field_attribute(".cowslipport.config.Manifest.wave", SKIP_EMPTY)
+        .compile_fds(descriptors)
+        .map_err(|source| io_error(out, source))
+}
+
+const SKIP_EMPTY: &str = "#[serde(skip_serializing_if = \"Vec::is_empty\")]";
+
+fn read_sources(folder: &Path) -> Result<BTreeMap<String, String>, GenError> {
+    let mut sources = BTreeMap::new();
+    for entry in fs::read_dir(folder).map_err(|source| io_error(folder, source))? {
+        let path = entry.map_err(|source| io_error(folder, source))?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        if !name.starts_with("cowslipport.") || !name.ends_with(".rs") {
+            continue;
+        }
+        let source = fs::read_to_string(&path).map_err(|source| io_error(&path, source))?;
+        sources.insert(name, source);
+    }
+    Ok(sources)
+}
+
+fn compare(
+    generated: &BTreeMap<String, String>,
+    committed: &BTreeMap<String, String>,
+) -> Result<(), GenError> {
+    let mut files: Vec<String> = generated
+        .iter()
+        .filter(|(name, source)| committed.get(*name) != Some(*source))
+        .map(|(name, _)| name.clone())
+        .collect();
+    files.extend(committed.keys().filter(|name| !generated.contains_key(*name)).cloned());
+    if files.is_empty() { Ok(()) } else { Err(GenError::Differs { files }) }
+}
+
+fn io_error(path: &Path, source: io::Error) -> GenError {
+    GenError::Io { path: path.to_owned(), source }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,19 @@
+//! The model of cowslipport: checked types, the fold of the control stream,
+//! and the decision modules. It does no I/O and reads no clock.
+
+pub mod arena;
+pub mod budget;
+pub mod config;
+pub mod control;
+pub mod findings;
+pub mod fold;
+mod fold_config;
+pub mod ids;
+pub mod protos;
+pub mod record;
+pub mod rendezvous;
+pub mod resources;
+pub mod snapshot;
+pub mod time;
+mod wire_config;
+mod wire_control;
