--- /dev/null
+++ b/lib/src/config.rs
@@ -0,0 +1,264 @@
+//! The checked configuration: what a manifest says, with names.
+
+use std::collections::BTreeMap;
+
+use crate::ids::Revision;
+use crate::resources::Resources;
+
+/// A checked manifest. Each table is ordered by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Manifest {
+    /// Data centres by name.
+    pub data_centres: BTreeMap<String, DataCentreSpec>,
+    /// Pools by name.
+    pub pools: BTreeMap<String, PoolSpec>,
+    /// Teams by name.
+    pub teams: BTreeMap<String, TeamSpec>,
+    /// Budgets by the pool that they protect.
+    pub budgets: BTreeMap<String, Vec<Budget>>,
+    /// Waves by name.
+    pub waves: BTreeMap<String, WaveSpec>,
+    /// Weights and windows of the policies.
+    pub policy: Policy,
+}
+
+/// A data centre of the manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DataCentreSpec {
+    /// Unique name.
+    pub name: String,
+    /// Name of the region that it is in.
+    pub region: String,
+}
+
+/// What running tasks do when their data centre is taken out of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DataCentreOutPolicy {
+    /// Tasks run to their end.
+    Finish,
+    /// Tasks are checkpointed and started again elsewhere.
+    Checkpoint,
+}
+
+/// A pool of the manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolSpec {
+    /// Unique name.
+    pub name: String,
+    /// Requests that one upstream instance serves at the same time.
+    pub slots_per_vm: u32,
+    /// Smallest number of VMs that moves leave in the pool.
+    pub min_vms: u32,
+    /// Largest number of VMs that moves bring into the pool.
+    pub max_vms: u32,
+    /// True for the pool of spare VMs.
+    pub spare: bool,
+    /// What running tasks do when their data centre is taken out.
+    pub on_data_centre_out: DataCentreOutPolicy,
+    /// Time that a drain waits for requests and tasks.
+    pub drain_timeout_ms: u64,
+}
+
+/// A team of the manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TeamSpec {
+    /// Unique name.
+    pub name: String,
+    /// Weight when everything is full, in thousandths.
+    pub share_milli: u32,
+    /// Upper limit of running tasks across the fleet.
+    pub limit: Resources,
+    /// Granted keys.
+    pub keys: Vec<TeamKey>,
+}
+
+/// A granted key, as its hash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TeamKey {
+    /// Name of the key, unique within the team.
+    pub name: String,
+    /// SHA-256 of the key.
+    pub sha256: [u8; 32],
+}
+
+/// Failure domain over which a budget counts VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BudgetScope {
+    /// The whole pool.
+    Pool,
+    /// Each data centre on its own.
+    DataCentre,
+    /// Each rack on its own.
+    Rack,
+}
+
+/// A bound on the VMs that are unavailable at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    /// Failure domain.
+    pub scope: BudgetScope,
+    /// VMs that may be unavailable in the domain.
+    pub max_unavailable: u32,
+}
+
+/// A maintenance wave of the manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaveSpec {
+    /// Unique name.
+    pub name: String,
+    /// Pools whose VMs are maintained.
+    pub pools: Vec<String>,
+    /// VMs in the first step.
+    pub initial_width: u32,
+    /// VMs in the widest step.
+    pub max_width: u32,
+    /// Failed VMs in one step that halt the wave.
+    pub max_failed: u32,
+    /// Time that a VM must stay healthy after its reboot.
+    pub soak_ms: u64,
+    /// Time after which a VM that has not come back counts as failed.
+    pub reboot_timeout_ms: u64,
+}
+
+/// Weights and windows of the policies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Weight of team shares, in thousandths.
+    pub weight_share_milli: u32,
+    /// Weight of work done while a data centre changes, in thousandths.
+    pub weight_data_centre_work_milli: u32,
+    /// Weight of buffer cost, in thousandths.
+    pub weight_buffer_milli: u32,
+    /// Weight of the number of moves, in thousandths.
+    pub weight_moves_milli: u32,
+    /// Weight of roll-out time, in thousandths.
+    pub weight_roll_out_milli: u32,
+    /// Time for which an idempotency key is remembered.
+    pub idempotency_window_ms: u64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            weight_share_milli: 1000,
+            weight_data_centre_work_milli: 1000,
+            weight_buffer_milli: 1000,
+            weight_moves_milli: 1000,
+            weight_roll_out_milli: 1000,
+            idempotency_window_ms: 120_000,
+        }
+    }
+}
+
+/// One changed entity of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigChange {
+    /// Adds or changes a data centre.
+    PutDataCentre(DataCentreSpec),
+    /// Removes a data centre that has no VM.
+    RemoveDataCentre(String),
+    /// Adds or changes a pool.
+    PutPool(PoolSpec),
+    /// Removes a pool that has no VM.
+    RemovePool(String),
+    /// Adds or changes a team.
+    PutTeam(TeamSpec),
+    /// Removes a team; its limit is zero from then on.
+    RemoveTeam(String),
+    /// Replaces all budgets of a pool.
+    PutBudgets {
+        /// Name of the pool.
+        pool: String,
+        /// The budgets.
+        budgets: Vec<Budget>,
+    },
+    /// Adds or changes a wave.
+    PutWave(WaveSpec),
+    /// Removes a wave.
+    RemoveWave(String),
+    /// Replaces the policy.
+    PutPolicy(Policy),
+}
+
+/// A change of the configuration against the revision that its author saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigCommit {
+    /// Revision that the author saw.
+    pub expected_revision: Revision,
+    /// Who commits.
+    pub author: String,
+    /// Changed entities, in an order in which each can be applied.
+    pub changes: Vec<ConfigChange>,
+}
+
+impl Manifest {
+    /// The changes that lead from `self` to `next`. Entities are added before
+    /// those that refer to them, and removed after.
+    pub fn changes_to(&self, next: &Self) -> Vec<ConfigChange> {
+        let mut changes = Vec::new();
+        put_changed(
+            &self.data_centres,
+            &next.data_centres,
+            ConfigChange::PutDataCentre,
+            &mut changes,
+        );
+        put_changed(&self.pools, &next.pools, ConfigChange::PutPool, &mut changes);
+        self.budget_changes(next, &mut changes);
+        put_changed(&self.teams, &next.teams, ConfigChange::PutTeam, &mut changes);
+        put_changed(&self.waves, &next.waves, ConfigChange::PutWave, &mut changes);
+        if self.policy != next.policy {
+            changes.push(ConfigChange::PutPolicy(next.policy));
+        }
+        remove_missing(&self.waves, &next.waves, ConfigChange::RemoveWave, &mut changes);
+        remove_missing(&self.teams, &next.teams, ConfigChange::RemoveTeam, &mut changes);
+        remove_missing(&self.pools, &next.pools, ConfigChange::RemovePool, &mut changes);
+        remove_missing(
+            &self.data_centres,
+            &next.data_centres,
+            ConfigChange::RemoveDataCentre,
+            &mut changes,
+        );
+        changes
+    }
+
+    fn budget_changes(&self, next: &Self, changes: &mut Vec<ConfigChange>) {
+        for pool in next.pools.keys() {
+            let new = next.budgets.get(pool).cloned().unwrap_or_default();
+            let old = self.budgets.get(pool).cloned().unwrap_or_default();
+            if new != old {
+                changes.push(ConfigChange::PutBudgets { pool: pool.clone(), budgets: new });
+            }
+        }
+    }
+}
+
+fn put_changed<T, F>(
+    old: &BTreeMap<String, T>,
+    new: &BTreeMap<String, T>,
+    put: F,
+    changes: &mut Vec<ConfigChange>,
+) where
+    T: Clone + PartialEq,
+    F: Fn(T) -> ConfigChange,
+{
+    for (name, spec) in new {
+        if old.get(name) != Some(spec) {
+            changes.push(put(spec.clone()));
+        }
+    }
+}
+
+fn remove_missing<T, F>(
+    old: &BTreeMap<String, T>,
+    new: &BTreeMap<String, T>,
+    remove: F,
+    changes: &mut Vec<ConfigChange>,
+) where
+    F: Fn(String) -> ConfigChange,
+{
+    for name in old.keys() {
+        if !new.contains_key(name) {
+            changes.push(remove(name.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/control.rs
@@ -0,0 +1,280 @@
+//! The state that every process folds from the `control` stream.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use crate::arena::Arena;
+use crate::config::Budget;
+use crate::config::DataCentreSpec;
+use crate::config::Manifest;
+use crate::config::Policy;
+use crate::config::PoolSpec;
+use crate::config::TeamSpec;
+use crate::config::WaveSpec;
+use crate::ids::DataCentreId;
+use crate::ids::Epoch;
+use crate::ids::Offset;
+use crate::ids::OperationId;
+use crate::ids::PartitionId;
+use crate::ids::PoolId;
+use crate::ids::RackId;
+use crate::ids::RecordId;
+use crate::ids::RegionId;
+use crate::ids::Revision;
+use crate::ids::SessionId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::ids::WaveId;
+use crate::record::DrainPurpose;
+use crate::record::Health;
+use crate::record::SessionOpen;
+use crate::record::VmJoined;
+use crate::record::WavePhase;
+use crate::resources::Resources;
+
+/// Number of record ids that are remembered to recognise a repeated append,
+/// and the number of records for which the id of a VM that left is not used
+/// again.
+pub const REMEMBERED_RECORDS: usize = 10_000;
+
+/// The folded state of the `control` stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ControlState {
+    /// Offset of the record that is applied next.
+    pub next_offset: Offset,
+    /// Revision of the configuration in force.
+    pub revision: Revision,
+    /// Who committed the revision in force.
+    pub revision_author: String,
+    /// Weights and windows of the policies.
+    pub policy: Policy,
+    /// Data centres.
+    pub data_centres: Arena<DataCentreId, DataCentre>,
+    /// Names of regions.
+    pub regions: Arena<RegionId, String>,
+    /// Names of racks.
+    pub racks: Arena<RackId, String>,
+    /// Pools.
+    pub pools: Arena<PoolId, Pool>,
+    /// Teams, with those that were removed.
+    pub teams: Arena<TeamId, Team>,
+    /// Waves.
+    pub waves: Arena<WaveId, Wave>,
+    /// VMs.
+    pub vms: Arena<VmId, Vm>,
+    /// Members.
+    pub sessions: BTreeMap<SessionId, Session>,
+    /// Offset of the last record that changed the set of members.
+    pub membership_epoch: Offset,
+    /// Owner of each partition.
+    pub owners: BTreeMap<PartitionId, Ownership>,
+    /// Grants of teams in partitions. The sum for a team is at most its limit,
+    /// except after the limit was lowered.
+    pub grants: BTreeMap<(TeamId, PartitionId), Resources>,
+    pub(crate) vm_names: BTreeMap<String, VmId>,
+    pub(crate) recent_ids: VecDeque<RecordId>,
+    pub(crate) recent_id_set: BTreeSet<RecordId>,
+    pub(crate) freed_vms: VecDeque<(Offset, VmId)>,
+}
+
+/// A data centre.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DataCentre {
+    /// What the manifest says.
+    pub spec: DataCentreSpec,
+    /// Its region.
+    pub region: RegionId,
+    /// False while operators have taken it out of service.
+    pub in_service: bool,
+}
+
+/// A pool of VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pool {
+    /// What the manifest says.
+    pub spec: PoolSpec,
+    /// Its availability budgets.
+    pub budgets: Vec<Budget>,
+}
+
+/// A team.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Team {
+    /// What the manifest says. A removed team has no key and no limit.
+    pub spec: TeamSpec,
+    /// True once the team is no longer in the manifest. Its entry stays, so
+    /// that grants that are still in use are counted.
+    pub removed: bool,
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wave {
+    /// What the manifest says.
+    pub spec: WaveSpec,
+    /// Its phase.
+    pub phase: WavePhase,
+    /// VMs of the current step.
+    pub width: u32,
+    /// VMs that came back.
+    pub done: BTreeSet<VmId>,
+    /// VMs that did not come back.
+    pub failed: BTreeSet<VmId>,
+}
+
+/// A VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Vm {
+    /// What the VM list says. `pool` is the name at the time of joining.
+    pub joined: VmJoined,
+    /// Offset at which it joined.
+    pub joined_at: Offset,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its rack.
+    pub rack: RackId,
+    /// The one pool that it is in.
+    pub pool: PoolId,
+    /// Its health.
+    pub health: Health,
+    /// The operation that is under way.
+    pub operation: Option<Operation>,
+}
+
+/// An operation on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Operation {
+    /// Identifies the operation.
+    pub id: OperationId,
+    /// Why it was begun.
+    pub purpose: DrainPurpose,
+    /// How far it is.
+    pub phase: OperationPhase,
+}
+
+/// Phase of an operation on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OperationPhase {
+    /// No new work; work in flight ends.
+    Draining,
+    /// The platform reboots the VM.
+    Rebooting,
+    /// The VM has its new pool and is about to serve it.
+    Moved,
+}
+
+/// A member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Session {
+    /// What the process said when it joined.
+    pub open: SessionOpen,
+    /// Number of its last renewal.
+    pub renewal: u64,
+    /// Offset at which it joined.
+    pub opened_at: Offset,
+}
+
+/// Ownership of a partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ownership {
+    /// The owner, if there is any member.
+    pub owner: Option<SessionId>,
+    /// Fencing token of the owner.
+    pub epoch: Epoch,
+    /// True if the owner before released the partition, or there was none, so
+    /// that nothing of it can still be on its way.
+    pub released: bool,
+}
+
+impl ControlState {
+    /// The data centre of a name.
+    pub fn data_centre_by_name(&self, name: &str) -> Option<DataCentreId> {
+        self.data_centres.iter().find(|(_, entry)| entry.spec.name == name).map(|(id, _)| id)
+    }
+
+    /// The pool of a name.
+    pub fn pool_by_name(&self, name: &str) -> Option<PoolId> {
+        self.pools.iter().find(|(_, pool)| pool.spec.name == name).map(|(id, _)| id)
+    }
+
+    /// The team of a name that is in the manifest.
+    pub fn team_by_name(&self, name: &str) -> Option<TeamId> {
+        self.teams
+            .iter()
+            .find(|(_, team)| !team.removed && team.spec.name == name)
+            .map(|(id, _)| id)
+    }
+
+    /// The wave of a name.
+    pub fn wave_by_name(&self, name: &str) -> Option<WaveId> {
+        self.waves.iter().find(|(_, wave)| wave.spec.name == name).map(|(id, _)| id)
+    }
+
+    /// The VM of a name.
+    pub fn vm_by_name(&self, name: &str) -> Option<VmId> {
+        self.vm_names.get(name).copied()
+    }
+
+    /// The partition that a VM is part of.
+    pub fn partition_of(&self, vm: &Vm) -> Option<PartitionId> {
+        let region = self.data_centres.get(vm.data_centre)?.region;
+        Some(PartitionId { pool: vm.pool, region })
+    }
+
+    /// VMs of a partition.
+    pub fn vms_of(&self, partition: PartitionId) -> impl Iterator<Item = (VmId, &Vm)> {
+        self.vms.iter().filter(move |(_, vm)| self.partition_of(vm) == Some(partition))
+    }
+
+    /// True if new requests and tasks may be sent to the VM.
+    pub fn is_in_service(&self, vm: &Vm) -> bool {
+        vm.health == Health::Up && vm.operation.is_none() && self.data_centre_in_service(vm)
+    }
+
+    /// True if the data centre of the VM is in service.
+    pub fn data_centre_in_service(&self, vm: &Vm) -> bool {
+        self.data_centres.get(vm.data_centre).is_some_and(|data_centre| data_centre.in_service)
+    }
+
+    /// Sum of the grants of a team.
+    pub fn granted(&self, team: TeamId) -> Resources {
+        let first = PartitionId { pool: PoolId(0), region: RegionId(0) };
+        self.grants
+            .range((team, first)..)
+            .take_while(|((granted_team, _), _)| *granted_team == team)
+            .fold(Resources::ZERO, |sum, (_, amount)| sum.saturating_add(*amount))
+    }
+
+    /// The grant of a team in a partition.
+    pub fn grant(&self, team: TeamId, partition: PartitionId) -> Resources {
+        self.grants.get(&(team, partition)).copied().unwrap_or_default()
+    }
+
+    /// Number of members that form a majority.
+    pub fn majority(&self) -> usize {
+        self.sessions.len() / 2 + 1
+    }
+
+    /// The manifest in force.
+    pub fn manifest(&self) -> Manifest {
+        let mut manifest = Manifest { policy: self.policy, ..Manifest::default() };
+        for (_, data_centre) in self.data_centres.iter() {
+            let spec = data_centre.spec.clone();
+            manifest.data_centres.insert(spec.name.clone(), spec);
+        }
+        for (_, pool) in self.pools.iter() {
+            if !pool.budgets.is_empty() {
+                manifest.budgets.insert(pool.spec.name.clone(), pool.budgets.clone());
+            }
+            manifest.pools.insert(pool.spec.name.clone(), pool.spec.clone());
+        }
+        for (_, team) in self.teams.iter().filter(|(_, team)| !team.removed) {
+            manifest.teams.insert(team.spec.name.clone(), team.spec.clone());
+        }
+        for (_, wave) in self.waves.iter() {
+            manifest.waves.insert(wave.spec.name.clone(), wave.spec.clone());
+        }
+        manifest
+    }
+}
--- /dev/null
+++ b/lib/src/fold.rs
@@ -0,0 +1,536 @@
+//! The deterministic fold of the `control` stream.
+//!
+//! Every process applies the same records in offset order. The validity of a
+//! record is judged against the state at its offset, so writers that race are
+//! settled by order.
+
+use crate::budget;
+use crate::control::ControlState;
+use crate::control::DataCentre;
+use crate::control::Operation;
+use crate::control::OperationPhase;
+use crate::control::Ownership;
+use crate::control::REMEMBERED_RECORDS;
+use crate::control::Session;
+use crate::control::Vm;
+use crate::ids::DataCentreId;
+use crate::ids::Epoch;
+use crate::ids::Offset;
+use crate::ids::OperationId;
+use crate::ids::PartitionId;
+use crate::ids::PoolId;
+use crate::ids::RackId;
+use crate::ids::RecordId;
+use crate::ids::SessionId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::ids::WaveId;
+use crate::record::ControlRecord;
+use crate::record::DrainPurpose;
+use crate::record::GrantChange;
+use crate::record::GrantDirection;
+use crate::record::Health;
+use crate::record::RecordBody;
+use crate::record::SessionOpen;
+use crate::record::VmJoined;
+use crate::record::VmObservation;
+use crate::record::VmStep;
+use crate::record::WavePhase;
+use crate::rendezvous;
+
+/// What a record did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The record took effect and changed these entities.
+    Applied(Vec<ControlChange>),
+    /// The record has no effect.
+    Void(VoidReason),
+}
+
+/// An entity that a record changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ControlChange {
+    /// A data centre.
+    DataCentre(DataCentreId),
+    /// A pool or its budgets.
+    Pool(PoolId),
+    /// A team.
+    Team(TeamId),
+    /// A wave.
+    Wave(WaveId),
+    /// The policy.
+    Policy,
+    /// A VM, which may have left.
+    Vm(VmId),
+    /// A member joined, renewed or left.
+    Session(SessionId),
+    /// The owner of a partition.
+    Partition(PartitionId),
+    /// The grant of a team in a partition.
+    Grant(TeamId, PartitionId),
+}
+
+/// Why a record has no effect.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum VoidReason {
+    /// The record was applied before.
+    #[error("record was applied before")]
+    Duplicate,
+    /// Another commit came first.
+    #[error("revision {found} by {author} is in force, the commit expects {expected}")]
+    RevisionConflict {
+        /// Revision that the commit expects.
+        expected: u64,
+        /// Revision in force.
+        found: u64,
+        /// Author of the revision in force.
+        author: String,
+    },
+    /// The record names an entity that does not exist.
+    #[error("{kind} {name} does not exist")]
+    Missing {
+        /// Kind of the entity.
+        kind: &'static str,
+        /// Its name or number.
+        name: String,
+    },
+    /// The entity still has VMs.
+    #[error("{kind} {name} still has VMs")]
+    NotEmpty {
+        /// Kind of the entity.
+        kind: &'static str,
+        /// Its name.
+        name: String,
+    },
+    /// The session has renewed since, or is gone.
+    #[error("session {0} has renewed its lease or is closed")]
+    SessionNotExpired(SessionId),
+    /// The session exists.
+    #[error("session {0} exists")]
+    SessionExists(SessionId),
+    /// The VM has another operation, or its phase does not allow the step.
+    #[error("VM {vm} has no operation that allows this step")]
+    WrongOperation {
+        /// The VM.
+        vm: VmId,
+    },
+    /// The drain would break an availability budget.
+    #[error("VM {vm} cannot be drained: {exceeded}")]
+    BudgetExceeded {
+        /// The VM.
+        vm: VmId,
+        /// The budget.
+        exceeded: budget::BudgetExceeded,
+    },
+    /// The wave does not run.
+    #[error("wave {0} is not running")]
+    WaveNotRunning(WaveId),
+    /// Nothing in the batch took effect.
+    #[error("no entry of the batch is valid")]
+    EmptyBatch,
+    /// The record does not decode.
+    #[error("record does not decode")]
+    Undecodable,
+}
+
+impl ControlState {
+    /// Applies the record at `offset`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `offset` is not the next one; skipping a record would make
+    /// this process disagree with the others.
+    pub fn apply(&mut self, offset: Offset, record: &ControlRecord) -> Outcome {
+        assert_eq!(offset, self.next_offset, "records are applied in offset order");
+        self.next_offset = offset.next();
+        if !self.remember(record.id) {
+            return Outcome::Void(VoidReason::Duplicate);
+        }
+        match self.apply_body(offset, &record.body) {
+            Ok(changes) => Outcome::Applied(changes),
+            Err(reason) => Outcome::Void(reason),
+        }
+    }
+
+    /// Passes over a record that does not decode. All processes do the same.
+    pub fn skip(&mut self, offset: Offset) -> Outcome {
+        assert_eq!(offset, self.next_offset, "records are applied in offset order");
+        self.next_offset = offset.next();
+        Outcome::Void(VoidReason::Undecodable)
+    }
+
+    fn remember(&mut self, id: RecordId) -> bool {
+        if !self.recent_id_set.insert(id) {
+            return false;
+        }
+        self.recent_ids.push_back(id);
+        if self.recent_ids.len() > REMEMBERED_RECORDS
+            && let Some(oldest) = self.recent_ids.pop_front()
+        {
+            self.recent_id_set.remove(&oldest);
+        }
+        true
+    }
+
+    fn apply_body(
+        &mut self,
+        offset: Offset,
+        body: &RecordBody,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        match body {
+            RecordBody::ConfigCommit(commit) => self.apply_commit(offset, commit),
+            RecordBody::DataCentreSet { data_centre, in_service, author: _ } => {
+                self.set_data_centre(data_centre, *in_service)
+            }
+            RecordBody::SessionOpen(open) => self.open_session(offset, open),
+            RecordBody::SessionRenew { session, renewal } => self.renew_session(*session, *renewal),
+            RecordBody::SessionExpire { session, seen_renewal } => {
+                self.expire_session(offset, *session, *seen_renewal)
+            }
+            RecordBody::SessionClose { session } => self.end_session(offset, *session, true),
+            RecordBody::VmBatch(observations) => self.apply_observations(offset, observations),
+            RecordBody::DrainBegin { vm, purpose } => self.begin_drain(offset, *vm, *purpose),
+            RecordBody::VmOperation { vm, operation, step } => {
+                self.step_operation(*vm, *operation, *step)
+            }
+            RecordBody::GrantBatch(changes) => self.apply_grants(changes),
+            RecordBody::WaveUpdate { wave, phase, width } => {
+                self.update_wave(*wave, *phase, *width)
+            }
+        }
+    }
+
+    fn set_data_centre(
+        &mut self,
+        name: &str,
+        in_service: bool,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        let id = self.data_centre_by_name(name).ok_or_else(|| missing("data centre", name))?;
+        let data_centre: &mut DataCentre =
+            self.data_centres.get_mut(id).expect("the name index names an entry");
+        data_centre.in_service = in_service;
+        Ok(vec![ControlChange::DataCentre(id)])
+    }
+
+    fn open_session(
+        &mut self,
+        offset: Offset,
+        open: &SessionOpen,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        if self.sessions.contains_key(&open.session) {
+            return Err(VoidReason::SessionExists(open.session));
+        }
+        let session = Session { open: open.clone(), renewal: 0, opened_at: offset };
+        self.sessions.insert(open.session, session);
+        self.membership_epoch = offset;
+        let mut changes = vec![ControlChange::Session(open.session)];
+        changes.extend(self.assign_partitions(offset, false));
+        Ok(changes)
+    }
+
+    fn renew_session(
+        &mut self,
+        id: SessionId,
+        renewal: u64,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        let session =
+            self.sessions.get_mut(&id).ok_or_else(|| missing("session", &id.to_string()))?;
+        session.renewal = session.renewal.max(renewal);
+        Ok(vec![ControlChange::Session(id)])
+    }
+
+    fn expire_session(
+        &mut self,
+        offset: Offset,
+        id: SessionId,
+        seen_renewal: u64,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        match self.sessions.get(&id) {
+            Some(session) if session.renewal == seen_renewal => self.end_session(offset, id, false),
+            Some(_) | None => Err(VoidReason::SessionNotExpired(id)),
+        }
+    }
+
+    fn end_session(
+        &mut self,
+        offset: Offset,
+        id: SessionId,
+        released: bool,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        self.sessions.remove(&id).ok_or_else(|| missing("session", &id.to_string()))?;
+        self.membership_epoch = offset;
+        let mut changes = vec![ControlChange::Session(id)];
+        changes.extend(self.assign_partitions(offset, released));
+        Ok(changes)
+    }
+
+    /// Assigns each partition to the session that wins rendezvous hashing
+    /// among those of its region, or among all if the region has none.
+    pub(crate) fn assign_partitions(
+        &mut self,
+        offset: Offset,
+        released: bool,
+    ) -> Vec<ControlChange> {
+        let mut changes = Vec::new();
+        for partition in self.all_partitions() {
+            let winner = self.partition_winner(partition);
+            let current = self.owners.get(&partition).copied();
+            if current.is_some_and(|ownership| ownership.owner == winner) {
+                continue;
+            }
+            let no_owner_before = current.is_none_or(|ownership| ownership.owner.is_none());
+            // A pause between two owners keeps the word on the one before it.
+            let released = match current {
+                Some(ownership) if no_owner_before => ownership.released,
+                Some(ownership) => {
+                    released
+                        && !ownership.owner.is_some_and(|owner| self.sessions.contains_key(&owner))
+                }
+                None => true,
+            };
+            let epoch = Epoch(offset.0);
+            self.owners.insert(partition, Ownership { owner: winner, epoch, released });
+            changes.push(ControlChange::Partition(partition));
+        }
+        changes
+    }
+
+    fn all_partitions(&self) -> Vec<PartitionId> {
+        let mut partitions = Vec::new();
+        for (pool, _) in self.pools.iter() {
+            for (region, _) in self.regions.iter() {
+                partitions.push(PartitionId { pool, region });
+            }
+        }
+        partitions
+    }
+
+    fn partition_winner(&self, partition: PartitionId) -> Option<SessionId> {
+        let region_of = |session: &Session| {
+            let data_centre = self.data_centre_by_name(&session.open.data_centre)?;
+            Some(self.data_centres.get(data_centre)?.region)
+        };
+        let local = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| region_of(session) == Some(partition.region))
+            .map(|(id, _)| *id);
+        let key = (u64::from(partition.pool.0) << 32) | u64::from(partition.region.0);
+        rendezvous::winner(key, local)
+            .or_else(|| rendezvous::winner(key, self.sessions.keys().copied()))
+    }
+
+    fn apply_observations(
+        &mut self,
+        offset: Offset,
+        observations: &[VmObservation],
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        let mut changes = Vec::new();
+        for observation in observations {
+            let change = match observation {
+                VmObservation::Joined(joined) => self.join_vm(offset, joined),
+                VmObservation::Health { vm, health } => self.set_health(*vm, *health),
+                VmObservation::Left { vm } => self.remove_vm(offset, *vm),
+            };
+            changes.extend(change);
+        }
+        if changes.is_empty() { Err(VoidReason::EmptyBatch) } else { Ok(changes) }
+    }
+
+    fn join_vm(&mut self, offset: Offset, joined: &VmJoined) -> Option<ControlChange> {
+        if self.vm_names.contains_key(&joined.name) {
+            return None;
+        }
+        let data_centre = self.data_centre_by_name(&joined.data_centre)?;
+        let pool = self.pool_by_name(&joined.pool)?;
+        let rack = self.intern_rack(&joined.data_centre, &joined.rack);
+        let vm = Vm {
+            joined: joined.clone(),
+            joined_at: offset,
+            data_centre,
+            rack,
+            pool,
+            health: Health::Up,
+            operation: None,
+        };
+        let id = match self.reusable_vm_id(offset) {
+            Some(id) => {
+                self.vms.insert_at(id, vm);
+                id
+            }
+            None => self.vms.insert(vm),
+        };
+        self.vm_names.insert(joined.name.clone(), id);
+        Some(ControlChange::Vm(id))
+    }
+
+    fn reusable_vm_id(&mut self, offset: Offset) -> Option<VmId> {
+        let (freed_at, id) = self.freed_vms.front().copied()?;
+        // A writer that still means the VM that left gives up before this.
+        if offset.0 - freed_at.0 <= REMEMBERED_RECORDS as u64 {
+            return None;
+        }
+        self.freed_vms.pop_front();
+        Some(id)
+    }
+
+    fn intern_rack(&mut self, data_centre: &str, rack: &str) -> RackId {
+        let name = format!("{data_centre}/{rack}");
+        let known = self.racks.iter().find(|(_, known)| **known == name).map(|(id, _)| id);
+        known.unwrap_or_else(|| self.racks.insert(name))
+    }
+
+    fn set_health(&mut self, id: VmId, health: Health) -> Option<ControlChange> {
+        let vm = self.vms.get_mut(id)?;
+        if vm.health == health {
+            return None;
+        }
+        vm.health = health;
+        Some(ControlChange::Vm(id))
+    }
+
+    fn remove_vm(&mut self, offset: Offset, id: VmId) -> Option<ControlChange> {
+        let vm = self.vms.remove(id)?;
+        self.vm_names.remove(&vm.joined.name);
+        self.freed_vms.push_back((offset, id));
+        Some(ControlChange::Vm(id))
+    }
+
+    fn begin_drain(
+        &mut self,
+        offset: Offset,
+        id: VmId,
+        purpose: DrainPurpose,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        let vm = self.vms.get(id).ok_or_else(|| missing("VM", &id.to_string()))?;
+        if vm.operation.is_some() {
+            return Err(VoidReason::WrongOperation { vm: id });
+        }
+        match purpose {
+            DrainPurpose::Wave(wave) => match self.waves.get(wave).map(|wave| wave.phase) {
+                Some(WavePhase::Running) => {}
+                Some(WavePhase::Halted | WavePhase::Finished) | None => {
+                    return Err(VoidReason::WaveNotRunning(wave));
+                }
+            },
+            DrainPurpose::Move(pool) => {
+                self.pools.get(pool).ok_or_else(|| missing("pool", &pool.to_string()))?;
+            }
+        }
+        budget::check_drain(self, id)
+            .map_err(|exceeded| VoidReason::BudgetExceeded { vm: id, exceeded })?;
+        let operation =
+            Operation { id: OperationId(offset), purpose, phase: OperationPhase::Draining };
+        if let Some(vm) = self.vms.get_mut(id) {
+            vm.operation = Some(operation);
+        }
+        Ok(vec![ControlChange::Vm(id)])
+    }
+
+    fn step_operation(
+        &mut self,
+        id: VmId,
+        operation_id: OperationId,
+        step: VmStep,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        let wrong = VoidReason::WrongOperation { vm: id };
+        let vm = self.vms.get_mut(id).ok_or_else(|| missing("VM", &id.to_string()))?;
+        let operation = match vm.operation {
+            Some(operation) if operation.id == operation_id => operation,
+            Some(_) | None => return Err(wrong),
+        };
+        let next_phase = match (operation.phase, step, operation.purpose) {
+            (OperationPhase::Draining, VmStep::Reboot, _) => Some(OperationPhase::Rebooting),
+            (OperationPhase::Draining, VmStep::Move, DrainPurpose::Move(pool)) => {
+                vm.pool = pool;
+                Some(OperationPhase::Moved)
+            }
+            (OperationPhase::Rebooting | OperationPhase::Moved, VmStep::Done, _) => None,
+            (OperationPhase::Draining, VmStep::Cancel, _) => None,
+            (_, VmStep::Failed, _) => {
+                vm.health = Health::Down;
+                None
+            }
+            (_, VmStep::Reboot | VmStep::Move | VmStep::Done | VmStep::Cancel, _) => {
+                return Err(wrong);
+            }
+        };
+        vm.operation = next_phase.map(|phase| Operation { phase, ..operation });
+        let mut changes = vec![ControlChange::Vm(id)];
+        changes.extend(self.note_wave_result(id, operation.purpose, step));
+        Ok(changes)
+    }
+
+    fn note_wave_result(
+        &mut self,
+        vm: VmId,
+        purpose: DrainPurpose,
+        step: VmStep,
+    ) -> Option<ControlChange> {
+        let DrainPurpose::Wave(id) = purpose else { return None };
+        let wave = self.waves.get_mut(id)?;
+        match step {
+            VmStep::Done => wave.done.insert(vm),
+            VmStep::Failed => wave.failed.insert(vm),
+            VmStep::Reboot | VmStep::Move | VmStep::Cancel => return None,
+        };
+        Some(ControlChange::Wave(id))
+    }
+
+    fn apply_grants(&mut self, batch: &[GrantChange]) -> Result<Vec<ControlChange>, VoidReason> {
+        let mut changes = Vec::new();
+        for change in batch {
+            if self.apply_grant(change) {
+                changes.push(ControlChange::Grant(change.team, change.partition));
+            }
+        }
+        if changes.is_empty() { Err(VoidReason::EmptyBatch) } else { Ok(changes) }
+    }
+
+    fn apply_grant(&mut self, change: &GrantChange) -> bool {
+        let owner = self.owners.get(&change.partition).and_then(|ownership| ownership.owner);
+        let Some(team) = self.teams.get(change.team) else { return false };
+        if owner != Some(change.owner) {
+            return false;
+        }
+        let limit = team.spec.limit;
+        let held = self.grant(change.team, change.partition);
+        let next = match change.direction {
+            GrantDirection::Take => {
+                let sum = self.granted(change.team).saturating_add(change.amount);
+                if !sum.fits_in(limit) {
+                    return false;
+                }
+                held.saturating_add(change.amount)
+            }
+            GrantDirection::Return => {
+                if !change.amount.fits_in(held) {
+                    return false;
+                }
+                held.saturating_sub(change.amount)
+            }
+        };
+        if next.is_zero() {
+            self.grants.remove(&(change.team, change.partition));
+        } else {
+            self.grants.insert((change.team, change.partition), next);
+        }
+        true
+    }
+
+    fn update_wave(
+        &mut self,
+        id: WaveId,
+        phase: WavePhase,
+        width: u32,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        let wave = self.waves.get_mut(id).ok_or_else(|| missing("wave", &id.to_string()))?;
+        wave.phase = phase;
+        wave.width = width.clamp(1, wave.spec.max_width.max(1));
+        Ok(vec![ControlChange::Wave(id)])
+    }
+}
+
+pub(crate) fn missing(kind: &'static str, name: &str) -> VoidReason {
+    VoidReason::Missing { kind, name: name.to_owned() }
+}
--- /dev/null
+++ b/lib/src/record.rs
@@ -0,0 +1,212 @@
+//! Checked records of the `control` stream.
+
+use crate::config::ConfigCommit;
+use crate::ids::OperationId;
+use crate::ids::PartitionId;
+use crate::ids::PoolId;
+use crate::ids::RecordId;
+use crate::ids::SessionId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::ids::WaveId;
+use crate::resources::Resources;
+
+/// One record of the `control` stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlRecord {
+    /// Identifies the append.
+    pub id: RecordId,
+    /// What the record says.
+    pub body: RecordBody,
+}
+
+/// What a record says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordBody {
+    /// Changes the configuration.
+    ConfigCommit(ConfigCommit),
+    /// Takes a data centre out of service or brings it back.
+    DataCentreSet {
+        /// Name of the data centre.
+        data_centre: String,
+        /// True to bring it into service.
+        in_service: bool,
+        /// Who asks for it.
+        author: String,
+    },
+    /// A process joins the members.
+    SessionOpen(SessionOpen),
+    /// A member extends its lease.
+    SessionRenew {
+        /// The member.
+        session: SessionId,
+        /// Number of the renewal, rising.
+        renewal: u64,
+    },
+    /// Ends a session whose lease has run out.
+    SessionExpire {
+        /// The member.
+        session: SessionId,
+        /// The last renewal that the writer saw.
+        seen_renewal: u64,
+    },
+    /// A member leaves after its last start of work.
+    SessionClose {
+        /// The member.
+        session: SessionId,
+    },
+    /// Observations of VMs.
+    VmBatch(Vec<VmObservation>),
+    /// Begins to drain a VM.
+    DrainBegin {
+        /// The VM.
+        vm: VmId,
+        /// Why it is drained.
+        purpose: DrainPurpose,
+    },
+    /// The next step of an operation on a VM.
+    VmOperation {
+        /// The VM.
+        vm: VmId,
+        /// The operation.
+        operation: OperationId,
+        /// The step.
+        step: VmStep,
+    },
+    /// Changes of the grants that partitions hold.
+    GrantBatch(Vec<GrantChange>),
+    /// Progress of a wave.
+    WaveUpdate {
+        /// The wave.
+        wave: WaveId,
+        /// Its phase.
+        phase: WavePhase,
+        /// VMs of the current step.
+        width: u32,
+    },
+}
+
+/// A process that joins the members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SessionOpen {
+    /// Number of the session.
+    pub session: SessionId,
+    /// Name of the process.
+    pub name: String,
+    /// Name of the data centre that the process runs in.
+    pub data_centre: String,
+    /// Address for calls of peers.
+    pub peer_address: String,
+    /// Time for which the session lives without a renewal.
+    pub lease_ms: u64,
+}
+
+/// One observation of a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum VmObservation {
+    /// The VM list shows a VM that the fold does not know.
+    Joined(VmJoined),
+    /// The health of a VM changed.
+    Health {
+        /// The VM.
+        vm: VmId,
+        /// Its health.
+        health: Health,
+    },
+    /// The VM is gone from the list.
+    Left {
+        /// The VM.
+        vm: VmId,
+    },
+}
+
+/// A VM as the VM list shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmJoined {
+    /// Unique name.
+    pub name: String,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// Name of its rack.
+    pub rack: String,
+    /// Name of the pool for which it was created.
+    pub pool: String,
+    /// Address of its worker.
+    pub worker_address: String,
+    /// Address of its upstream instance; empty if it has none.
+    pub upstream_address: String,
+    /// What the worker can run.
+    pub capacity: Resources,
+}
+
+/// Health of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Health {
+    /// It answers.
+    Up,
+    /// It is known not to work.
+    Down,
+    /// Its state cannot be learned.
+    Unknown,
+    /// The list says that it is leaving.
+    Leaving,
+}
+
+/// Why a VM is drained.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DrainPurpose {
+    /// Maintenance by a wave.
+    Wave(WaveId),
+    /// Move to another pool.
+    Move(PoolId),
+}
+
+/// A step of an operation on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum VmStep {
+    /// The drained VM is about to reboot.
+    Reboot,
+    /// The drained VM changes its pool.
+    Move,
+    /// The VM is back in service.
+    Done,
+    /// The operation is given up.
+    Cancel,
+    /// The VM did not come back.
+    Failed,
+}
+
+/// A change of the grant of one team in one partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantChange {
+    /// The team.
+    pub team: TeamId,
+    /// The partition that holds the grant.
+    pub partition: PartitionId,
+    /// The writer, which must own the partition.
+    pub owner: SessionId,
+    /// Whether the amount is taken or returned.
+    pub direction: GrantDirection,
+    /// The amount.
+    pub amount: Resources,
+}
+
+/// Direction of a grant change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantDirection {
+    /// From the team's limit to the partition.
+    Take,
+    /// From the partition back.
+    Return,
+}
+
+/// Phase of a wave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WavePhase {
+    /// Drains may begin.
+    Running,
+    /// No drain begins until an operator resumes the wave.
+    Halted,
+    /// All VMs are done.
+    Finished,
+}
--- /dev/null
+++ b/lib/src/snapshot.rs
@@ -0,0 +1,435 @@
+//! Snapshots of the folded state: encoding, digest and chunks.
+
+use std::collections::BTreeSet;
+
+use prost::Message;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::control::ControlState;
+use crate::control::DataCentre;
+use crate::control::Operation;
+use crate::control::OperationPhase;
+use crate::control::Ownership;
+use crate::control::Pool;
+use crate::control::Session;
+use crate::control::Team;
+use crate::control::Vm;
+use crate::control::Wave;
+use crate::findings::Findings;
+use crate::ids::DataCentreId;
+use crate::ids::Epoch;
+use crate::ids::Offset;
+use crate::ids::OperationId;
+use crate::ids::PartitionId;
+use crate::ids::PoolId;
+use crate::ids::RackId;
+use crate::ids::RegionId;
+use crate::ids::Revision;
+use crate::ids::SessionId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::ids::WaveId;
+use crate::protos::config as raw_config;
+use crate::protos::control as raw;
+use crate::record::DrainPurpose;
+use crate::record::WavePhase;
+use crate::wire_config::budgets_to_raw;
+use crate::wire_config::entity;
+
+/// Largest chunk of an encoded snapshot, in bytes.
+pub const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Offsets at which processes compare digests are multiples of this.
+pub const DIGEST_INTERVAL: u64 = 256;
+
+/// Why a snapshot cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SnapshotError {
+    /// The bytes do not decode.
+    #[error("snapshot does not decode: {0}")]
+    Decode(#[from] prost::DecodeError),
+    /// An entity is not valid.
+    #[error("snapshot is not valid: {0}")]
+    Invalid(#[from] Findings),
+    /// A field is missing.
+    #[error("snapshot has no {0}")]
+    Missing(&'static str),
+    /// A chunk is missing or belongs to another snapshot.
+    #[error("chunk {index} of the snapshot is missing")]
+    ChunkMissing {
+        /// Index of the chunk.
+        index: usize,
+    },
+    /// The state has another digest than the chunks say.
+    #[error("snapshot has another digest than its chunks say")]
+    DigestDiffers,
+}
+
+/// SHA-256 of the canonical encoding of a state.
+pub type StateDigest = [u8; 32];
+
+impl ControlState {
+    /// The canonical encoding of the state.
+    pub fn encode(&self) -> Vec<u8> {
+        raw::Snapshot::from(self).encode_to_vec()
+    }
+
+    /// The state that `bytes` encode.
+    pub fn decode(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        Self::try_from(&raw::Snapshot::decode(bytes)?)
+    }
+
+    /// The digest of the state.
+    pub fn digest(&self) -> StateDigest {
+        Sha256::digest(self.encode()).into()
+    }
+}
+
+/// The chunks of a snapshot as records of the `snapshots` stream.
+pub fn encode_chunks(state: &ControlState) -> Vec<Vec<u8>> {
+    let bytes = state.encode();
+    let digest: StateDigest = Sha256::digest(&bytes).into();
+    let parts: Vec<&[u8]> = bytes.chunks(CHUNK_BYTES).collect();
+    let chunk = |(index, part): (usize, &&[u8])| {
+        raw::SnapshotChunk {
+            next_offset: state.next_offset.0,
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            count: u32::try_from(parts.len()).unwrap_or(u32::MAX),
+            data: part.to_vec(),
+            digest: digest.to_vec(),
+        }
+        .encode_to_vec()
+    };
+    parts.iter().enumerate().map(chunk).collect()
+}
+
+/// The newest complete snapshot among records of the `snapshots` stream.
+/// Chunks of several writers may be mixed; a snapshot that cannot be used is
+/// passed over.
+pub fn newest_snapshot(records: &[Vec<u8>]) -> Option<ControlState> {
+    let chunks: Vec<raw::SnapshotChunk> = records
+        .iter()
+        .filter_map(|record| raw::SnapshotChunk::decode(record.as_slice()).ok())
+        .collect();
+    let candidates: BTreeSet<(u64, Vec<u8>)> =
+        chunks.iter().map(|chunk| (chunk.next_offset, chunk.digest.clone())).collect();
+    candidates.iter().rev().find_map(|(next_offset, digest)| {
+        let parts = chunks
+            .iter()
+            .filter(|chunk| chunk.next_offset == *next_offset && chunk.digest == *digest);
+        join_chunks(parts).ok()
+    })
+}
+
+fn join_chunks<'a, I>(chunks: I) -> Result<ControlState, SnapshotError>
+where
+    I: Iterator<Item = &'a raw::SnapshotChunk>,
+{
+    let mut parts: Vec<&raw::SnapshotChunk> = chunks.collect();
+    parts.sort_by_key(|chunk| chunk.index);
+    parts.dedup_by_key(|chunk| chunk.index);
+    let first = parts.first().ok_or(SnapshotError::ChunkMissing { index: 0 })?;
+    let count = first.count as usize;
+    let digest = first.digest.clone();
+    let mut bytes = Vec::new();
+    for index in 0..count {
+        let part = parts
+            .get(index)
+            .filter(|part| part.index as usize == index)
+            .ok_or(SnapshotError::ChunkMissing { index })?;
+        bytes.extend_from_slice(&part.data);
+    }
+    if Sha256::digest(&bytes).as_slice() != digest.as_slice() {
+        return Err(SnapshotError::DigestDiffers);
+    }
+    ControlState::decode(&bytes)
+}
+
+impl From<&ControlState> for raw::Snapshot {
+    fn from(state: &ControlState) -> Self {
+        let removed = state.teams.iter().filter(|(_, team)| team.removed);
+        Self {
+            next_offset: state.next_offset.0,
+            revision: state.revision.0,
+            revision_author: state.revision_author.clone(),
+            data_centres: state.data_centres.slots().map(data_centre_to_raw).collect(),
+            regions: state.regions.slots().map(|name| name.cloned().unwrap_or_default()).collect(),
+            racks: state.racks.slots().map(|name| name.cloned().unwrap_or_default()).collect(),
+            pools: state
+                .pools
+                .slots()
+                .map(|pool| pool.map(|pool| (&pool.spec).into()).unwrap_or_default())
+                .collect(),
+            budgets: state
+                .pools
+                .iter()
+                .map(|(_, pool)| raw::PoolBudgets {
+                    pool: pool.spec.name.clone(),
+                    budgets: budgets_to_raw(&pool.spec.name, &pool.budgets),
+                })
+                .collect(),
+            teams: state
+                .teams
+                .slots()
+                .map(|team| team.map(|team| (&team.spec).into()).unwrap_or_default())
+                .collect(),
+            removed_teams: removed.map(|(id, _)| id.0).collect(),
+            waves: state.waves.slots().map(wave_to_raw).collect(),
+            policy: Some((&state.policy).into()),
+            sessions: state.sessions.values().map(session_to_raw).collect(),
+            vms: state.vms.slots().map(vm_to_raw).collect(),
+            grants: grants_to_raw(state),
+            recent_ids: state.recent_ids.iter().map(|id| (*id).into()).collect(),
+            freed_vms: state
+                .freed_vms
+                .iter()
+                .map(|(freed_at, id)| raw::FreedId { id: id.0, freed_at: freed_at.0 })
+                .collect(),
+            epochs: state
+                .owners
+                .iter()
+                .map(|(partition, ownership)| epoch_to_raw(*partition, ownership))
+                .collect(),
+            membership_epoch: state.membership_epoch.0,
+        }
+    }
+}
+
+fn data_centre_to_raw(entry: Option<&DataCentre>) -> raw::DataCentreState {
+    let Some(entry) = entry else { return raw::DataCentreState::default() };
+    raw::DataCentreState {
+        data_centre: Some((&entry.spec).into()),
+        region: entry.region.0,
+        in_service: entry.in_service,
+    }
+}
+
+fn wave_to_raw(entry: Option<&Wave>) -> raw::WaveState {
+    let Some(wave) = entry else { return raw::WaveState::default() };
+    raw::WaveState {
+        wave: Some((&wave.spec).into()),
+        phase: raw::WavePhase::from(wave.phase).into(),
+        width: wave.width,
+        done_vms: wave.done.iter().map(|vm| vm.0).collect(),
+        failed_vms: wave.failed.iter().map(|vm| vm.0).collect(),
+    }
+}
+
+fn session_to_raw(session: &Session) -> raw::SessionState {
+    raw::SessionState {
+        open: Some((&session.open).into()),
+        renewal: session.renewal,
+        opened_at: session.opened_at.0,
+    }
+}
+
+fn vm_to_raw(entry: Option<&Vm>) -> raw::VmState {
+    let Some(vm) = entry else { return raw::VmState::default() };
+    let phase = match vm.operation.map(|operation| operation.phase) {
+        None => raw::OperationPhase::Unspecified,
+        Some(OperationPhase::Draining) => raw::OperationPhase::Draining,
+        Some(OperationPhase::Rebooting) => raw::OperationPhase::Rebooting,
+        Some(OperationPhase::Moved) => raw::OperationPhase::Moved,
+    };
+    raw::VmState {
+        joined: Some((&vm.joined).into()),
+        health: raw::Health::from(vm.health).into(),
+        joined_at: vm.joined_at.0,
+        operation: vm.operation.map_or(0, |operation| operation.id.0.0),
+        phase: phase.into(),
+        purpose: vm.operation.map(|operation| match operation.purpose {
+            DrainPurpose::Wave(wave) => raw::vm_state::Purpose::Wave(wave.0),
+            DrainPurpose::Move(pool) => raw::vm_state::Purpose::MoveToPool(pool.0),
+        }),
+        data_centre: vm.data_centre.0,
+        rack: vm.rack.0,
+        pool: vm.pool.0,
+    }
+}
+
+fn grants_to_raw(state: &ControlState) -> Vec<raw::GrantState> {
+    state
+        .grants
+        .iter()
+        .map(|((team, partition), amount)| raw::GrantState {
+            team: team.0,
+            pool: partition.pool.0,
+            region: partition.region.0,
+            amount: Some((*amount).into()),
+        })
+        .collect()
+}
+
+fn epoch_to_raw(partition: PartitionId, ownership: &Ownership) -> raw::EpochState {
+    raw::EpochState {
+        pool: partition.pool.0,
+        region: partition.region.0,
+        owner: ownership.owner.map_or(0, |owner| owner.0),
+        epoch: ownership.epoch.0,
+        released: ownership.released,
+    }
+}
+
+impl TryFrom<&raw::Snapshot> for ControlState {
+    type Error = SnapshotError;
+
+    fn try_from(raw: &raw::Snapshot) -> Result<Self, SnapshotError> {
+        let mut state = Self {
+            next_offset: Offset(raw.next_offset),
+            revision: Revision(raw.revision),
+            revision_author: raw.revision_author.clone(),
+            policy: raw.policy.as_ref().map(entity::policy).unwrap_or_default(),
+            membership_epoch: Offset(raw.membership_epoch),
+            recent_ids: raw.recent_ids.iter().map(Into::into).collect(),
+            recent_id_set: raw.recent_ids.iter().map(Into::into).collect(),
+            freed_vms: raw
+                .freed_vms
+                .iter()
+                .map(|freed| (Offset(freed.freed_at), VmId(freed.id)))
+                .collect(),
+            ..Self::default()
+        };
+        for name in &raw.regions {
+            state.regions.insert(name.clone());
+        }
+        for name in &raw.racks {
+            state.racks.insert(name.clone());
+        }
+        read_data_centres(raw, &mut state)?;
+        read_pools(raw, &mut state)?;
+        read_teams(raw, &mut state)?;
+        read_waves(raw, &mut state)?;
+        read_sessions(raw, &mut state)?;
+        read_vms(raw, &mut state)?;
+        read_grants_and_owners(raw, &mut state);
+        Ok(state)
+    }
+}
+
+fn read_data_centres(raw: &raw::Snapshot, state: &mut ControlState) -> Result<(), SnapshotError> {
+    for entry in &raw.data_centres {
+        let Some(spec) = &entry.data_centre else {
+            state.data_centres.push_free();
+            continue;
+        };
+        state.data_centres.insert(DataCentre {
+            spec: entity::data_centre(spec)?,
+            region: RegionId(entry.region),
+            in_service: entry.in_service,
+        });
+    }
+    Ok(())
+}
+
+fn read_pools(raw: &raw::Snapshot, state: &mut ControlState) -> Result<(), SnapshotError> {
+    for spec in &raw.pools {
+        if *spec == raw_config::Pool::default() {
+            state.pools.push_free();
+            continue;
+        }
+        state.pools.insert(Pool { spec: entity::pool(spec)?, budgets: Vec::new() });
+    }
+    for entry in &raw.budgets {
+        let budgets = entity::budgets(&entry.pool, &entry.budgets)?;
+        let id =
+            state.pool_by_name(&entry.pool).ok_or(SnapshotError::Missing("pool of a budget"))?;
+        if let Some(pool) = state.pools.get_mut(id) {
+            pool.budgets = budgets;
+        }
+    }
+    Ok(())
+}
+
+fn read_teams(raw: &raw::Snapshot, state: &mut ControlState) -> Result<(), SnapshotError> {
+    for spec in &raw.teams {
+        state.teams.insert(Team { spec: entity::team(spec)?, removed: false });
+    }
+    for id in &raw.removed_teams {
+        if let Some(team) = state.teams.get_mut(TeamId(*id)) {
+            team.removed = true;
+        }
+    }
+    Ok(())
+}
+
+fn read_waves(raw: &raw::Snapshot, state: &mut ControlState) -> Result<(), SnapshotError> {
+    for entry in &raw.waves {
+        let Some(spec) = &entry.wave else {
+            state.waves.push_free();
+            continue;
+        };
+        state.waves.insert(Wave {
+            spec: entity::wave(spec)?,
+            phase: WavePhase::try_from(entry.phase())?,
+            width: entry.width,
+            done: entry.done_vms.iter().map(|id| VmId(*id)).collect(),
+            failed: entry.failed_vms.iter().map(|id| VmId(*id)).collect(),
+        });
+    }
+    Ok(())
+}
+
+fn read_sessions(raw: &raw::Snapshot, state: &mut ControlState) -> Result<(), SnapshotError> {
+    for entry in &raw.sessions {
+        let open = entry.open.as_ref().ok_or(SnapshotError::Missing("session"))?;
+        let session = Session {
+            open: open.into(),
+            renewal: entry.renewal,
+            opened_at: Offset(entry.opened_at),
+        };
+        state.sessions.insert(session.open.session, session);
+    }
+    Ok(())
+}
+
+fn read_vms(raw: &raw::Snapshot, state: &mut ControlState) -> Result<(), SnapshotError> {
+    for entry in &raw.vms {
+        let Some(joined) = &entry.joined else {
+            state.vms.push_free();
+            continue;
+        };
+        let vm = Vm {
+            joined: joined.into(),
+            joined_at: Offset(entry.joined_at),
+            data_centre: DataCentreId(entry.data_centre),
+            rack: RackId(entry.rack),
+            pool: PoolId(entry.pool),
+            health: entry.health().try_into()?,
+            operation: read_operation(entry)?,
+        };
+        let name = vm.joined.name.clone();
+        let id = state.vms.insert(vm);
+        state.vm_names.insert(name, id);
+    }
+    Ok(())
+}
+
+fn read_operation(entry: &raw::VmState) -> Result<Option<Operation>, SnapshotError> {
+    let phase = match entry.phase() {
+        raw::OperationPhase::Unspecified => return Ok(None),
+        raw::OperationPhase::Draining => OperationPhase::Draining,
+        raw::OperationPhase::Rebooting => OperationPhase::Rebooting,
+        raw::OperationPhase::Moved => OperationPhase::Moved,
+    };
+    let purpose = match &entry.purpose {
+        None => return Err(SnapshotError::Missing("purpose of an operation")),
+        Some(raw::vm_state::Purpose::Wave(wave)) => DrainPurpose::Wave(WaveId(*wave)),
+        Some(raw::vm_state::Purpose::MoveToPool(pool)) => DrainPurpose::Move(PoolId(*pool)),
+    };
+    Ok(Some(Operation { id: OperationId(Offset(entry.operation)), purpose, phase }))
+}
+
+fn read_grants_and_owners(raw: &raw::Snapshot, state: &mut ControlState) {
+    for grant in &raw.grants {
+        let partition = PartitionId { pool: PoolId(grant.pool), region: RegionId(grant.region) };
+        let amount = grant.amount.unwrap_or_default().into();
+        state.grants.insert((TeamId(grant.team), partition), amount);
+    }
+    for entry in &raw.epochs {
+        let partition = PartitionId { pool: PoolId(entry.pool), region: RegionId(entry.region) };
+        let owner = (entry.owner != 0).then_some(SessionId(entry.owner));
+        let epoch = Epoch(entry.epoch);
+        state.owners.insert(partition, Ownership { owner, epoch, released: entry.released });
+    }
+}
