daemon: control follower, peers, sessions, routing and operators' calls

Cause: the first path needs a process that follows the log, tells how fresh its view is, and routes a request to an upstream.

Change: tasks with one mailbox each for control state, peers, routing and the VM list; HTTP front end, gRPC services with tokens, health endpoint. Freshness and session decisions are in lib.

--- /dev/null
+++ b/daemon/src/app.rs
@@ -0,0 +1,287 @@
+//! Starts the tasks of one process and stops them in order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::protos::peer::admin_server::AdminServer;
+use cowslipport_lib::protos::peer::peer_server::PeerServer;
+use cowslipport_lib::record::SessionOpen;
+use cowslipport_lib::session::SESSION_LEASE_MS;
+use cowslipport_lib::session::SessionKeeper;
+use metrics_exporter_prometheus::PrometheusHandle;
+use slog::Logger;
+use slog::info;
+use slog::o;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::admin_server::AdminService;
+use crate::callers;
+use crate::callers::CallerContext;
+use crate::clock::Clock;
+use crate::control_task;
+use crate::control_task::ControlHandle;
+use crate::control_task::ControlTask;
+use crate::edges::LogService;
+use crate::edges::VmList;
+use crate::fleet_task;
+use crate::fleet_task::FleetTask;
+use crate::health;
+use crate::health::HealthContext;
+use crate::peer_client::BearerToken;
+use crate::peer_client::PeerClients;
+use crate::peer_server::PeerService;
+use crate::peer_task;
+use crate::peer_task::PeerConfig;
+use crate::peer_task::PeerMessage;
+use crate::peer_task::PeerTask;
+use crate::router_task;
+use crate::router_task::RouterTask;
+use crate::subscriber::Subscriber;
+use crate::token::TokenCheck;
+
+/// Time between failing readiness and refusing connections, in which a
+/// balancer that probes every second notices.
+const READINESS_LEAD: Duration = Duration::from_millis(1_500);
+
+/// What one process needs to know to start.
+#[derive(Clone, Debug)]
+pub struct DaemonConfig {
+    /// Name of the process.
+    pub name: String,
+    /// Data centre that it runs in.
+    pub data_centre: String,
+    /// Address for requests of callers.
+    pub callers: SocketAddr,
+    /// Address for calls of peers and operators.
+    pub peers: SocketAddr,
+    /// Address for health, readiness and metrics.
+    pub health: SocketAddr,
+    /// Processes to ask before a member is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Token that peers present to each other.
+    pub peer_token: String,
+    /// Token that operators present.
+    pub operator_token: String,
+    /// Time that work in flight may take when the process stops.
+    pub shutdown_timeout: Duration,
+}
+
+/// Why a process cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address} for {purpose}: {source}")]
+    Listen {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The token of the peers cannot stand in a header.
+    #[error("the token of the peers has characters that a header cannot carry")]
+    Token,
+}
+
+/// Addresses that a running process listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For requests of callers.
+    pub callers: SocketAddr,
+    /// For calls of peers and operators.
+    pub peers: SocketAddr,
+    /// For health, readiness and metrics.
+    pub health: SocketAddr,
+}
+
+/// A running process.
+pub struct Daemon {
+    addresses: Addresses,
+    peer: mpsc::Sender<PeerMessage>,
+    stop: watch::Sender<bool>,
+    stop_listening: watch::Sender<bool>,
+    connections: mpsc::Receiver<()>,
+    shutdown_timeout: Duration,
+    logger: Logger,
+}
+
+impl Daemon {
+    /// Starts the tasks of a process on the current `actix-rt` runtime.
+    pub async fn start<L, V>(
+        config: DaemonConfig,
+        log: L,
+        vm_list: V,
+        metrics: Option<PrometheusHandle>,
+        logger: Logger,
+    ) -> Result<Self, StartError>
+    where
+        L: LogService,
+        V: VmList,
+    {
+        let callers_listener = listen("callers", config.callers).await?;
+        let peers_listener = listen("peers", config.peers).await?;
+        let health_listener = listen("health", config.health).await?;
+        let addresses = Addresses {
+            callers: bound("callers", config.callers, &callers_listener)?,
+            peers: bound("peers", config.peers, &peers_listener)?,
+            health: bound("health", config.health, &health_listener)?,
+        };
+        let logger = logger.new(o!("process" => config.name.clone()));
+        let (stop, stopping) = watch::channel(false);
+        let (stop_listening, listening_stopped) = watch::channel(false);
+        let (open_connections, connections) = mpsc::channel(1);
+        let tasks = spawn_tasks(&config, addresses.peers, log, vm_list, &logger)?;
+        actix_rt::spawn(callers::serve(
+            callers_listener,
+            CallerContext {
+                router: tasks.router,
+                logger: logger.new(o!("target" => "callers")),
+                connection: open_connections,
+            },
+            listening_stopped.clone(),
+        ));
+        spawn_grpc(&config, peers_listener, &tasks.peer, &tasks.control, &logger);
+        let health = HealthContext { peer: tasks.peer.clone(), metrics, stopping };
+        actix_rt::spawn(health::serve(health_listener, health));
+        info!(logger, "process started"; "callers" => addresses.callers.to_string(),
+            "peers" => addresses.peers.to_string(), "health" => addresses.health.to_string());
+        Ok(Self {
+            addresses,
+            peer: tasks.peer,
+            stop,
+            stop_listening,
+            connections,
+            shutdown_timeout: config.shutdown_timeout,
+            logger,
+        })
+    }
+
+    /// Addresses that the process listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops in order: readiness fails, connections are no longer accepted,
+    /// work in flight ends, the session is closed. Returns true if all work
+    /// ended within the timeout.
+    pub async fn stop(mut self) -> bool {
+        info!(self.logger, "process is stopping");
+        // The receivers may be gone already.
+        let _ = self.stop.send(true);
+        tokio::time::sleep(READINESS_LEAD).await;
+        let _ = self.stop_listening.send(true);
+        let all_ended = tokio::time::timeout(self.shutdown_timeout, self.connections.recv()).await;
+        let (reply, closed) = oneshot::channel();
+        if self.peer.send(PeerMessage::Close(reply)).await.is_ok() {
+            let _ = tokio::time::timeout(self.shutdown_timeout, closed).await;
+        }
+        info!(self.logger, "process stopped"; "all_work_ended" => all_ended.is_ok());
+        all_ended.is_ok()
+    }
+}
+
+struct Tasks {
+    control: ControlHandle,
+    peer: mpsc::Sender<PeerMessage>,
+    router: mpsc::Sender<router_task::RouterMessage>,
+}
+
+fn spawn_tasks<L, V>(
+    config: &DaemonConfig,
+    peer_address: SocketAddr,
+    log: L,
+    vm_list: V,
+    logger: &Logger,
+) -> Result<Tasks, StartError>
+where
+    L: LogService,
+    V: VmList,
+{
+    let clock = Clock::start();
+    let session = SessionId(rand::random::<u64>().max(1));
+    let token = BearerToken::new(&config.peer_token).ok_or(StartError::Token)?;
+    let (control, control_receiver) = control_task::mailbox();
+    let (peer, peer_receiver) = peer_task::mailbox();
+    let (router, router_receiver) = router_task::mailbox();
+    let (fleet, fleet_receiver) = fleet_task::mailbox();
+    let target = |name: &'static str| logger.new(o!("target" => name));
+    RouterTask::spawn(clock, target("router"), peer.clone(), router_receiver);
+    let open = SessionOpen {
+        session,
+        name: config.name.clone(),
+        data_centre: config.data_centre.clone(),
+        peer_address: peer_address.to_string(),
+        lease_ms: SESSION_LEASE_MS,
+    };
+    let peer_config = PeerConfig {
+        keeper: SessionKeeper::new(open),
+        seeds: config.seeds.clone(),
+        clients: PeerClients::new(token),
+        control: control.clone(),
+        router: router.clone(),
+        clock,
+        logger: target("peers"),
+    };
+    PeerTask::spawn(peer_config, (peer.clone(), peer_receiver));
+    let fleet_mailbox = (fleet.clone(), fleet_receiver);
+    FleetTask::spawn(vm_list, session, control.clone(), target("fleet"), fleet_mailbox);
+    let subscribers = vec![
+        Subscriber::Peer(peer.clone()),
+        Subscriber::Router(router.clone()),
+        Subscriber::Fleet(fleet),
+    ];
+    let control_mailbox = (control.clone(), control_receiver);
+    ControlTask::spawn(log, session, clock, target("control"), control_mailbox, subscribers);
+    Ok(Tasks { control, peer, router })
+}
+
+fn spawn_grpc(
+    config: &DaemonConfig,
+    listener: TcpListener,
+    peer: &mpsc::Sender<PeerMessage>,
+    control: &ControlHandle,
+    logger: &Logger,
+) {
+    let peer_service = PeerService { peer: peer.clone(), control: control.clone() };
+    let admin_service = AdminService {
+        peer: peer.clone(),
+        control: control.clone(),
+        logger: logger.new(o!("target" => "admin")),
+    };
+    let peer_check = TokenCheck::new(&config.peer_token);
+    let operator_check = TokenCheck::new(&config.operator_token);
+    let server = Server::builder()
+        .add_service(PeerServer::with_interceptor(peer_service, peer_check))
+        .add_service(AdminServer::with_interceptor(admin_service, operator_check))
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    let logger = logger.clone();
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            slog::error!(logger, "gRPC server ended"; "error" => error.to_string());
+        }
+    });
+}
+
+async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Listen {
+        purpose,
+        address,
+        source,
+    })
+}
+
+fn bound(
+    purpose: &'static str,
+    address: SocketAddr,
+    listener: &TcpListener,
+) -> Result<SocketAddr, StartError> {
+    listener.local_addr().map_err(|source| StartError::Listen { purpose, address, source })
+}
--- /dev/null
+++ b/daemon/src/fleet_task.rs
@@ -0,0 +1,180 @@
+//! The task that compares the VM list with the fold and records differences.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::record::Health;
+use cowslipport_lib::record::RecordBody;
+use cowslipport_lib::record::VmObservation;
+use cowslipport_lib::replica::ControlFeed;
+use slog::Logger;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use crate::control_task::AppendOutcome;
+use crate::control_task::ControlHandle;
+use crate::edges::ListedVm;
+use crate::edges::VmList;
+use crate::edges::VmListError;
+
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+const MAILBOX_MESSAGES: usize = 64;
+/// VMs in one record, so that it stays under 64 KiB.
+const MAX_OBSERVATIONS: usize = 256;
+
+/// Messages of the fleet task.
+pub(crate) enum FleetMessage {
+    /// The control state changed.
+    Control(ControlFeed),
+    /// A read of the VM list ended.
+    Listed(Result<Vec<ListedVm>, VmListError>),
+    /// An append of observations ended.
+    Recorded(AppendOutcome),
+}
+
+/// The mailbox of a fleet task that is about to start.
+pub(crate) fn mailbox() -> (mpsc::Sender<FleetMessage>, mpsc::Receiver<FleetMessage>) {
+    mpsc::channel(MAILBOX_MESSAGES)
+}
+
+/// Owner of the comparison between the VM list and the fold.
+pub(crate) struct FleetTask<V> {
+    list: V,
+    session: SessionId,
+    control: ControlHandle,
+    logger: Logger,
+    sender: mpsc::WeakSender<FleetMessage>,
+    state: ControlState,
+    listing: bool,
+    recording: bool,
+}
+
+impl<V> FleetTask<V>
+where
+    V: VmList,
+{
+    /// Starts the task. It ends when its mailbox is closed.
+    pub(crate) fn spawn(
+        list: V,
+        session: SessionId,
+        control: ControlHandle,
+        logger: Logger,
+        (sender, receiver): (mpsc::Sender<FleetMessage>, mpsc::Receiver<FleetMessage>),
+    ) {
+        let task = Self {
+            list,
+            session,
+            control,
+            logger,
+            sender: sender.downgrade(),
+            state: ControlState::default(),
+            listing: false,
+            recording: false,
+        };
+        actix_rt::spawn(task.run(receiver));
+    }
+
+    async fn run(mut self, mut receiver: mpsc::Receiver<FleetMessage>) {
+        let mut ticks = tokio::time::interval(LIST_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = receiver.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.list(),
+            }
+        }
+    }
+
+    fn handle(&mut self, message: FleetMessage) {
+        match message {
+            FleetMessage::Control(feed) => {
+                self.state.follow(&feed);
+            }
+            FleetMessage::Listed(result) => {
+                self.listing = false;
+                self.listed(result);
+            }
+            FleetMessage::Recorded(outcome) => {
+                self.recording = false;
+                if let AppendOutcome::Unavailable(reason) | AppendOutcome::Unknown(reason) = outcome
+                {
+                    warn!(self.logger, "VM observations are not recorded"; "reason" => reason);
+                }
+            }
+        }
+    }
+
+    /// The session with the lowest id watches the list. Two that do so at the
+    /// same time write the same observations, of which the second are void.
+    fn list(&mut self) {
+        let watches = self.state.sessions.keys().next() == Some(&self.session);
+        let (false, true, Some(sender)) = (self.listing, watches, self.sender.upgrade()) else {
+            return;
+        };
+        self.listing = true;
+        let list = self.list.clone();
+        actix_rt::spawn(async move {
+            let result = list.list().await;
+            let _ = sender.send(FleetMessage::Listed(result)).await;
+        });
+    }
+
+    fn listed(&mut self, result: Result<Vec<ListedVm>, VmListError>) {
+        let listed = match result {
+            Ok(listed) => listed,
+            Err(error) => {
+                warn!(self.logger, "VM list is not read"; "error" => error.to_string());
+                return;
+            }
+        };
+        let mut observations = differences(&self.state, &listed);
+        observations.truncate(MAX_OBSERVATIONS);
+        let (false, false, Some(sender)) =
+            (self.recording, observations.is_empty(), self.sender.upgrade())
+        else {
+            return;
+        };
+        self.recording = true;
+        let control = self.control.clone();
+        actix_rt::spawn(async move {
+            let outcome = control.append(RecordBody::VmBatch(observations)).await;
+            let _ = sender.send(FleetMessage::Recorded(outcome)).await;
+        });
+    }
+}
+
+/// Observations that bring the fold in line with the list. A VM that the fold
+/// cannot take, because its pool or data centre is not in the manifest, is
+/// tried again at the next read.
+fn differences(state: &ControlState, listed: &[ListedVm]) -> Vec<VmObservation> {
+    let by_name: BTreeMap<&str, &ListedVm> =
+        listed.iter().map(|listed| (listed.vm.name.as_str(), listed)).collect();
+    let mut observations = Vec::new();
+    for (id, vm) in state.vms.iter() {
+        match by_name.get(vm.joined.name.as_str()) {
+            None => observations.push(VmObservation::Left { vm: id }),
+            Some(listed) if listed.leaving && vm.health != Health::Leaving => {
+                observations.push(VmObservation::Health { vm: id, health: Health::Leaving });
+            }
+            Some(listed) if !listed.leaving && vm.health == Health::Leaving => {
+                observations.push(VmObservation::Health { vm: id, health: Health::Up });
+            }
+            Some(_) => {}
+        }
+    }
+    for (name, listed) in by_name {
+        let known = state.vm_by_name(name).is_some();
+        let placeable = state.pool_by_name(&listed.vm.pool).is_some()
+            && state.data_centre_by_name(&listed.vm.data_centre).is_some();
+        if !known && placeable {
+            observations.push(VmObservation::Joined(listed.vm.clone()));
+        }
+    }
+    observations
+}
--- /dev/null
+++ b/daemon/src/peer_task.rs
@@ -0,0 +1,451 @@
+//! The task that talks to the other entry processes, judges how fresh the view
+//! of this process is, and keeps its session.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::freshness::FreshnessTracker;
+use cowslipport_lib::freshness::MemberReport;
+use cowslipport_lib::freshness::ViewState;
+use cowslipport_lib::ids::Offset;
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::record::RecordBody;
+use cowslipport_lib::replica::ControlFeed;
+use cowslipport_lib::session::SessionKeeper;
+use cowslipport_lib::snapshot::DIGEST_INTERVAL;
+use cowslipport_lib::snapshot::StateDigest;
+use cowslipport_lib::time::TimeMs;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+
+use crate::authority::Authority;
+use crate::authority::View;
+use crate::clock::Clock;
+use crate::control_task::ControlHandle;
+use crate::peer_client;
+use crate::peer_client::ExchangeError;
+use crate::peer_client::PeerClients;
+use crate::peer_wire::MemberEntry;
+use crate::router_task::RouterMessage;
+use crate::subscriber::LogContact;
+
+const TICK: Duration = Duration::from_millis(100);
+const EXCHANGE_INTERVAL_MS: u64 = 500;
+/// Members that one round of exchanges asks.
+const EXCHANGE_FANOUT: usize = 8;
+const FETCH_RECORDS: u32 = 1024;
+const MAILBOX_MESSAGES: usize = 256;
+
+/// Messages of the peer task.
+pub(crate) enum PeerMessage {
+    /// The control state changed.
+    Control(ControlFeed),
+    /// A read of the log ended.
+    LogContact(LogContact),
+    /// An exchange that was sent at `sent_at` ended.
+    ExchangeDone { sent_at: TimeMs, result: Result<Vec<MemberEntry>, ExchangeError> },
+    /// A fetch of records or of a snapshot ended.
+    FetchDone,
+    /// Another process asks what this one knows.
+    Exchange(oneshot::Sender<Vec<MemberEntry>>),
+    /// Requests in flight from this process to each VM.
+    InFlight(BTreeMap<VmId, u32>),
+    /// Asks which members have applied an offset.
+    Progress { offset: Offset, reply: oneshot::Sender<Progress> },
+    /// Asks for the state of the view and of the members.
+    Status(oneshot::Sender<PeerStatus>),
+    /// Closes the session and answers when that is recorded or has failed.
+    Close(oneshot::Sender<()>),
+}
+
+/// Which members have applied an offset.
+pub(crate) struct Progress {
+    /// True if a majority has.
+    pub(crate) accepted: bool,
+    /// Each member.
+    pub(crate) members: Vec<MemberProgress>,
+}
+
+/// How far one member is.
+pub(crate) struct MemberProgress {
+    /// Name of the process.
+    pub(crate) name: String,
+    /// True if it has applied the offset.
+    pub(crate) applied: bool,
+    /// True if it has been silent for so long that its view is stale.
+    pub(crate) stale: bool,
+    /// Age of what it said last.
+    pub(crate) age_ms: u64,
+}
+
+/// The state of the view and of the members.
+pub(crate) struct PeerStatus {
+    /// State of the view.
+    pub(crate) view: ViewState,
+    /// Age of the last confirmation.
+    pub(crate) confirmed_age_ms: Option<u64>,
+    /// True if the log answers.
+    pub(crate) log_reachable: bool,
+    /// Members of the fold with what is known of them.
+    pub(crate) members: Vec<(SessionId, Option<MemberReport>)>,
+    /// The time of the report.
+    pub(crate) now: TimeMs,
+    /// True if the digest of this process differs from that of a majority.
+    pub(crate) diverged: bool,
+}
+
+/// What the peer task starts with.
+pub(crate) struct PeerConfig {
+    /// Keeper of the session.
+    pub(crate) keeper: SessionKeeper,
+    /// Processes to ask before a member is known.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Clients of the other processes.
+    pub(crate) clients: PeerClients,
+    /// Address of the control task.
+    pub(crate) control: ControlHandle,
+    /// Mailbox of the router task.
+    pub(crate) router: mpsc::Sender<RouterMessage>,
+    /// The clock.
+    pub(crate) clock: Clock,
+    /// The logger.
+    pub(crate) logger: Logger,
+}
+
+/// The mailbox of a peer task that is about to start.
+pub(crate) fn mailbox() -> (mpsc::Sender<PeerMessage>, mpsc::Receiver<PeerMessage>) {
+    mpsc::channel(MAILBOX_MESSAGES)
+}
+
+/// Owner of the exchange table and the session.
+pub(crate) struct PeerTask {
+    config: PeerConfig,
+    me: SessionId,
+    sender: mpsc::WeakSender<PeerMessage>,
+    state: ControlState,
+    freshness: FreshnessTracker,
+    view: ViewState,
+    in_flight: BTreeMap<VmId, u32>,
+    digest: Option<(Offset, StateDigest)>,
+    diverged: bool,
+    exchanged_at: Option<TimeMs>,
+    round: usize,
+    fetching: bool,
+}
+
+impl PeerTask {
+    /// Starts the task. It ends when its mailbox is closed.
+    pub(crate) fn spawn(
+        config: PeerConfig,
+        (sender, receiver): (mpsc::Sender<PeerMessage>, mpsc::Receiver<PeerMessage>),
+    ) {
+        let task = Self {
+            me: config.keeper.session(),
+            config,
+            sender: sender.downgrade(),
+            state: ControlState::default(),
+            freshness: FreshnessTracker::default(),
+            view: ViewState::Stale,
+            in_flight: BTreeMap::new(),
+            digest: None,
+            diverged: false,
+            exchanged_at: None,
+            round: 0,
+            fetching: false,
+        };
+        actix_rt::spawn(task.run(receiver));
+    }
+
+    async fn run(mut self, mut receiver: mpsc::Receiver<PeerMessage>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = receiver.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+            self.publish();
+        }
+    }
+
+    fn handle(&mut self, message: PeerMessage) {
+        match message {
+            PeerMessage::Control(feed) => self.follow(&feed),
+            PeerMessage::LogContact(contact) => self.log_contact(&contact),
+            PeerMessage::ExchangeDone { sent_at, result } => self.exchange_done(sent_at, result),
+            PeerMessage::FetchDone => self.fetching = false,
+            PeerMessage::Exchange(reply) => {
+                let _ = reply.send(self.entries());
+            }
+            PeerMessage::InFlight(in_flight) => self.in_flight = in_flight,
+            PeerMessage::Progress { offset, reply } => {
+                let _ = reply.send(self.progress(offset));
+            }
+            PeerMessage::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            PeerMessage::Close(reply) => self.close(reply),
+        }
+    }
+
+    fn follow(&mut self, feed: &ControlFeed) {
+        let before = self.state.next_offset.0 / DIGEST_INTERVAL;
+        match feed {
+            ControlFeed::Reset(_) => {
+                self.state.follow(feed);
+            }
+            ControlFeed::Records(records) => {
+                for (offset, record) in records.iter() {
+                    match record {
+                        Some(record) => self.state.apply(*offset, record),
+                        None => self.state.skip(*offset),
+                    };
+                    if self.state.next_offset.0.is_multiple_of(DIGEST_INTERVAL) {
+                        self.digest = Some((self.state.next_offset, self.state.digest()));
+                    }
+                }
+            }
+        }
+        if before != self.state.next_offset.0 / DIGEST_INTERVAL {
+            self.compare_digests();
+        }
+        self.freshness.applied(self.state.next_offset);
+        self.freshness.retain_members(&self.state);
+    }
+
+    fn compare_digests(&mut self) {
+        let Some(mine) = self.digest else { return };
+        let reports = self.freshness.members().values();
+        let same_offset =
+            reports.filter_map(|report| report.digest).filter(|(at, _)| *at == mine.0);
+        let differing = same_offset.filter(|(_, digest)| *digest != mine.1).count();
+        self.diverged = differing >= self.state.majority();
+        if self.diverged {
+            error!(self.config.logger, "state differs from that of a majority";
+                "offset" => mine.0.0, "members" => differing);
+        }
+    }
+
+    fn log_contact(&mut self, contact: &LogContact) {
+        let was_reachable = self.freshness.log_reachable();
+        match contact {
+            LogContact::Answered { sent_at, head } => {
+                self.freshness.log_answered(*sent_at, *head, self.state.next_offset);
+            }
+            LogContact::Failed { reason } => {
+                self.freshness.log_failed();
+                if was_reachable {
+                    warn!(self.config.logger, "log service does not answer"; "reason" => reason);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.config.clock.now();
+        for body in self.config.keeper.due_records(now, &self.state, &self.freshness) {
+            self.append(body);
+        }
+        if self.exchanged_at.is_none_or(|at| now.since(at) >= EXCHANGE_INTERVAL_MS) {
+            self.exchanged_at = Some(now);
+            self.exchange(now);
+        }
+        self.fetch_if_behind(now);
+    }
+
+    fn append(&self, body: RecordBody) {
+        let control = self.config.control.clone();
+        actix_rt::spawn(async move { control.append(body).await });
+    }
+
+    fn exchange(&mut self, now: TimeMs) {
+        let me = self.me;
+        for address in self.exchange_targets() {
+            let mut client = self.config.clients.get(address);
+            let Some(sender) = self.sender.upgrade() else { return };
+            actix_rt::spawn(async move {
+                let result = peer_client::exchange(&mut client, me).await;
+                let _ = sender.send(PeerMessage::ExchangeDone { sent_at: now, result }).await;
+            });
+        }
+    }
+
+    /// Addresses for this round: all other members, or as many as the fan-out
+    /// allows, in turn.
+    fn exchange_targets(&mut self) -> Vec<SocketAddr> {
+        let others = self.state.sessions.values().filter(|session| session.open.session != self.me);
+        let mut addresses: Vec<SocketAddr> =
+            others.filter_map(|session| session.open.peer_address.parse().ok()).collect();
+        if addresses.is_empty() {
+            addresses.clone_from(&self.config.seeds);
+        }
+        let count = addresses.len();
+        if count > EXCHANGE_FANOUT {
+            addresses.rotate_left(self.round % count);
+            addresses.truncate(EXCHANGE_FANOUT);
+            self.round += EXCHANGE_FANOUT;
+        }
+        addresses
+    }
+
+    fn exchange_done(&mut self, sent_at: TimeMs, result: Result<Vec<MemberEntry>, ExchangeError>) {
+        let Ok(entries) = result else { return };
+        let applied = self.state.next_offset;
+        let mut in_flight = BTreeMap::new();
+        for entry in entries.into_iter().filter(|entry| entry.session != self.me) {
+            let report = MemberReport {
+                next_offset: entry.next_offset,
+                log_reachable: entry.log_reachable,
+                confirmed_at: entry
+                    .confirmed_age_ms
+                    .and_then(|age_ms| sent_at.0.checked_sub(age_ms + entry.age_ms))
+                    .map(TimeMs),
+                said_at: sent_at.minus(entry.age_ms),
+                digest: entry.digest,
+            };
+            self.freshness.member_said(entry.session, report, applied);
+            if entry.age_ms == 0 {
+                in_flight.insert(entry.session, entry.in_flight);
+            }
+        }
+        self.freshness.retain_members(&self.state);
+        for (session, in_flight) in in_flight {
+            let message = RouterMessage::PeerInFlight { session, in_flight };
+            // The next exchange carries newer counts.
+            let _ = self.config.router.try_send(message);
+        }
+    }
+
+    /// What this process says of itself. Others are not relayed while all
+    /// members can be asked directly.
+    fn entries(&self) -> Vec<MemberEntry> {
+        let now = self.config.clock.now();
+        vec![MemberEntry {
+            session: self.me,
+            next_offset: self.state.next_offset,
+            log_reachable: self.freshness.log_reachable(),
+            confirmed_age_ms: self.freshness.confirmed_at().map(|at| now.since(at)),
+            age_ms: 0,
+            digest: self.digest,
+            in_flight: self.in_flight.clone(),
+        }]
+    }
+
+    fn fetch_if_behind(&mut self, now: TimeMs) {
+        if self.fetching || self.freshness.log_reachable() {
+            return;
+        }
+        let applied = self.state.next_offset;
+        let Some(member) = self.freshness.member_ahead(now, applied) else { return };
+        let address = match self.state.sessions.get(&member) {
+            Some(session) => session.open.peer_address.parse().ok(),
+            None => self.config.seeds.first().copied(),
+        };
+        let (Some(address), Some(sender)) = (address, self.sender.upgrade()) else { return };
+        self.fetching = true;
+        let mut client = self.config.clients.get(address);
+        let control = self.config.control.clone();
+        actix_rt::spawn(async move {
+            if let Some(message) = peer_client::fetch(&mut client, applied, FETCH_RECORDS).await {
+                control.send(message).await;
+            }
+            let _ = sender.send(PeerMessage::FetchDone).await;
+        });
+    }
+
+    fn publish(&mut self) {
+        let now = self.config.clock.now();
+        let judged = self.freshness.view(now, self.me, &self.state);
+        let state = if self.diverged { ViewState::Stale } else { judged };
+        if state != self.view {
+            info!(self.config.logger, "view changed";
+                "from" => format!("{:?}", self.view), "to" => format!("{state:?}"),
+                "next_offset" => self.state.next_offset.0);
+            self.view = state;
+        }
+        let valid_until = self.freshness.valid_until(state, now);
+        let view = View { state, valid_until };
+        // A full mailbox only makes the receiver treat its view as stale.
+        let _ = self.config.router.try_send(RouterMessage::View(view));
+    }
+
+    /// Partitions that this session owns and whether it may start work there.
+    pub(crate) fn authority(&self, now: TimeMs) -> Authority {
+        let keeper = &self.config.keeper;
+        let owned = self.state.owners.iter().filter(|(_, entry)| entry.owner == Some(self.me));
+        let partitions = owned
+            .map(|(id, _)| (*id, keeper.start_authority(now, *id, &self.state, self.view)))
+            .collect();
+        let view_until = self.freshness.valid_until(self.view, now);
+        let valid_until = match (self.view, keeper.lease_until()) {
+            (ViewState::Confirmed, Some(lease_until)) => view_until.min(lease_until),
+            (ViewState::Confirmed, None) => now,
+            (ViewState::Outage | ViewState::Stale, _) => view_until,
+        };
+        Authority { partitions, valid_until }
+    }
+
+    fn progress(&self, offset: Offset) -> Progress {
+        let now = self.config.clock.now();
+        let member = |(id, session): (&SessionId, &cowslipport_lib::control::Session)| {
+            let report = self.freshness.members().get(id);
+            let is_me = *id == self.me;
+            let next_offset = match report {
+                _ if is_me => self.state.next_offset,
+                Some(report) => report.next_offset,
+                None => Offset(0),
+            };
+            let age_ms = match report {
+                _ if is_me => 0,
+                Some(report) => now.since(report.said_at),
+                None => now.0,
+            };
+            MemberProgress {
+                name: session.open.name.clone(),
+                applied: next_offset > offset,
+                stale: age_ms > cowslipport_lib::freshness::CONFIRMED_MAX_AGE_MS,
+                age_ms,
+            }
+        };
+        Progress {
+            accepted: self.freshness.majority_applied(offset, self.me, &self.state),
+            members: self.state.sessions.iter().map(member).collect(),
+        }
+    }
+
+    fn status(&self) -> PeerStatus {
+        let now = self.config.clock.now();
+        let members = self.state.sessions.keys();
+        PeerStatus {
+            view: self.view,
+            confirmed_age_ms: self.freshness.confirmed_at().map(|at| now.since(at)),
+            log_reachable: self.freshness.log_reachable(),
+            members: members
+                .map(|session| (*session, self.freshness.members().get(session).cloned()))
+                .collect(),
+            now,
+            diverged: self.diverged,
+        }
+    }
+
+    fn close(&mut self, reply: oneshot::Sender<()>) {
+        self.config.keeper.close();
+        let control = self.config.control.clone();
+        let body = RecordBody::SessionClose { session: self.me };
+        actix_rt::spawn(async move {
+            control.append(body).await;
+            let _ = reply.send(());
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/subscriber.rs
@@ -0,0 +1,59 @@
+//! Tasks that the control task sends changes to.
+
+use cowslipport_lib::ids::Offset;
+use cowslipport_lib::replica::ControlFeed;
+use cowslipport_lib::time::TimeMs;
+use tokio::sync::mpsc;
+
+use crate::fleet_task::FleetMessage;
+use crate::peer_task::PeerMessage;
+use crate::router_task::RouterMessage;
+
+/// What a read of the log told about the log.
+#[derive(Clone, Debug)]
+pub(crate) enum LogContact {
+    /// The log answered.
+    Answered {
+        /// When the question was sent.
+        sent_at: TimeMs,
+        /// Offset that the next append will get.
+        head: Offset,
+    },
+    /// The log did not answer.
+    Failed {
+        /// What the client saw.
+        reason: String,
+    },
+}
+
+/// A task that follows the control state.
+pub(crate) enum Subscriber {
+    /// The peer task, which also hears of contacts with the log.
+    Peer(mpsc::Sender<PeerMessage>),
+    /// The router task.
+    Router(mpsc::Sender<RouterMessage>),
+    /// The fleet task.
+    Fleet(mpsc::Sender<FleetMessage>),
+}
+
+impl Subscriber {
+    /// Sends a feed. A closed mailbox means that the process is stopping.
+    pub(crate) async fn control(&self, feed: &ControlFeed) {
+        let feed = feed.clone();
+        let _ = match self {
+            Self::Peer(sender) => sender.send(PeerMessage::Control(feed)).await.is_ok(),
+            Self::Router(sender) => sender.send(RouterMessage::Control(feed)).await.is_ok(),
+            Self::Fleet(sender) => sender.send(FleetMessage::Control(feed)).await.is_ok(),
+        };
+    }
+
+    /// Sends a contact with the log to the task that judges freshness.
+    pub(crate) async fn log_contact(&self, contact: &LogContact) {
+        match self {
+            Self::Peer(sender) => {
+                let _ = sender.send(PeerMessage::LogContact(contact.clone())).await;
+            }
+            Self::Router(_) | Self::Fleet(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/token.rs
@@ -0,0 +1,40 @@
+//! Checks of the tokens that peers and operators present.
+
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+use tonic::Request;
+use tonic::Status;
+use tonic::service::Interceptor;
+
+/// Lets calls pass that carry one token.
+#[derive(Clone)]
+pub(crate) struct TokenCheck {
+    sha256: [u8; 32],
+}
+
+impl TokenCheck {
+    /// A check for `token`.
+    pub(crate) fn new(token: &str) -> Self {
+        Self { sha256: Sha256::digest(token.as_bytes()).into() }
+    }
+
+    fn matches(&self, presented: &str) -> bool {
+        let hash = Sha256::digest(presented.as_bytes());
+        self.sha256.ct_eq(hash.as_slice()).into()
+    }
+}
+
+impl Interceptor for TokenCheck {
+    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
+        let presented = request
+            .metadata()
+            .get("authorization")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "));
+        match presented {
+            Some(token) if self.matches(token) => Ok(request),
+            Some(_) | None => Err(Status::unauthenticated("token is missing or wrong")),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/session.rs
@@ -0,0 +1,242 @@
+//! Sessions: joining, renewing and expiring members, and the authority of an
+//! owner to start work.
+
+use std::collections::BTreeMap;
+
+use crate::control::ControlState;
+use crate::freshness::CONFIRMED_MAX_AGE_MS;
+use crate::freshness::FreshnessTracker;
+use crate::freshness::ViewState;
+use crate::ids::Offset;
+use crate::ids::PartitionId;
+use crate::ids::SessionId;
+use crate::record::RecordBody;
+use crate::record::SessionOpen;
+use crate::time::TimeMs;
+
+/// Time for which a session lives without a renewal.
+pub const SESSION_LEASE_MS: u64 = 6_000;
+
+/// Time between renewals.
+pub const RENEW_INTERVAL_MS: u64 = 2_000;
+
+/// Time for which a worker accepts a ticket, on the worker's clock.
+pub const TICKET_LIFETIME_MS: u64 = 2_000;
+
+/// Time that a new owner waits after a majority has applied the change of
+/// ownership: the former owner may act on a confirmation of this age, and a
+/// start that it sent may still arrive while its ticket is good.
+pub const TAKEOVER_WAIT_MS: u64 = CONFIRMED_MAX_AGE_MS + TICKET_LIFETIME_MS;
+
+/// Step by which members take turns to expire a session, so that normally one
+/// of them writes the record.
+const EXPIRE_TURN_MS: u64 = 500;
+
+/// Keeps the session of this process and watches those of others.
+#[derive(Clone, Debug)]
+pub struct SessionKeeper {
+    open: SessionOpen,
+    closing: bool,
+    renewal: u64,
+    pending_since: Option<TimeMs>,
+    sent: BTreeMap<u64, TimeMs>,
+    lease_until: Option<TimeMs>,
+    last_renewed_at: Option<TimeMs>,
+    others: BTreeMap<SessionId, SeenRenewal>,
+    majority_seen: BTreeMap<Offset, TimeMs>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SeenRenewal {
+    renewal: u64,
+    since: TimeMs,
+}
+
+/// Whether an owner may start work in a partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartAuthority {
+    /// It may.
+    Granted,
+    /// Another session owns the partition, or none does.
+    NotOwner,
+    /// The view is stale.
+    StaleView,
+    /// The lease of the session has ended.
+    LeaseEnded,
+    /// The former owner may still start work.
+    TakeoverWait,
+}
+
+impl SessionKeeper {
+    /// A keeper for the session that `open` describes.
+    pub fn new(open: SessionOpen) -> Self {
+        Self {
+            open,
+            closing: false,
+            renewal: 0,
+            pending_since: None,
+            sent: BTreeMap::new(),
+            lease_until: None,
+            last_renewed_at: None,
+            others: BTreeMap::new(),
+            majority_seen: BTreeMap::new(),
+        }
+    }
+
+    /// The session.
+    pub fn session(&self) -> SessionId {
+        self.open.session
+    }
+
+    /// Until when the lease of the session holds, as far as it is confirmed.
+    pub fn lease_until(&self) -> Option<TimeMs> {
+        self.lease_until
+    }
+
+    /// Stops renewing, before the session is closed.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Records to append now.
+    pub fn due_records(
+        &mut self,
+        now: TimeMs,
+        state: &ControlState,
+        freshness: &FreshnessTracker,
+    ) -> Vec<RecordBody> {
+        self.observe(now, state, freshness);
+        if self.closing || !freshness.log_reachable() {
+            return Vec::new();
+        }
+        let mut records = Vec::new();
+        records.extend(self.due_own_record(now, state));
+        records.extend(self.due_expiry(now, state, freshness));
+        records
+    }
+
+    /// True if this session may start work in the partition.
+    pub fn start_authority(
+        &self,
+        now: TimeMs,
+        partition: PartitionId,
+        state: &ControlState,
+        view: ViewState,
+    ) -> StartAuthority {
+        let ownership = match state.owners.get(&partition) {
+            Some(ownership) if ownership.owner == Some(self.open.session) => *ownership,
+            Some(_) | None => return StartAuthority::NotOwner,
+        };
+        if self.closing {
+            return StartAuthority::LeaseEnded;
+        }
+        match view {
+            ViewState::Stale => return StartAuthority::StaleView,
+            ViewState::Confirmed if !self.lease_valid(now) => return StartAuthority::LeaseEnded,
+            ViewState::Confirmed | ViewState::Outage => {}
+        }
+        if ownership.released {
+            return StartAuthority::Granted;
+        }
+        match self.majority_seen.get(&Offset(ownership.epoch.0)) {
+            Some(since) if now.since(*since) >= TAKEOVER_WAIT_MS => StartAuthority::Granted,
+            Some(_) | None => StartAuthority::TakeoverWait,
+        }
+    }
+
+    fn lease_valid(&self, now: TimeMs) -> bool {
+        self.lease_until.is_some_and(|until| now < until)
+    }
+
+    fn observe(&mut self, now: TimeMs, state: &ControlState, freshness: &FreshnessTracker) {
+        self.note_own_renewal(state);
+        self.note_majorities(now, state, freshness);
+        let log_since = freshness.log_reachable_since();
+        let me = self.open.session;
+        self.others.retain(|session, _| state.sessions.contains_key(session));
+        for (session, entry) in state.sessions.iter().filter(|(session, _)| **session != me) {
+            let fresh = SeenRenewal { renewal: entry.renewal, since: now };
+            let seen = self.others.entry(*session).or_insert(fresh);
+            if seen.renewal != entry.renewal || log_since.is_none_or(|since| since > seen.since) {
+                *seen = fresh;
+            }
+        }
+    }
+
+    fn note_own_renewal(&mut self, state: &ControlState) {
+        let Some(session) = state.sessions.get(&self.open.session) else { return };
+        let Some(sent_at) = self.sent.get(&session.renewal).copied() else { return };
+        self.sent = self.sent.split_off(&(session.renewal + 1));
+        let until = sent_at.plus(self.open.lease_ms);
+        self.lease_until = self.lease_until.max(Some(until));
+        self.pending_since = None;
+    }
+
+    fn note_majorities(&mut self, now: TimeMs, state: &ControlState, freshness: &FreshnessTracker) {
+        let me = self.open.session;
+        let mine: Vec<Offset> = state
+            .owners
+            .values()
+            .filter(|ownership| ownership.owner == Some(me))
+            .map(|ownership| Offset(ownership.epoch.0))
+            .collect();
+        self.majority_seen.retain(|offset, _| mine.contains(offset));
+        for offset in mine {
+            if !self.majority_seen.contains_key(&offset)
+                && freshness.majority_applied(offset, me, state)
+            {
+                self.majority_seen.insert(offset, now);
+            }
+        }
+    }
+
+    fn due_own_record(&mut self, now: TimeMs, state: &ControlState) -> Option<RecordBody> {
+        let retry_after_ms = RENEW_INTERVAL_MS;
+        if self.pending_since.is_some_and(|since| now.since(since) < retry_after_ms) {
+            return None;
+        }
+        let Some(session) = state.sessions.get(&self.open.session) else {
+            // The lease counts from the first append that may have taken effect.
+            if self.pending_since.is_none() {
+                self.sent.remove(&0);
+            }
+            self.sent.entry(0).or_insert(now);
+            self.pending_since = Some(now);
+            return Some(RecordBody::SessionOpen(self.open.clone()));
+        };
+        if self.last_renewed_at.is_some_and(|at| now.since(at) < RENEW_INTERVAL_MS) {
+            return None;
+        }
+        self.last_renewed_at = Some(now);
+        self.pending_since = Some(now);
+        self.renewal = self.renewal.max(session.renewal) + 1;
+        self.sent.insert(self.renewal, now);
+        Some(RecordBody::SessionRenew { session: self.open.session, renewal: self.renewal })
+    }
+
+    fn due_expiry(
+        &mut self,
+        now: TimeMs,
+        state: &ControlState,
+        freshness: &FreshnessTracker,
+    ) -> Option<RecordBody> {
+        let log_since = freshness.log_reachable_since()?;
+        let me = self.open.session;
+        let mut live: Vec<SessionId> = state.sessions.keys().copied().collect();
+        for (session, seen) in &self.others {
+            let lease_ms = state.sessions.get(session)?.open.lease_ms;
+            live.retain(|other| other != session);
+            let turn = live.iter().position(|other| *other == me).unwrap_or(live.len());
+            let patience_ms = lease_ms + EXPIRE_TURN_MS * turn as u64;
+            if now.since(seen.since) >= patience_ms && now.since(log_since) >= patience_ms {
+                let since = SeenRenewal { renewal: seen.renewal, since: now };
+                let record =
+                    RecordBody::SessionExpire { session: *session, seen_renewal: seen.renewal };
+                let session = *session;
+                self.others.insert(session, since);
+                return Some(record);
+            }
+        }
+        None
+    }
+}
