standin: log service with retention, long poll and faults

The daemon needs a log to run against. Adds the streams with offsets, retention by count and time, an append rate limit and faults as pure state, and a gRPC server whose one task owns it and holds delayed calls and long polls.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,10 @@
 //! Stand-ins for the services of the platform, used by tests and by the demo.
+//!
+//! Each stand-in has a module of pure state, which gets the time as an
+//! argument, and a server module: one task that owns the state and has one
+//! bounded mailbox. Faults are messages to that mailbox.
+
+pub mod clock;
+pub mod log_server;
+pub mod log_store;
+pub mod serve;
--- /dev/null
+++ b/standin/tests/test_log_server.rs
@@ -0,0 +1,59 @@
+//! The log service answers over gRPC as its state says.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use tonic::Code;
+
+use cowslipport_lib::protos::platform::AppendRequest;
+use cowslipport_lib::protos::platform::ReadRequest;
+use cowslipport_lib::protos::platform::log_client::LogClient;
+use cowslipport_standin::log_server;
+use cowslipport_standin::log_server::LogMessage;
+use cowslipport_standin::log_store::LogFaults;
+use cowslipport_standin::log_store::LogLimits;
+use cowslipport_standin::serve::Handle;
+
+async fn started() -> (Handle<LogMessage>, LogClient<tonic::transport::Channel>) {
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let handle = log_server::start(listen, LogLimits::default(), 1).await.expect("it starts");
+    let client = LogClient::connect(format!("http://{}", handle.address()));
+    (handle, client.await.expect("it accepts"))
+}
+
+fn record(byte: u8) -> AppendRequest {
+    AppendRequest { stream: "control".to_owned(), record: vec![byte] }
+}
+
+fn read(from_offset: u64, wait_ms: u32) -> ReadRequest {
+    ReadRequest { stream: "control".to_owned(), from_offset, max_records: 10, wait_ms }
+}
+
+/// Guards against a long poll that misses the record it waits for.
+#[actix_rt::test]
+async fn an_append_ends_a_long_poll() {
+    let (handle, client) = started().await;
+    let (mut reader, mut writer) = (client.clone(), client);
+    let poll = actix_rt::spawn(async move { reader.read(read(0, 60_000)).await });
+    let appended = writer.append(record(7)).await.expect("the log is up").into_inner();
+    let page = poll.await.expect("it ends").expect("the log is up").into_inner();
+    assert_eq!((appended.offset, page.next_offset, page.records[0].record[0]), (0, 1, 7));
+    handle.shutdown().await;
+}
+
+/// Guards against a lost reply that the writer can tell from an outage, and
+/// against a shutdown that waits for readers.
+#[actix_rt::test]
+async fn a_lost_reply_looks_like_an_outage_and_is_written() {
+    let (handle, mut client) = started().await;
+    let faults = LogFaults { lost_replies: 1, ..LogFaults::default() };
+    handle.mailbox().send(LogMessage::SetFaults(faults)).await.expect("it runs");
+    let lost = client.append(record(1)).await.expect_err("the reply is lost");
+    assert_eq!(lost.code(), Code::Unavailable);
+    let page = client.read(read(0, 0)).await.expect("the log is up").into_inner();
+    assert_eq!(page.records.len(), 1);
+    let poll = actix_rt::spawn(async move { client.read(read(1, 60_000)).await });
+    handle.shutdown().await;
+    let cut = poll.await.expect("it ends").expect_err("the log is gone");
+    assert_eq!(cut.code(), Code::Unavailable);
+}
