lib: manifest and settings from TOML with all findings and lines

A file with several faults showed only the first, and without its line. toml_source reads each element of a list by itself, takes out what cannot be read, and joins its findings with those of the conversion. Settings have checked types. A wave over a pool whose budget is 0 is refused. The encoding half of wire_config moves to wire_config_encode.

Before: no way to read a file.

--- a/lib/src/snapshot.rs
+++ b/lib/src/snapshot.rs
@@ -34,8 +34,8 @@
 use crate::protos::control as raw;
 use crate::record::DrainPurpose;
 use crate::record::WavePhase;
-use crate::wire_config::budgets_to_raw;
 use crate::wire_config::entity;
+use crate::wire_config_encode::budgets_to_raw;
 
 /// Largest chunk of an encoded snapshot, in bytes.
 pub const CHUNK_BYTES: usize = 64 * 1024;
--- a/lib/src/wire_config.rs
+++ b/lib/src/wire_config.rs
@@ -15,9 +15,18 @@
 use crate::findings::Findings;
 use crate::protos::config as raw;
 use crate::resources::Resources;
+use crate::toml_source::TomlSource;
 
 const MAX_NAME_BYTES: usize = 63;
 
+impl Manifest {
+    /// Reads a manifest from TOML text. The error holds every finding of the
+    /// text, in the order of its lines.
+    pub fn from_toml(text: &str) -> Result<Self, Findings> {
+        TomlSource::<raw::Manifest>::parse(text).check(|raw| Self::try_from(raw))
+    }
+}
+
 impl TryFrom<&raw::Manifest> for Manifest {
     type Error = Findings;
 
@@ -54,6 +63,8 @@
             add_budget(&mut manifest, entry, &format!("budget[{index}]"), &mut findings);
         }
         check_whole(&manifest, &mut findings);
+        check_keys(raw, &mut findings);
+        check_waves(raw, &manifest, &mut findings);
         findings.into_result(manifest)
     }
 }
@@ -63,15 +74,32 @@
     if spares > 1 {
         findings.add("pool", format!("{spares} pools are marked as spare; at most one may be"));
     }
-    let mut owners: BTreeMap<[u8; 32], &str> = BTreeMap::new();
-    for team in manifest.teams.values() {
-        for key in &team.keys {
-            if let Some(other) = owners.insert(key.sha256, &team.name) {
+}
+
+/// Finds keys that open more than one team.
+fn check_keys(raw: &raw::Manifest, findings: &mut Findings) {
+    let mut owners = BTreeMap::new();
+    for (index, team) in raw.team.iter().enumerate() {
+        for (position, key) in team.key.iter().enumerate() {
+            let Some(sha256) = &key.sha256 else { continue };
+            let Some(other) = owners.insert(sha256, index) else { continue };
+            let path = format!("team[{index}].key[{position}].sha256");
+            let other = raw.team[other].name.as_deref().unwrap_or_default();
+            findings.add(path, format!("the key is also granted to team {other:?}"));
+        }
+    }
+}
+
+/// Finds waves that can never drain a VM.
+fn check_waves(raw: &raw::Manifest, manifest: &Manifest, findings: &mut Findings) {
+    for (index, wave) in raw.wave.iter().enumerate() {
+        for (position, pool) in wave.pools.iter().enumerate() {
+            let budgets = manifest.budgets.get(pool).map(Vec::as_slice).unwrap_or_default();
+            if budgets.iter().any(|budget| budget.max_unavailable == 0) {
                 let message = format!(
-                    "key {} of team {} is also granted to team {other}",
-                    key.name, team.name
+                    "no VM of pool {pool:?} can be drained: max_unavailable of a budget is 0"
                 );
-                findings.add("team", message);
+                findings.add(format!("wave[{index}].pools[{position}]"), message);
             }
         }
     }
@@ -198,8 +226,9 @@
         soak_ms: raw.soak_ms.unwrap_or(60_000),
         reboot_timeout_ms: raw.reboot_timeout_ms.unwrap_or(600_000),
     };
-    if spec.initial_width == 0 || (raw.max_width.is_some() && spec.initial_width > spec.max_width) {
-        let message = format!("must be from 1 to max_width ({})", spec.max_width);
+    let is_bounded = raw.max_width.is_some_and(|width| width > 0);
+    if spec.initial_width == 0 || (is_bounded && spec.initial_width > spec.max_width) {
+        let message = format!("must be from 1 to max_width, which is {}", spec.max_width);
         findings.add(format!("{path}.initial_width"), message);
     }
     spec
@@ -244,9 +273,10 @@
     }
 }
 
-fn name(raw: Option<&str>, path: &str, key: &str, findings: &mut Findings) -> String {
+pub(crate) fn name(raw: Option<&str>, path: &str, key: &str, findings: &mut Findings) -> String {
+    let path = if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
     let Some(text) = raw else {
-        findings.add(format!("{path}.{key}"), "field is missing");
+        findings.add(path, "field is missing");
         return String::new();
     };
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
@@ -254,7 +284,7 @@
         let message = format!(
             "{text:?} is not a name of 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' and '.'"
         );
-        findings.add(format!("{path}.{key}"), message);
+        findings.add(path, message);
     }
     text.to_owned()
 }
@@ -277,107 +307,6 @@
     value
 }
 
-impl From<&Manifest> for raw::Manifest {
-    fn from(manifest: &Manifest) -> Self {
-        Self {
-            data_centre: manifest.data_centres.values().map(Into::into).collect(),
-            pool: manifest.pools.values().map(Into::into).collect(),
-            team: manifest.teams.values().map(Into::into).collect(),
-            budget: manifest
-                .budgets
-                .iter()
-                .flat_map(|(pool, budgets)| budgets_to_raw(pool, budgets))
-                .collect(),
-            wave: manifest.waves.values().map(Into::into).collect(),
-            policy: Some((&manifest.policy).into()),
-        }
-    }
-}
-
-impl From<&DataCentreSpec> for raw::DataCentre {
-    fn from(spec: &DataCentreSpec) -> Self {
-        Self { name: Some(spec.name.clone()), region: Some(spec.region.clone()) }
-    }
-}
-
-impl From<&PoolSpec> for raw::Pool {
-    fn from(spec: &PoolSpec) -> Self {
-        let on_data_centre_out = match spec.on_data_centre_out {
-            DataCentreOutPolicy::Finish => "finish",
-            DataCentreOutPolicy::Checkpoint => "checkpoint",
-        };
-        Self {
-            name: Some(spec.name.clone()),
-            slots_per_vm: Some(spec.slots_per_vm),
-            min_vms: Some(spec.min_vms),
-            max_vms: Some(spec.max_vms),
-            spare: Some(spec.spare),
-            on_data_centre_out: Some(on_data_centre_out.to_owned()),
-            drain_timeout_ms: Some(spec.drain_timeout_ms),
-        }
-    }
-}
-
-impl From<&TeamSpec> for raw::Team {
-    fn from(spec: &TeamSpec) -> Self {
-        let key = |key: &TeamKey| raw::TeamKey {
-            name: Some(key.name.clone()),
-            sha256: Some(key.sha256.iter().map(|byte| format!("{byte:02x}")).collect()),
-        };
-        Self {
-            name: Some(spec.name.clone()),
-            share_milli: Some(spec.share_milli),
-            limit_cpu_milli: Some(spec.limit.cpu_milli),
-            limit_memory_bytes: Some(spec.limit.memory_bytes),
-            limit_accelerators: Some(spec.limit.accelerators),
-            key: spec.keys.iter().map(key).collect(),
-        }
-    }
-}
-
-pub(crate) fn budgets_to_raw(pool: &str, budgets: &[Budget]) -> Vec<raw::Budget> {
-    let budget = |budget: &Budget| {
-        let scope = match budget.scope {
-            BudgetScope::Pool => "pool",
-            BudgetScope::DataCentre => "data_centre",
-            BudgetScope::Rack => "rack",
-        };
-        raw::Budget {
-            pool: Some(pool.to_owned()),
-            scope: Some(scope.to_owned()),
-            max_unavailable: Some(budget.max_unavailable),
-        }
-    };
-    budgets.iter().map(budget).collect()
-}
-
-impl From<&WaveSpec> for raw::Wave {
-    fn from(spec: &WaveSpec) -> Self {
-        Self {
-            name: Some(spec.name.clone()),
-            pools: spec.pools.clone(),
-            initial_width: Some(spec.initial_width),
-            max_width: Some(spec.max_width),
-            max_failed: Some(spec.max_failed),
-            soak_ms: Some(spec.soak_ms),
-            reboot_timeout_ms: Some(spec.reboot_timeout_ms),
-        }
-    }
-}
-
-impl From<&Policy> for raw::Policy {
-    fn from(policy: &Policy) -> Self {
-        Self {
-            weight_share_milli: Some(policy.weight_share_milli),
-            weight_data_centre_work_milli: Some(policy.weight_data_centre_work_milli),
-            weight_buffer_milli: Some(policy.weight_buffer_milli),
-            weight_moves_milli: Some(policy.weight_moves_milli),
-            weight_roll_out_milli: Some(policy.weight_roll_out_milli),
-            idempotency_window_ms: Some(policy.idempotency_window_ms),
-        }
-    }
-}
-
 /// Checks one entity that stands outside a manifest, as in a log record.
 pub(crate) mod entity {
     use super::raw;
--- a/lib/src/wire_control.rs
+++ b/lib/src/wire_control.rs
@@ -29,8 +29,8 @@
 use crate::record::VmStep;
 use crate::record::WavePhase;
 use crate::resources::Resources;
-use crate::wire_config::budgets_to_raw;
 use crate::wire_config::entity;
+use crate::wire_config_encode::budgets_to_raw;
 
 impl ControlRecord {
     /// The bytes that are appended to the log.
--- /dev/null
+++ b/lib/tests/test_manifest.rs
@@ -0,0 +1,200 @@
+//! A manifest or settings file with faults is refused with every fault, each
+//! at its line.
+
+use cowslipport_lib::config::Manifest;
+use cowslipport_lib::settings::Settings;
+
+fn manifest_findings(text: &str) -> String {
+    Manifest::from_toml(text).expect_err("the text has faults").to_string()
+}
+
+fn settings_findings(text: &str) -> String {
+    Settings::from_toml(text).expect_err("the text has faults").to_string()
+}
+
+const VALID: &str = r#"
+[[data_centre]]
+name = "dc1"
+region = "south"
+
+[[pool]]
+name = "web"
+slots_per_vm = 8
+max_vms = 10
+
+[[team]]
+name = "payroll"
+share_milli = 500
+limit_cpu_milli = 64000
+limit_memory_bytes = 1000
+[[team.key]]
+name = "k1"
+sha256 = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
+
+[[budget]]
+pool = "web"
+max_unavailable = 1
+
+[[wave]]
+name = "w1"
+pools = ["web"]
+max_width = 4
+"#;
+
+const FAULTY: &str = r#"
+colour = "red"
+[[data_centre]]
+name = "dc1"
+[[pool]]
+name = "web"
+slots_per_vm = -1
+max_vms = 5000000000
+min_vm = 3
+[[pool]]
+name = "web"
+slots_per_vm = "8"
+max_vms = 3
+min_vms = 4
+[[team]]
+name = "payroll"
+share_milli = 0
+limit_cpu_milli = 1
+[[team.key]]
+name = "k1"
+sha256 = "2C"
+sha1 = "2c"
+[[team]]
+name = 7
+share_milli = 1.5
+limit_cpu_milli = 1
+limit_memory_bytes = 1
+[[budget]]
+pool = "batch"
+scope = "row"
+max_unavailable = 1
+[[wave]]
+name = "w 1"
+pools = ["web", 4, "cache"]
+max_width = 0
+[polcy]
+[policy]
+weight_share_milli = []
+"#;
+
+#[test]
+fn a_valid_manifest_is_read() {
+    let manifest = Manifest::from_toml(VALID).expect("the text is valid");
+    assert_eq!(manifest.teams["payroll"].keys.len(), 1);
+}
+
+/// Guards against a fault that hides the faults after it.
+#[test]
+fn one_of_each_fault_is_reported_at_its_line() {
+    insta::assert_snapshot!(manifest_findings(FAULTY), @r#"
+line 2: colour: unknown field `colour`, expected one of `data_centre`, `pool`, `team`, `budget`, `wave`, `policy`
+line 3: data_centre[0].region: field is missing
+line 7: pool[0].slots_per_vm: invalid value: integer `-1`, expected u32
+line 8: pool[0].max_vms: invalid value: integer `5000000000`, expected u32
+line 9: pool[0].min_vm: unknown field `min_vm`, expected one of `name`, `slots_per_vm`, `min_vms`, `max_vms`, `spare`, `on_data_centre_out`, `drain_timeout_ms`
+line 11: pool[1].name: name "web" is used before
+line 12: pool[1].slots_per_vm: invalid type: string "8", expected u32
+line 14: pool[1].min_vms: min_vms 4 is above max_vms 3
+line 15: team[0].limit_memory_bytes: field is missing
+line 17: team[0].share_milli: must be at least 1
+line 21: team[0].key[0].sha256: is not a SHA-256 in 64 lower-case hexadecimal digits
+line 22: team[0].key[0].sha1: unknown field `sha1`, expected `name` or `sha256`
+line 24: team[1].name: invalid type: integer `7`, expected a string
+line 25: team[1].share_milli: invalid type: floating point `1.5`, expected u32
+line 29: budget[0].pool: pool "batch" does not exist
+line 30: budget[0].scope: "row" is not one of "pool", "data_centre", "rack"
+line 33: wave[0].name: "w 1" is not a name of 1 to 63 letters, digits, '-', '_' and '.'
+line 34: wave[0].pools[1]: invalid type: integer `4`, expected a string
+line 35: wave[0].max_width: must be at least 1
+line 36: polcy: unknown field `polcy`, expected one of `data_centre`, `pool`, `team`, `budget`, `wave`, `policy`
+line 38: policy.weight_share_milli: invalid type: sequence, expected u32
+"#);
+}
+
+/// Guards against a report that stops at the first syntax error.
+#[test]
+fn all_syntax_errors_are_reported() {
+    let text = "[[pool]]\nname = \nslots_per_vm = 8\nmax_vms = 1 2\nmax_vms = 3\n";
+    insta::assert_snapshot!(manifest_findings(text), @r#"
+line 2: string values must be quoted, expected literal string
+line 4: string values must be quoted, expected literal string
+line 5: duplicate key
+"#);
+}
+
+/// Guards against a wave that is accepted and can never drain a VM.
+#[test]
+fn a_wave_that_no_budget_allows_is_refused() {
+    let text = VALID.replace("max_unavailable = 1", "max_unavailable = 0");
+    insta::assert_snapshot!(manifest_findings(&text), @r#"line 26: wave[0].pools[0]: no VM of pool "web" can be drained: max_unavailable of a budget is 0"#);
+}
+
+/// Guards against one key that opens two teams.
+#[test]
+fn a_key_of_two_teams_is_refused() {
+    let team = VALID.split("[[budget]]").next().and_then(|text| text.split_once("[[team]]"));
+    let (_, team) = team.expect("the manifest has a team");
+    let text = format!("{VALID}\n[[team]]{}", team.replace("payroll", "search"));
+    insta::assert_snapshot!(manifest_findings(&text), @r#"line 36: team[1].key[0].sha256: the key is also granted to team "payroll""#);
+}
+
+/// Guards against a list that is written as a table, or a table as a list.
+#[test]
+fn a_table_of_the_wrong_shape_is_reported() {
+    let text = "policy = 3\npool = 4\nteam = [1, 2]\n[wave]\nname = \"w1\"\n[[data_centre]]\n";
+    insta::assert_snapshot!(manifest_findings(text), @r#"
+line 1: policy: invalid type: integer `3`, expected a table of type Policy
+line 2: pool: invalid type: integer `4`, expected a sequence
+line 3: team[0]: invalid type: integer `1`, expected a table of type Team
+line 3: team[1]: invalid type: integer `2`, expected a table of type Team
+line 4: wave: invalid type: map, expected a sequence
+line 6: data_centre[0].name: field is missing
+line 6: data_centre[0].region: field is missing
+"#);
+}
+
+/// Guards against settings whose first fault hides the others.
+#[test]
+fn faults_of_settings_are_reported_at_their_lines() {
+    let text = r#"
+name = "entry-1"
+peers = ["10.0.0.1:7000", "entry-2:7000"]
+[listen]
+callers = "0.0.0.0:8080"
+peers = "0.0.0.0:8080"
+health = 9090
+[platform]
+log = "10.0.0.9"
+[credentials]
+peer_token_file = "/etc/cowslipport/peer"
+peer_token_env = "PEER_TOKEN"
+[limits]
+max_body_bytes = 0
+max_bodies = 1
+[logging]
+format = "xml"
+level = "notice"
+[logging.target_levels]
+router = "debug"
+"peer.exchange" = "loud"
+"#;
+    insta::assert_snapshot!(settings_findings(text), @r#"
+line 1: data_centre: field is missing
+line 3: peers[1]: "entry-2:7000" is not an address such as "10.0.0.1:7000"
+line 6: listen.peers: 0.0.0.0:8080 is also the address of listen.callers
+line 7: listen.health: invalid type: integer `9090`, expected a string
+line 8: platform.vm_list: field is missing
+line 9: platform.log: "10.0.0.9" is not an address such as "10.0.0.1:7000"
+line 10: credentials.operator_token_file: field is missing; give operator_token_file or operator_token_env
+line 11: credentials.peer_token_file: give peer_token_file or peer_token_env, not both
+line 14: limits.max_body_bytes: must be at least 1
+line 15: limits.max_bodies: unknown field `max_bodies`, expected one of `max_body_bytes`, `max_connections`, `max_queued_requests`, `request_read_timeout_ms`, `default_deadline_ms`, `shutdown_timeout_ms`
+line 17: logging.format: "xml" is not one of "json", "terminal"
+line 18: logging.level: "notice" is not one of "error", "warning", "info", "debug", "trace"
+line 21: logging.target_levels.peer.exchange: "loud" is not one of "error", "warning", "info", "debug", "trace"
+"#);
+}
