--- /dev/null
+++ b/lib/src/routing.rs
@@ -0,0 +1,397 @@
+//! Routing of requests to the instances of a pool.
+//!
+//! A router owns the routing state of one process. It selects the instance
+//! with the fewest known slots in use, home slots (see `slots`) in the own
+//! data centre first. With no slot to be had, a request waits in a bounded
+//! queue, or is refused if it could not start before its deadline.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::ejection::Ejector;
+use crate::ejection::ExchangeResult;
+use crate::ids::DataCentreId;
+use crate::ids::PoolId;
+use crate::ids::SessionId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::keys::KeyDigest;
+use crate::keys::TeamKeys;
+use crate::refusal::RefusalReason;
+use crate::retry::RetryBudget;
+use crate::route_queue::Pushed;
+use crate::route_queue::RequestId;
+use crate::route_queue::RouteQueue;
+use crate::route_queue::Waiting;
+use crate::slots::Homes;
+use crate::slots::InFlight;
+use crate::time::TimeMs;
+
+/// Counts of a process that has not been heard for this time are dropped.
+pub(crate) const PEER_COUNTS_MS: u64 = 3000;
+/// Service time of a pool before the first answer.
+const FIRST_SERVICE_MS: u64 = 50;
+/// Weight of a new service time in the moving average, as a divisor.
+const SERVICE_SMOOTHING: u64 = 16;
+
+/// What a router knows about its own process.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// Session of the process.
+    pub session: SessionId,
+    /// Name of its data centre.
+    pub data_centre: String,
+    /// Requests that may wait in each pool.
+    pub max_queued: usize,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+/// How current the control state of this process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewState {
+    /// Confirmed against the log head.
+    Confirmed,
+    /// The log is down for a majority, which agrees on the state.
+    Outage,
+    /// Not known to be current.
+    Stale,
+}
+
+/// A request to route.
+#[derive(Clone)]
+pub struct RouteRequest {
+    /// Number of the request.
+    pub id: RequestId,
+    /// The key that came with it.
+    pub key: KeyDigest,
+    /// Name of the pool.
+    pub pool: String,
+    /// Time by which the caller wants the answer.
+    pub deadline: TimeMs,
+    /// Instances that were tried. Not empty for a retry, which takes from the
+    /// retry budget.
+    pub tried: Vec<VmId>,
+}
+
+/// Why an instance was selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RouteReason {
+    /// A home slot of this process in its data centre.
+    LocalHomeSlot,
+    /// A home slot of this process elsewhere.
+    HomeSlot,
+    /// A slot that is free by the known counts, in the data centre.
+    LocalFreeSlot,
+    /// A slot that is free by the known counts, elsewhere.
+    FreeSlot,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RouteDecision {
+    /// Send it. Its slot is taken until [`Router::finished`].
+    Send {
+        /// The instance.
+        vm: VmId,
+        /// Why this one.
+        reason: RouteReason,
+        /// Other instances that had a slot.
+        eligible: Vec<VmId>,
+    },
+    /// It waits; a [`QueueEvent`] follows.
+    Queue {
+        /// Starts ahead of it.
+        position: usize,
+    },
+    /// Refuse it.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// Time after which a second try may succeed.
+        retry_after_ms: Option<u64>,
+    },
+}
+
+/// A decision on a request that was queued: `Send` or `Refuse`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueueEvent {
+    /// The request.
+    pub id: RequestId,
+    /// The decision.
+    pub decision: RouteDecision,
+}
+
+pub(crate) struct Instance {
+    pub(crate) vm: VmId,
+    pub(crate) pool: PoolId,
+    pub(crate) address: String,
+    pub(crate) slots: u32,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) in_service: bool,
+    /// True once the VM is not in the control state; requests may be in flight.
+    pub(crate) gone: bool,
+    pub(crate) homes: Homes,
+    pub(crate) own: u32,
+    pub(crate) others: u32,
+}
+
+#[derive(Default)]
+pub(crate) struct PoolRoutes {
+    pub(crate) instances: BTreeSet<VmId>,
+    pub(crate) queue: RouteQueue,
+    pub(crate) ejector: Ejector,
+    pub(crate) service_ms: Option<u64>,
+}
+
+pub(crate) struct PeerCounts {
+    pub(crate) at: TimeMs,
+    pub(crate) in_flight: InFlight,
+}
+
+pub(crate) struct Choice {
+    pub(crate) vm: VmId,
+    pub(crate) reason: RouteReason,
+    pub(crate) eligible: Vec<VmId>,
+}
+
+/// The routing state of one process.
+pub struct Router {
+    pub(crate) settings: RouterSettings,
+    pub(crate) view: ViewState,
+    pub(crate) keys: TeamKeys,
+    pub(crate) weights: BTreeMap<TeamId, u32>,
+    pub(crate) pool_names: BTreeMap<String, PoolId>,
+    pub(crate) pools: BTreeMap<PoolId, PoolRoutes>,
+    pub(crate) instances: BTreeMap<VmId, Instance>,
+    pub(crate) members: BTreeSet<SessionId>,
+    pub(crate) data_centre: Option<DataCentreId>,
+    pub(crate) peers: BTreeMap<SessionId, PeerCounts>,
+    pub(crate) retries: RetryBudget,
+    pub(crate) evicted: Vec<Waiting>,
+    pub(crate) rng: ChaCha8Rng,
+}
+
+impl Router {
+    /// A router that knows nothing and refuses everything.
+    pub fn new(settings: RouterSettings) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            view: ViewState::Stale,
+            keys: TeamKeys::default(),
+            weights: BTreeMap::new(),
+            pool_names: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            members: BTreeSet::new(),
+            data_centre: None,
+            peers: BTreeMap::new(),
+            retries: RetryBudget::new(TimeMs::default()),
+            evicted: Vec::new(),
+            rng,
+        }
+    }
+
+    /// Sets how current the state is.
+    pub fn set_view(&mut self, view: ViewState) {
+        self.view = view;
+    }
+
+    /// The team of a key, for other uses than routing.
+    pub fn team(&self, key: &KeyDigest) -> Option<TeamId> {
+        self.keys.team(key)
+    }
+
+    /// Address of an instance.
+    pub fn address(&self, vm: VmId) -> Option<&str> {
+        self.instances.get(&vm).map(|instance| instance.address.as_str())
+    }
+
+    /// Requests in flight from this process, for exchanges and drains.
+    pub fn in_flight(&self) -> impl Iterator<Item = (VmId, u32)> {
+        self.instances
+            .iter()
+            .filter(|(_, instance)| instance.own > 0)
+            .map(|(vm, instance)| (*vm, instance.own))
+    }
+
+    /// Requests that wait, over all pools.
+    pub fn queued(&self) -> usize {
+        self.pools.values().map(|pool| pool.queue.len()).sum()
+    }
+
+    /// Decides on a request.
+    pub fn route(&mut self, now: TimeMs, request: RouteRequest) -> RouteDecision {
+        let (team, pool_id) = match self.admit(now, &request) {
+            Ok(admitted) => admitted,
+            Err(reason) => return refuse(reason, reason.default_retry_after_ms()),
+        };
+        if request.tried.is_empty() {
+            self.retries.deposit();
+        } else if !self.retries.withdraw(now) {
+            return refuse(RefusalReason::RetryBudget, Some(1000));
+        }
+        let waits = self.pools.get(&pool_id).is_some_and(|pool| !pool.queue.is_empty());
+        if !waits && let Some(choice) = self.select(now, pool_id, &request.tried) {
+            return self.take(choice);
+        }
+        if self.serving(now, pool_id) == 0 {
+            return refuse(RefusalReason::NoUpstream, Some(1000));
+        }
+        self.enqueue(now, team, pool_id, request)
+    }
+
+    fn admit(
+        &self,
+        now: TimeMs,
+        request: &RouteRequest,
+    ) -> Result<(TeamId, PoolId), RefusalReason> {
+        // A stale view cannot tell a revoked key, nor an unknown one from one
+        // that was granted just now.
+        if self.view == ViewState::Stale {
+            return Err(RefusalReason::ViewStale);
+        }
+        let team = self.keys.team(&request.key).ok_or(RefusalReason::KeyUnknown)?;
+        let pool = *self.pool_names.get(request.pool.as_str()).ok_or(RefusalReason::PoolUnknown)?;
+        if request.deadline <= now {
+            return Err(RefusalReason::DeadlineTooNear);
+        }
+        Ok((team, pool))
+    }
+
+    fn enqueue(
+        &mut self,
+        now: TimeMs,
+        team: TeamId,
+        pool_id: PoolId,
+        request: RouteRequest,
+    ) -> RouteDecision {
+        let slots = self.own_slots(now, pool_id);
+        let weights = &self.weights;
+        let weight = |team: TeamId| weights.get(&team).copied().unwrap_or(1000);
+        let pool = self.pools.entry(pool_id).or_default();
+        let position = pool.queue.starts_ahead(team, weight);
+        let service_ms = pool.service_ms.unwrap_or(FIRST_SERVICE_MS);
+        let wait_ms = (position as u64 + 1) * service_ms / u64::from(slots);
+        // A start so late that the answer would come after the deadline only
+        // takes a slot from a request that can make it.
+        if now.plus(wait_ms + service_ms / 2) > request.deadline {
+            return refuse(RefusalReason::DeadlineTooNear, Some(wait_ms.max(1000)));
+        }
+        let RouteRequest { id, key, pool: _, deadline, tried } = request;
+        let waiting = Waiting { id, key, team, deadline, tried };
+        match pool.queue.push(waiting, self.settings.max_queued, weight) {
+            Pushed::Queued(evicted) => {
+                self.evicted.extend(evicted);
+                RouteDecision::Queue { position }
+            }
+            Pushed::Full => refuse(RefusalReason::QueueFull, Some(wait_ms.max(1000))),
+        }
+    }
+
+    /// The exchange of a request that was sent has ended.
+    pub fn finished(&mut self, now: TimeMs, vm: VmId, result: ExchangeResult) {
+        let Some(instance) = self.instances.get_mut(&vm) else {
+            return;
+        };
+        debug_assert!(instance.own > 0, "VM {vm} finished more requests than it was sent");
+        instance.own = instance.own.saturating_sub(1);
+        let pool_id = instance.pool;
+        let size = self.in_service(pool_id).count();
+        let pool = self.pools.entry(pool_id).or_default();
+        pool.ejector.record(now, vm, result, size, &mut self.rng);
+        if let ExchangeResult::Completed { service_ms } = result {
+            let old = pool.service_ms.unwrap_or(service_ms);
+            let sum = old * (SERVICE_SMOOTHING - 1) + service_ms;
+            pool.service_ms = Some(sum.div_ceil(SERVICE_SMOOTHING));
+        }
+        self.forget_if_gone(vm);
+    }
+
+    /// The caller of a queued request went away.
+    pub fn abandon(&mut self, id: RequestId) {
+        for pool in self.pools.values_mut() {
+            pool.queue.remove_if(|waiting| waiting.id == id);
+        }
+    }
+
+    /// Decides on queued requests: those that get a slot now, and those that
+    /// are refused. To be called after each other call and at least every few
+    /// milliseconds while requests wait.
+    pub fn expire(&mut self, now: TimeMs) -> Vec<QueueEvent> {
+        self.drop_silent_peers(now);
+        let mut events: Vec<_> = self
+            .evicted
+            .drain(..)
+            .map(|waiting| shed(&waiting, RefusalReason::QueueFull))
+            .collect();
+        let pools: Vec<PoolId> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| !pool.queue.is_empty())
+            .map(|(pool, _)| *pool)
+            .collect();
+        for pool in pools {
+            self.refuse_waiting(now, pool, &mut events);
+            self.start_waiting(now, pool, &mut events);
+        }
+        events
+    }
+
+    fn refuse_waiting(&mut self, now: TimeMs, pool_id: PoolId, events: &mut Vec<QueueEvent>) {
+        let no_upstream = self.serving(now, pool_id) == 0;
+        let known = self.pool_names.values().any(|pool| *pool == pool_id);
+        let view = self.view;
+        let keys = &self.keys;
+        let Some(pool) = self.pools.get_mut(&pool_id) else {
+            return;
+        };
+        let reason = |waiting: &Waiting| match view {
+            ViewState::Stale => Some(RefusalReason::ViewStale),
+            ViewState::Confirmed | ViewState::Outage => {
+                if keys.team(&waiting.key) != Some(waiting.team) {
+                    Some(RefusalReason::KeyUnknown)
+                } else if !known {
+                    Some(RefusalReason::PoolUnknown)
+                } else if waiting.deadline <= now {
+                    Some(RefusalReason::DeadlineTooNear)
+                } else if no_upstream {
+                    Some(RefusalReason::NoUpstream)
+                } else {
+                    None
+                }
+            }
+        };
+        for waiting in pool.queue.remove_if(|waiting| reason(waiting).is_some()) {
+            if let Some(reason) = reason(&waiting) {
+                events.push(shed(&waiting, reason));
+            }
+        }
+    }
+
+    fn start_waiting(&mut self, now: TimeMs, pool_id: PoolId, events: &mut Vec<QueueEvent>) {
+        while let Some(choice) = self.select(now, pool_id, &[]) {
+            let weights = &self.weights;
+            let weight = |team: TeamId| weights.get(&team).copied().unwrap_or(1000);
+            let Some(waiting) =
+                self.pools.get_mut(&pool_id).and_then(|pool| pool.queue.pop(weight))
+            else {
+                return;
+            };
+            let choice = self.select(now, pool_id, &waiting.tried).unwrap_or(choice);
+            events.push(QueueEvent { id: waiting.id, decision: self.take(choice) });
+        }
+    }
+}
+
+fn shed(waiting: &Waiting, reason: RefusalReason) -> QueueEvent {
+    QueueEvent { id: waiting.id, decision: refuse(reason, reason.default_retry_after_ms()) }
+}
+
+fn refuse(reason: RefusalReason, retry_after_ms: Option<u64>) -> RouteDecision {
+    RouteDecision::Refuse { reason, retry_after_ms }
+}
