fold: steps of a wave, pool sizes and operations of one's own in the fold

Cause: the step of a wave was not part of the folded state, so a planner that replaced another forgot failures of the step, and a drain proposed before the other planner saw a failure took effect after it. Two movers could together leave a pool with fewer than min_vms. Drains begun while a data centre was out exceeded the budget once it came back. A pool that was removed while a VM drained for it received the VM.

Change: the fold counts VMs that came back and failed in the step, halves the width and halts the wave at the offset of the failure, accepts a wider step only on evidence, and resumes a halted wave only at a width that no planner proposes. Moves keep min_vms and max_vms at the offset of the drain. Operations alone stay within a budget also in a data centre that is out. A VM that a move brought in does not count against the budgets of its new pool before it served there. Operations on VMs are in fold_vms.rs.

--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -1,10 +1,15 @@
 //! Availability budgets: whether a VM may be made unavailable.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
+use crate::config::Budget;
 use crate::config::BudgetScope;
 use crate::control::ControlState;
 use crate::control::Vm;
+use crate::ids::DataCentreId;
+use crate::ids::PoolId;
+use crate::ids::RackId;
 use crate::ids::VmId;
 
 /// The budget that a drain would break.
@@ -33,41 +38,136 @@
     }
 }
 
+/// The failure domain that one budget counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Domain {
+    /// The whole pool.
+    Pool,
+    /// The VMs of the pool in one data centre.
+    DataCentre(DataCentreId),
+    /// The VMs of the pool in one rack.
+    Rack(RackId),
+}
+
+impl Domain {
+    /// The domain of a scope that a VM is in.
+    pub fn of(vm: &Vm, scope: BudgetScope) -> Self {
+        match scope {
+            BudgetScope::Pool => Self::Pool,
+            BudgetScope::DataCentre => Self::DataCentre(vm.data_centre),
+            BudgetScope::Rack => Self::Rack(vm.rack),
+        }
+    }
+}
+
+/// VMs of one domain that count against its budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Count {
+    unavailable: u32,
+    operated: u32,
+}
+
 /// Checks that every budget of the VM's pool allows one more unavailable VM.
-/// A VM that is unavailable already costs nothing.
+/// A VM that is unavailable already adds nothing, but operations alone stay
+/// within the budget too: otherwise a data centre that comes back would find
+/// more VMs drained than the budget allows.
 pub fn check_drain(state: &ControlState, id: VmId) -> Result<(), BudgetExceeded> {
     let Some(vm) = state.vms.get(id) else { return Ok(()) };
-    if !state.is_in_service(vm) {
-        return Ok(());
-    }
     let Some(pool) = state.pools.get(vm.pool) else { return Ok(()) };
-    for budget in &pool.budgets {
-        let unavailable = unavailable_near(state, vm, budget.scope);
-        if unavailable + 1 > budget.max_unavailable {
-            return Err(BudgetExceeded {
-                scope: budget.scope,
-                unavailable,
-                max_unavailable: budget.max_unavailable,
-            });
+    let mut counts = vec![Count::default(); pool.budgets.len()];
+    for (_, other) in state.vms.iter().filter(|(_, other)| counts_in_pool(state, vm.pool, other)) {
+        for (budget, count) in pool.budgets.iter().zip(&mut counts) {
+            if Domain::of(vm, budget.scope) == Domain::of(other, budget.scope) {
+                count.add(other);
+            }
         }
     }
-    Ok(())
+    let in_service = state.is_in_service(vm);
+    let checked = pool.budgets.iter().zip(counts);
+    checked.into_iter().try_for_each(|(budget, count)| count.check(*budget, in_service))
 }
 
 /// Number of unavailable VMs of the VM's pool in its failure domain. A VM is
 /// unavailable if it is not healthy, has an operation, or is in a data centre
-/// that is out of service.
+/// that is out of service. A VM that a move has brought in and that has not
+/// served yet takes nothing from the pool and does not count.
 pub fn unavailable_near(state: &ControlState, vm: &Vm, scope: BudgetScope) -> u32 {
-    let in_domain = |other: &Vm| match scope {
-        BudgetScope::Pool => true,
-        BudgetScope::DataCentre => other.data_centre == vm.data_centre,
-        BudgetScope::Rack => other.rack == vm.rack,
-    };
+    let domain = Domain::of(vm, scope);
     let count = state
         .vms
         .iter()
-        .filter(|(_, other)| other.pool == vm.pool && in_domain(other))
-        .filter(|(_, other)| !state.is_in_service(other))
+        .filter(|(_, other)| counts_in_pool(state, vm.pool, other))
+        .filter(|(_, other)| Domain::of(other, scope) == domain)
         .count();
     u32::try_from(count).unwrap_or(u32::MAX)
 }
+
+fn counts_in_pool(state: &ControlState, pool: PoolId, vm: &Vm) -> bool {
+    vm.pool == pool && !state.is_in_service(vm) && !vm.is_arriving()
+}
+
+impl Count {
+    fn add(&mut self, vm: &Vm) {
+        self.unavailable += 1;
+        self.operated += u32::from(vm.operation.is_some());
+    }
+
+    fn check(self, budget: Budget, in_service: bool) -> Result<(), BudgetExceeded> {
+        let used = if in_service { self.unavailable } else { self.operated };
+        if used < budget.max_unavailable {
+            return Ok(());
+        }
+        Err(BudgetExceeded {
+            scope: budget.scope,
+            unavailable: used,
+            max_unavailable: budget.max_unavailable,
+        })
+    }
+}
+
+/// What is left of every budget, with the drains that a planner has proposed
+/// and that are not in the fold yet. One pass over all VMs answers any number
+/// of checks.
+#[derive(Clone, Debug, Default)]
+pub struct BudgetView {
+    counts: BTreeMap<(PoolId, Domain), Count>,
+}
+
+impl BudgetView {
+    /// The budgets as the fold has them.
+    pub fn new(state: &ControlState) -> Self {
+        let mut view = Self::default();
+        for (_, vm) in state.vms.iter() {
+            if !state.is_in_service(vm) && !vm.is_arriving() {
+                view.add(vm, vm.operation.is_some());
+            }
+        }
+        view
+    }
+
+    /// Checks a drain as [`check_drain`] does, and names the domain.
+    pub fn check(&self, state: &ControlState, vm: &Vm) -> Result<(), (Domain, BudgetExceeded)> {
+        let Some(pool) = state.pools.get(vm.pool) else { return Ok(()) };
+        let in_service = state.is_in_service(vm);
+        for budget in &pool.budgets {
+            let domain = Domain::of(vm, budget.scope);
+            let count = self.counts.get(&(vm.pool, domain)).copied().unwrap_or_default();
+            count.check(*budget, in_service).map_err(|exceeded| (domain, exceeded))?;
+        }
+        Ok(())
+    }
+
+    /// Counts a drain of a VM that is in service.
+    pub fn add_drain(&mut self, vm: &Vm) {
+        self.add(vm, true);
+    }
+
+    fn add(&mut self, vm: &Vm, operated: bool) {
+        let scopes = [BudgetScope::Pool, BudgetScope::DataCentre, BudgetScope::Rack];
+        for scope in scopes {
+            let count = self.counts.entry((vm.pool, Domain::of(vm, scope))).or_default();
+            count.unavailable += 1;
+            count.operated += u32::from(operated);
+        }
+    }
+}
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -121,6 +121,16 @@
     pub done: BTreeSet<VmId>,
     /// VMs that did not come back.
     pub failed: BTreeSet<VmId>,
+    /// Offset of the record that began the wave. The platform creates VMs
+    /// from the image in use, so a VM that joined later is not maintained.
+    pub started_at: Offset,
+    /// VMs that came back and are watched until their step is proven, in the
+    /// order of their return.
+    pub step_done: Vec<VmId>,
+    /// Length of `step_done` at which the step is complete.
+    pub step_needed: u32,
+    /// VMs that failed since the last step without a failure.
+    pub step_failed: u32,
 }
 
 /// A VM.
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -7,8 +7,6 @@
 use crate::budget;
 use crate::control::ControlState;
 use crate::control::DataCentre;
-use crate::control::Operation;
-use crate::control::OperationPhase;
 use crate::control::Ownership;
 use crate::control::REMEMBERED_RECORDS;
 use crate::control::Session;
@@ -16,7 +14,6 @@
 use crate::ids::DataCentreId;
 use crate::ids::Epoch;
 use crate::ids::Offset;
-use crate::ids::OperationId;
 use crate::ids::PartitionId;
 use crate::ids::PoolId;
 use crate::ids::RackId;
@@ -26,7 +23,6 @@
 use crate::ids::VmId;
 use crate::ids::WaveId;
 use crate::record::ControlRecord;
-use crate::record::DrainPurpose;
 use crate::record::GrantChange;
 use crate::record::GrantDirection;
 use crate::record::Health;
@@ -34,8 +30,6 @@
 use crate::record::SessionOpen;
 use crate::record::VmJoined;
 use crate::record::VmObservation;
-use crate::record::VmStep;
-use crate::record::WavePhase;
 use crate::rendezvous;
 
 /// What a record did.
@@ -125,6 +119,18 @@
     /// The wave does not run.
     #[error("wave {0} is not running")]
     WaveNotRunning(WaveId),
+    /// The update of the wave was proposed for an earlier step, or its step
+    /// has not shown enough VMs that came back.
+    #[error("wave {0} is in another step than the update expects")]
+    WaveStep(WaveId),
+    /// The move would leave a pool with too few or too many VMs.
+    #[error("pool {pool} would have {vms} VMs after the move")]
+    PoolSize {
+        /// The pool.
+        pool: PoolId,
+        /// VMs after the move.
+        vms: u32,
+    },
     /// Nothing in the batch took effect.
     #[error("no entry of the batch is valid")]
     EmptyBatch,
@@ -386,6 +392,7 @@
             return None;
         }
         vm.health = health;
+        self.note_wave_health(id, health);
         Some(ControlChange::Vm(id))
     }
 
@@ -396,87 +403,6 @@
         Some(ControlChange::Vm(id))
     }
 
-    fn begin_drain(
-        &mut self,
-        offset: Offset,
-        id: VmId,
-        purpose: DrainPurpose,
-    ) -> Result<Vec<ControlChange>, VoidReason> {
-        let vm = self.vms.get(id).ok_or_else(|| missing("VM", &id.to_string()))?;
-        if vm.operation.is_some() {
-            return Err(VoidReason::WrongOperation { vm: id });
-        }
-        match purpose {
-            DrainPurpose::Wave(wave) => match self.waves.get(wave).map(|wave| wave.phase) {
-                Some(WavePhase::Running) => {}
-                Some(WavePhase::Halted | WavePhase::Finished) | None => {
-                    return Err(VoidReason::WaveNotRunning(wave));
-                }
-            },
-            DrainPurpose::Move(pool) => {
-                self.pools.get(pool).ok_or_else(|| missing("pool", &pool.to_string()))?;
-            }
-        }
-        budget::check_drain(self, id)
-            .map_err(|exceeded| VoidReason::BudgetExceeded { vm: id, exceeded })?;
-        let operation =
-            Operation { id: OperationId(offset), purpose, phase: OperationPhase::Draining };
-        if let Some(vm) = self.vms.get_mut(id) {
-            vm.operation = Some(operation);
-        }
-        Ok(vec![ControlChange::Vm(id)])
-    }
-
-    fn step_operation(
-        &mut self,
-        id: VmId,
-        operation_id: OperationId,
-        step: VmStep,
-    ) -> Result<Vec<ControlChange>, VoidReason> {
-        let wrong = VoidReason::WrongOperation { vm: id };
-        let vm = self.vms.get_mut(id).ok_or_else(|| missing("VM", &id.to_string()))?;
-        let operation = match vm.operation {
-            Some(operation) if operation.id == operation_id => operation,
-            Some(_) | None => return Err(wrong),
-        };
-        let next_phase = match (operation.phase, step, operation.purpose) {
-            (OperationPhase::Draining, VmStep::Reboot, _) => Some(OperationPhase::Rebooting),
-            (OperationPhase::Draining, VmStep::Move, DrainPurpose::Move(pool)) => {
-                vm.pool = pool;
-                Some(OperationPhase::Moved)
-            }
-            (OperationPhase::Rebooting | OperationPhase::Moved, VmStep::Done, _) => None,
-            (OperationPhase::Draining, VmStep::Cancel, _) => None,
-            (_, VmStep::Failed, _) => {
-                vm.health = Health::Down;
-                None
-            }
-            (_, VmStep::Reboot | VmStep::Move | VmStep::Done | VmStep::Cancel, _) => {
-                return Err(wrong);
-            }
-        };
-        vm.operation = next_phase.map(|phase| Operation { phase, ..operation });
-        let mut changes = vec![ControlChange::Vm(id)];
-        changes.extend(self.note_wave_result(id, operation.purpose, step));
-        Ok(changes)
-    }
-
-    fn note_wave_result(
-        &mut self,
-        vm: VmId,
-        purpose: DrainPurpose,
-        step: VmStep,
-    ) -> Option<ControlChange> {
-        let DrainPurpose::Wave(id) = purpose else { return None };
-        let wave = self.waves.get_mut(id)?;
-        match step {
-            VmStep::Done => wave.done.insert(vm),
-            VmStep::Failed => wave.failed.insert(vm),
-            VmStep::Reboot | VmStep::Move | VmStep::Cancel => return None,
-        };
-        Some(ControlChange::Wave(id))
-    }
-
     fn apply_grants(&mut self, batch: &[GrantChange]) -> Result<Vec<ControlChange>, VoidReason> {
         let mut changes = Vec::new();
         for change in batch {
@@ -517,18 +443,6 @@
         }
         true
     }
-
-    fn update_wave(
-        &mut self,
-        id: WaveId,
-        phase: WavePhase,
-        width: u32,
-    ) -> Result<Vec<ControlChange>, VoidReason> {
-        let wave = self.waves.get_mut(id).ok_or_else(|| missing("wave", &id.to_string()))?;
-        wave.phase = phase;
-        wave.width = width.clamp(1, wave.spec.max_width.max(1));
-        Ok(vec![ControlChange::Wave(id)])
-    }
 }
 
 pub(crate) fn missing(kind: &'static str, name: &str) -> VoidReason {
--- a/lib/src/fold_config.rs
+++ b/lib/src/fold_config.rs
@@ -40,7 +40,7 @@
         self.check_commit(commit)?;
         let mut changes = Vec::new();
         for change in &commit.changes {
-            changes.extend(self.apply_change(change));
+            changes.extend(self.apply_change(offset, change));
         }
         self.revision = Revision(self.revision.0 + 1);
         self.revision_author.clone_from(&commit.author);
@@ -85,7 +85,7 @@
         Ok(())
     }
 
-    fn apply_change(&mut self, change: &ConfigChange) -> Option<ControlChange> {
+    fn apply_change(&mut self, offset: Offset, change: &ConfigChange) -> Option<ControlChange> {
         match change {
             ConfigChange::PutDataCentre(spec) => Some(self.put_data_centre(spec)),
             ConfigChange::RemoveDataCentre(name) => {
@@ -102,7 +102,7 @@
                 self.pools.get_mut(id)?.budgets.clone_from(budgets);
                 Some(ControlChange::Pool(id))
             }
-            ConfigChange::PutWave(spec) => Some(self.put_wave(spec)),
+            ConfigChange::PutWave(spec) => Some(self.put_wave(offset, spec)),
             ConfigChange::RemoveWave(name) => {
                 let id = self.wave_by_name(name)?;
                 self.waves.remove(id);
@@ -180,7 +180,7 @@
         Some(ControlChange::Team(id))
     }
 
-    fn put_wave(&mut self, spec: &WaveSpec) -> ControlChange {
+    fn put_wave(&mut self, offset: Offset, spec: &WaveSpec) -> ControlChange {
         match self.wave_by_name(&spec.name) {
             Some(id) => {
                 if let Some(wave) = self.waves.get_mut(id) {
@@ -195,6 +195,10 @@
                     width: spec.initial_width,
                     done: BTreeSet::new(),
                     failed: BTreeSet::new(),
+                    started_at: offset,
+                    step_done: Vec::new(),
+                    step_needed: spec.initial_width,
+                    step_failed: 0,
                 };
                 ControlChange::Wave(self.waves.insert(wave))
             }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod findings;
 pub mod fold;
 mod fold_config;
+mod fold_vms;
 pub mod ids;
 pub mod protos;
 pub mod record;
--- a/lib/src/protos/cowslipport.control.rs
+++ b/lib/src/protos/cowslipport.control.rs
@@ -357,6 +357,19 @@
     pub done_vms: ::prost::alloc::vec::Vec<u32>,
     #[prost(uint32, repeated, tag = "5")]
     pub failed_vms: ::prost::alloc::vec::Vec<u32>,
+    /// Offset of the record that began the wave.
+    #[prost(uint64, tag = "6")]
+    pub started_at: u64,
+    /// VMs that came back and are watched until their step is proven, in the
+    /// order of their return.
+    #[prost(uint32, repeated, tag = "7")]
+    pub step_done_vms: ::prost::alloc::vec::Vec<u32>,
+    /// VMs that failed since the last step without a failure.
+    #[prost(uint32, tag = "8")]
+    pub step_failed: u32,
+    /// Number of watched VMs at which the step is complete.
+    #[prost(uint32, tag = "9")]
+    pub step_needed: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SessionState {
--- a/lib/src/snapshot.rs
+++ b/lib/src/snapshot.rs
@@ -213,6 +213,10 @@
         width: wave.width,
         done_vms: wave.done.iter().map(|vm| vm.0).collect(),
         failed_vms: wave.failed.iter().map(|vm| vm.0).collect(),
+        started_at: wave.started_at.0,
+        step_done_vms: wave.step_done.iter().map(|vm| vm.0).collect(),
+        step_failed: wave.step_failed,
+        step_needed: wave.step_needed,
     }
 }
 
@@ -365,6 +369,10 @@
             width: entry.width,
             done: entry.done_vms.iter().map(|id| VmId(*id)).collect(),
             failed: entry.failed_vms.iter().map(|id| VmId(*id)).collect(),
+            started_at: Offset(entry.started_at),
+            step_done: entry.step_done_vms.iter().map(|id| VmId(*id)).collect(),
+            step_failed: entry.step_failed,
+            step_needed: entry.step_needed,
         });
     }
     Ok(())
