--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod findings;
 pub mod fold;
 mod fold_config;
+mod fold_vms;
 pub mod freshness;
 pub mod ids;
 pub mod keys;
