--- a/daemon/src/app.rs
+++ b/daemon/src/app.rs
@@ -10,6 +10,7 @@
 use cowslipport_lib::record::SessionOpen;
 use cowslipport_lib::session::SESSION_LEASE_MS;
 use cowslipport_lib::session::SessionKeeper;
+use cowslipport_lib::settings::Limits;
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
 use slog::info;
@@ -69,8 +70,8 @@
     pub peer_token: String,
     /// Token that operators present.
     pub operator_token: String,
-    /// Time that work in flight may take when the process stops.
-    pub shutdown_timeout: Duration,
+    /// Limits of the HTTP front end.
+    pub limits: Limits,
 }
 
 /// Why a process cannot start.
@@ -159,7 +160,7 @@
             stop,
             stop_listening,
             connections,
-            shutdown_timeout: config.shutdown_timeout,
+            shutdown_timeout: Duration::from_millis(config.limits.shutdown_timeout_ms),
             logger,
         })
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod clock;
 mod control_task;
+pub mod credentials;
 pub mod edges;
 mod fleet_task;
 mod health;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,3 +1,117 @@
-//! The daemon of cowslipport.
+//! The daemon of cowslipport. Every entry VM runs one.
 
-fn main() {}
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use cowslipport_daemon::app::Daemon;
+use cowslipport_daemon::app::DaemonConfig;
+use cowslipport_daemon::app::StartError;
+use cowslipport_daemon::credentials;
+use cowslipport_daemon::credentials::CredentialError;
+use cowslipport_daemon::platform_client::GrpcLog;
+use cowslipport_daemon::platform_client::GrpcVmList;
+use cowslipport_lib::findings::Findings;
+use cowslipport_lib::settings::Settings;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use slog::Drain;
+use slog::Logger;
+use slog::o;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Routes requests, places jobs and maintains the VMs of a fleet together with
+/// the other entry processes.
+#[derive(Parser)]
+#[command(name = "cowslipportd", version)]
+struct Arguments {
+    /// Settings file (TOML).
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+/// Why the daemon does not run.
+#[derive(Debug, thiserror::Error)]
+enum MainError {
+    #[error("cannot read {}: {source}", path.display())]
+    Read { path: PathBuf, source: io::Error },
+    #[error("{} is not valid:\n{findings}", path.display())]
+    Settings { path: PathBuf, findings: Findings },
+    #[error(transparent)]
+    Credential(#[from] CredentialError),
+    #[error(transparent)]
+    Start(#[from] StartError),
+    #[error("cannot listen for signals: {0}")]
+    Signal(io::Error),
+}
+
+/// Exit status for invalid settings or credentials.
+const EXIT_INVALID: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match actix_rt::System::new().block_on(run(arguments)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            match error {
+                MainError::Read { .. } | MainError::Settings { .. } | MainError::Credential(_) => {
+                    ExitCode::from(EXIT_INVALID)
+                }
+                MainError::Start(_) | MainError::Signal(_) => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+async fn run(arguments: Arguments) -> Result<(), MainError> {
+    let settings = read_settings(arguments.settings)?;
+    let config = daemon_config(&settings)?;
+    let log = GrpcLog::new(settings.platform.log);
+    let vm_list = GrpcVmList::new(settings.platform.vm_list);
+    // Without a recorder the metrics endpoint answers 404.
+    let metrics = PrometheusBuilder::new().install_recorder().ok();
+    let daemon = Daemon::start(config, log, vm_list, metrics, logger()).await?;
+    wait_for_signal().await.map_err(MainError::Signal)?;
+    daemon.stop().await;
+    Ok(())
+}
+
+fn read_settings(path: PathBuf) -> Result<Settings, MainError> {
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(source) => return Err(MainError::Read { path, source }),
+    };
+    Settings::from_toml(&text).map_err(|findings| MainError::Settings { path, findings })
+}
+
+fn daemon_config(settings: &Settings) -> Result<DaemonConfig, MainError> {
+    Ok(DaemonConfig {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        health: settings.listen.health,
+        seeds: settings.peers.clone(),
+        peer_token: credentials::read(&settings.credentials.peer_token)?,
+        operator_token: credentials::read(&settings.credentials.operator_token)?,
+        limits: settings.limits,
+    })
+}
+
+fn logger() -> Logger {
+    let drain = slog_json::Json::default(io::stderr()).fuse();
+    Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
+}
+
+async fn wait_for_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
