--- /dev/null
+++ b/lib/src/wave.rs
@@ -0,0 +1,415 @@
+//! Maintenance waves: which VM is drained and rebooted next.
+//!
+//! The fold holds the width of a wave, the VMs of its step and the operation
+//! of every VM. A planner adds only the times at which this process saw them,
+//! so a planner of another process goes on after at most one more soak time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::budget::BudgetView;
+use crate::config::WaveSpec;
+use crate::control::ControlState;
+use crate::control::Operation;
+use crate::control::OperationPhase;
+use crate::control::Vm;
+use crate::control::Wave;
+use crate::drain;
+use crate::drain::Drain;
+use crate::drain::DrainGoal;
+use crate::drain::DrainReport;
+use crate::drain::DrainStatus;
+use crate::ids::Offset;
+use crate::ids::OperationId;
+use crate::ids::PoolId;
+use crate::ids::VmId;
+use crate::ids::WaveId;
+use crate::record::DrainPurpose;
+use crate::record::Health;
+use crate::record::WavePhase;
+use crate::time::TimeMs;
+use crate::wave_decision::CancelReason;
+use crate::wave_decision::DrainChoice;
+use crate::wave_decision::WaveDecision;
+use crate::wave_decision::WaveWait;
+use crate::wave_order;
+
+/// Time after which a proposal that the fold does not show is made again. An
+/// append normally takes some tens of milliseconds.
+pub const PROPOSAL_RETRY_MS: u64 = 2000;
+
+/// Time after which the platform is asked again for a reboot.
+pub const PLATFORM_RETRY_MS: u64 = 10_000;
+
+/// Time for which a VM is left alone after its drain was given up.
+pub const GIVE_UP_BACKOFF_MS: u64 = 60_000;
+
+/// Time that a VM gets to come back when its wave was removed meanwhile.
+const REMOVED_REBOOT_TIMEOUT_MS: u64 = 1_800_000;
+
+/// What this process knows about a VM apart from the fold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VmReport {
+    /// What is in flight to the VM.
+    pub drain: DrainReport,
+    /// Since when the VM is back and healthy after the reboot of its
+    /// operation.
+    pub back_since: Option<TimeMs>,
+}
+
+/// What a planner decides on.
+#[derive(Clone, Copy, Debug)]
+pub struct WaveView<'a> {
+    /// The folded state.
+    pub state: &'a ControlState,
+    /// The time.
+    pub now: TimeMs,
+    /// Reports of VMs that have an operation.
+    pub reports: &'a BTreeMap<VmId, VmReport>,
+    /// Pools that are about to give a VM to another.
+    pub due_moves: &'a BTreeSet<PoolId>,
+}
+
+/// Plans one wave.
+#[derive(Clone, Debug)]
+pub struct WavePlanner {
+    wave: WaveId,
+    operations: BTreeMap<VmId, SeenOperation>,
+    soaking: BTreeMap<VmId, TimeMs>,
+    proposed_drains: BTreeMap<VmId, TimeMs>,
+    proposed_update: Option<TimeMs>,
+    left_alone: BTreeMap<VmId, TimeMs>,
+}
+
+/// When this process saw an operation.
+#[derive(Clone, Copy, Debug)]
+struct SeenOperation {
+    id: OperationId,
+    phase: OperationPhase,
+    since: TimeMs,
+    proposed: Option<TimeMs>,
+    called: Option<TimeMs>,
+}
+
+impl WavePlanner {
+    /// A planner of a wave.
+    pub fn new(wave: WaveId) -> Self {
+        Self {
+            wave,
+            operations: BTreeMap::new(),
+            soaking: BTreeMap::new(),
+            proposed_drains: BTreeMap::new(),
+            proposed_update: None,
+            left_alone: BTreeMap::new(),
+        }
+    }
+
+    /// The decisions that are due. Called after each change of the fold and
+    /// at least once a second.
+    pub fn plan(&mut self, view: WaveView<'_>) -> Vec<WaveDecision> {
+        let removed = removed_wave();
+        let wave = view.state.waves.get(self.wave).unwrap_or(&removed);
+        self.observe(view, wave);
+        let mut decisions = self.step_operations(view, wave);
+        match wave.phase {
+            WavePhase::Finished => {}
+            WavePhase::Halted => {
+                decisions.push(WaveDecision::Wait(WaveWait::Halted { failed: wave.step_failed }));
+            }
+            WavePhase::Running => {
+                let left = wave_order::left(view.state, self.wave, wave, view.due_moves);
+                let nothing_left = left.candidates.is_empty() && left.not_in_service == 0;
+                if nothing_left && self.operations.is_empty() {
+                    decisions.extend(self.finish(view, wave));
+                } else {
+                    decisions.extend(self.widen(view, wave));
+                    decisions.extend(self.begin_drains(view, wave, &left));
+                }
+            }
+        }
+        decisions
+    }
+
+    /// Number of VMs that are under way or have not been healthy for the soak
+    /// time; the width of a wave bounds it.
+    fn unproven(&self, wave: &Wave, now: TimeMs) -> u32 {
+        let soaking = self.soaking.values().filter(|since| !is_proven(wave, **since, now)).count();
+        let count = self.operations.len() + self.proposed_drains.len() + soaking;
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn observe(&mut self, view: WaveView<'_>, wave: &Wave) {
+        let purpose = DrainPurpose::Wave(self.wave);
+        let current: BTreeMap<VmId, Operation> = view
+            .state
+            .vms
+            .iter()
+            .filter_map(|(id, vm)| Some((id, vm.operation?)))
+            .filter(|(_, operation)| operation.purpose == purpose)
+            .collect();
+        self.operations.retain(|vm, _| current.contains_key(vm));
+        for (vm, operation) in current {
+            let Operation { id, phase, purpose: _ } = operation;
+            let seen = self.operations.get(&vm);
+            if !seen.is_some_and(|seen| seen.id == id && seen.phase == phase) {
+                let since = view.now;
+                let seen = SeenOperation { id, phase, since, proposed: None, called: None };
+                self.operations.insert(vm, seen);
+            }
+            self.proposed_drains.remove(&vm);
+        }
+        let now = view.now;
+        self.proposed_drains.retain(|_, proposed| now.since(*proposed) < PROPOSAL_RETRY_MS);
+        self.left_alone.retain(|_, since| now.since(*since) < GIVE_UP_BACKOFF_MS);
+        self.observe_soak(view, wave);
+    }
+
+    fn observe_soak(&mut self, view: WaveView<'_>, wave: &Wave) {
+        let watched: BTreeSet<VmId> = wave.step_done.iter().copied().collect();
+        self.soaking.retain(|vm, _| watched.contains(vm));
+        for id in watched {
+            let healthy = view.state.vms.get(id).is_some_and(|vm| view.state.is_in_service(vm));
+            let since = self.soaking.entry(id).or_insert(view.now);
+            if !healthy {
+                *since = view.now;
+            }
+        }
+    }
+
+    fn step_operations(&mut self, view: WaveView<'_>, wave: &Wave) -> Vec<WaveDecision> {
+        let mut excess = self.unproven(wave, view.now).saturating_sub(width_of(wave));
+        let mut decisions = Vec::new();
+        // The youngest drains are given up first when the wave was narrowed.
+        let mut order: Vec<(OperationId, VmId)> =
+            self.operations.iter().map(|(vm, seen)| (seen.id, *vm)).collect();
+        order.sort_unstable_by(|left, right| right.cmp(left));
+        for (_, id) in order {
+            let Some(vm) = view.state.vms.get(id) else { continue };
+            let Some(seen) = self.operations.get(&id).copied() else { continue };
+            let decision = match seen.phase {
+                OperationPhase::Draining => {
+                    let cancel = cancel_reason(view.state, wave, vm, excess);
+                    excess = excess.saturating_sub(u32::from(cancel.is_some()));
+                    step_drain(view, id, vm, seen, cancel)
+                }
+                OperationPhase::Rebooting => self.step_reboot(view, wave, id, vm),
+                // A wave moves no VM.
+                OperationPhase::Moved => continue,
+            };
+            decisions.extend(self.unless_proposed(view.now, id, decision));
+        }
+        decisions
+    }
+
+    fn step_reboot(&mut self, view: WaveView<'_>, wave: &Wave, id: VmId, vm: &Vm) -> WaveDecision {
+        let Some(seen) = self.operations.get_mut(&id) else {
+            return WaveDecision::Wait(WaveWait::Reboot { vm: id });
+        };
+        let operation = seen.id;
+        let back = view.reports.get(&id).is_some_and(|report| report.back_since.is_some());
+        if back && vm.health == Health::Up {
+            return WaveDecision::Done { vm: id, operation };
+        }
+        if !view.state.data_centre_in_service(vm) {
+            // Whatever took the data centre out may keep the VM away.
+            seen.since = view.now;
+            return WaveDecision::Wait(WaveWait::Reboot { vm: id });
+        }
+        let waited_ms = view.now.since(seen.since);
+        if waited_ms >= wave.spec.reboot_timeout_ms {
+            return WaveDecision::Failed { vm: id, operation, waited_ms };
+        }
+        let due = seen.called.is_none_or(|called| view.now.since(called) >= PLATFORM_RETRY_MS);
+        if due && !back {
+            seen.called = Some(view.now);
+            return WaveDecision::CallPlatform { vm: id, operation };
+        }
+        WaveDecision::Wait(WaveWait::Reboot { vm: id })
+    }
+
+    /// Drops a record that was proposed a moment ago.
+    fn unless_proposed(
+        &mut self,
+        now: TimeMs,
+        vm: VmId,
+        decision: WaveDecision,
+    ) -> Option<WaveDecision> {
+        if decision.record().is_none() {
+            return Some(decision);
+        }
+        let seen = self.operations.get_mut(&vm)?;
+        if seen.proposed.is_some_and(|proposed| now.since(proposed) < PROPOSAL_RETRY_MS) {
+            return None;
+        }
+        seen.proposed = Some(now);
+        if let WaveDecision::Cancel { reason: CancelReason::RequestsInFlight { .. }, .. } = decision
+        {
+            self.left_alone.insert(vm, now);
+        }
+        Some(decision)
+    }
+
+    fn widen(&mut self, view: WaveView<'_>, wave: &Wave) -> Option<WaveDecision> {
+        let needed = wave.step_needed as usize;
+        let step = wave.step_done.get(..needed)?;
+        let proven = step
+            .iter()
+            .all(|vm| self.soaking.get(vm).is_some_and(|since| is_proven(wave, *since, view.now)));
+        if !proven || !self.may_update(view.now) {
+            return None;
+        }
+        let width = wave.width.saturating_mul(2);
+        Some(WaveDecision::Widen { wave: self.wave, proven: wave.step_needed, width })
+    }
+
+    fn finish(&mut self, view: WaveView<'_>, wave: &Wave) -> Option<WaveDecision> {
+        let soaking =
+            self.soaking.values().filter(|since| !is_proven(wave, **since, view.now)).count();
+        if soaking > 0 {
+            let vms = u32::try_from(soaking).unwrap_or(u32::MAX);
+            return Some(WaveDecision::Wait(WaveWait::Soak { vms }));
+        }
+        if !self.may_update(view.now) {
+            return None;
+        }
+        let done = u32::try_from(wave.done.len()).unwrap_or(u32::MAX);
+        let failed = u32::try_from(wave.failed.len()).unwrap_or(u32::MAX);
+        Some(WaveDecision::Finish { wave: self.wave, done, failed })
+    }
+
+    fn may_update(&mut self, now: TimeMs) -> bool {
+        if self.proposed_update.is_some_and(|proposed| now.since(proposed) < PROPOSAL_RETRY_MS) {
+            return false;
+        }
+        self.proposed_update = Some(now);
+        true
+    }
+
+    fn begin_drains(
+        &mut self,
+        view: WaveView<'_>,
+        wave: &Wave,
+        left: &wave_order::Left<'_>,
+    ) -> Vec<WaveDecision> {
+        let width = width_of(wave);
+        let mut room = width.saturating_sub(self.unproven(wave, view.now));
+        if room == 0 {
+            return vec![WaveDecision::Wait(WaveWait::Width { width })];
+        }
+        let mut budgets = BudgetView::new(view.state);
+        for vm in self.proposed_drains.keys().filter_map(|id| view.state.vms.get(*id)) {
+            budgets.add_drain(vm);
+        }
+        let mut decisions = Vec::new();
+        let mut waits = BTreeSet::new();
+        let others = u32::try_from(left.candidates.len().saturating_sub(1)).unwrap_or(u32::MAX);
+        for candidate in &left.candidates {
+            let id = candidate.id;
+            if room == 0 {
+                break;
+            }
+            if self.proposed_drains.contains_key(&id) || self.left_alone.contains_key(&id) {
+                continue;
+            }
+            if let Err((domain, exceeded)) = budgets.check(view.state, candidate.vm) {
+                waits.insert(WaveWait::budget(candidate.vm.pool, domain, exceeded));
+                continue;
+            }
+            budgets.add_drain(candidate.vm);
+            self.proposed_drains.insert(id, view.now);
+            room -= 1;
+            let wave_order::Candidate { domain, rounds_milli, vm, .. } = *candidate;
+            let reason = DrainChoice { domain, pool: vm.pool, rounds_milli, others };
+            decisions.push(WaveDecision::BeginDrain { vm: id, wave: self.wave, reason });
+        }
+        if decisions.is_empty() && waits.is_empty() && left.not_in_service > 0 {
+            waits.insert(WaveWait::NotInService { vms: left.not_in_service });
+        }
+        decisions.extend(waits.into_iter().map(WaveDecision::Wait));
+        decisions
+    }
+}
+
+/// Waves that need a planner: those that are not finished, and those that
+/// still have an operation, even if they are no longer in the manifest.
+pub fn planned_waves(state: &ControlState) -> BTreeSet<WaveId> {
+    let unfinished =
+        state.waves.iter().filter(|(_, wave)| wave.phase != WavePhase::Finished).map(|(id, _)| id);
+    let operating = state.vms.iter().filter_map(|(_, vm)| match vm.operation?.purpose {
+        DrainPurpose::Wave(wave) => Some(wave),
+        DrainPurpose::Move(_) => None,
+    });
+    unfinished.chain(operating).collect()
+}
+
+/// Stands for a wave that was removed from the manifest: drains are given up
+/// and reboots awaited.
+fn removed_wave() -> Wave {
+    let spec = WaveSpec {
+        name: String::new(),
+        pools: Vec::new(),
+        initial_width: 1,
+        max_width: 1,
+        max_failed: 0,
+        soak_ms: 0,
+        reboot_timeout_ms: REMOVED_REBOOT_TIMEOUT_MS,
+    };
+    Wave {
+        spec,
+        phase: WavePhase::Finished,
+        width: 1,
+        done: BTreeSet::new(),
+        failed: BTreeSet::new(),
+        started_at: Offset(0),
+        step_done: Vec::new(),
+        step_needed: 1,
+        step_failed: 0,
+    }
+}
+
+fn width_of(wave: &Wave) -> u32 {
+    wave.width.min(wave.spec.max_width).max(1)
+}
+
+fn is_proven(wave: &Wave, since: TimeMs, now: TimeMs) -> bool {
+    now.since(since) >= wave.spec.soak_ms
+}
+
+fn cancel_reason(state: &ControlState, wave: &Wave, vm: &Vm, excess: u32) -> Option<CancelReason> {
+    match wave.phase {
+        WavePhase::Running => {}
+        WavePhase::Halted | WavePhase::Finished => return Some(CancelReason::WaveNotRunning),
+    }
+    if !state.data_centre_in_service(vm) {
+        return Some(CancelReason::DataCentreOut);
+    }
+    match vm.health {
+        Health::Down => return Some(CancelReason::VmDown),
+        Health::Up | Health::Unknown | Health::Leaving => {}
+    }
+    (excess > 0).then(|| CancelReason::Narrowed { width: width_of(wave) })
+}
+
+fn step_drain(
+    view: WaveView<'_>,
+    id: VmId,
+    vm: &Vm,
+    seen: SeenOperation,
+    cancel: Option<CancelReason>,
+) -> WaveDecision {
+    let operation = seen.id;
+    if let Some(reason) = cancel {
+        return WaveDecision::Cancel { vm: id, operation, reason };
+    }
+    let drain = Drain::new(view.state, vm.pool, operation, DrainGoal::Stop, seen.since);
+    let unknown = DrainReport::default();
+    let report = view.reports.get(&id).map_or(&unknown, |report| &report.drain);
+    match drain::status(view.state, &drain, report, view.now) {
+        DrainStatus::Drained(reason) => WaveDecision::Reboot { vm: id, operation, reason },
+        DrainStatus::Waiting(wait) => WaveDecision::Wait(WaveWait::Drain { vm: id, wait }),
+        DrainStatus::GiveUp { session, in_flight } => {
+            let reason = CancelReason::RequestsInFlight { session, in_flight };
+            WaveDecision::Cancel { vm: id, operation, reason }
+        }
+    }
+}
