protos: JSON bodies of the job calls, and printable replies

Replies that the tool prints as JSON derive Serialize.

Before: cowslipport-gen covers 4 schemas. After: 5; `--check` passes.

--- a/gen/src/main.rs
+++ b/gen/src/main.rs
@@ -21,7 +21,22 @@
     Differs { files: Vec<String> },
 }
 
-const SCHEMAS: [&str; 4] = ["config.proto", "control.proto", "platform.proto", "peer.proto"];
+const SCHEMAS: [&str; 5] =
+    ["config.proto", "control.proto", "platform.proto", "peer.proto", "caller.proto"];
+
+/// Messages that the command line tool prints as JSON.
+const PRINTED: [&str; 10] = [
+    ".cowslipport.control.Resources",
+    ".cowslipport.peer.MemberProgress",
+    ".cowslipport.peer.StatusReply",
+    ".cowslipport.peer.PoolStatus",
+    ".cowslipport.peer.TeamStatus",
+    ".cowslipport.peer.DataCentreStatus",
+    ".cowslipport.peer.WaveStatus",
+    ".cowslipport.peer.MemberStatus",
+    ".cowslipport.peer.ExplainReply",
+    ".cowslipport.peer.ExplainLine",
+];
 
 fn main() -> ExitCode {
     let check = std::env::args().any(|argument| argument == "--check");
@@ -52,7 +67,11 @@
 
 fn generate(protos: &Path, out: &Path) -> Result<(), GenError> {
     let descriptors = protox::compile(SCHEMAS, [protos])?;
-    tonic_prost_build::configure()
+    let mut builder = tonic_prost_build::configure();
+    for message in PRINTED {
+        builder = builder.type_attribute(message, "#[derive(serde::Serialize)]");
+    }
+    builder
         .out_dir(out)
         .btree_map(".")
         .type_attribute(".cowslipport.config", "#[derive(serde::Serialize, serde::Deserialize)]")
@@ -62,6 +81,9 @@
         .field_attribute(".cowslipport.config.Manifest.team", SKIP_EMPTY)
         .field_attribute(".cowslipport.config.Manifest.budget", SKIP_EMPTY)
         .field_attribute(".cowslipport.config.Manifest.wave", SKIP_EMPTY)
+        .type_attribute(".cowslipport.caller", "#[derive(serde::Serialize, serde::Deserialize)]")
+        .type_attribute(".cowslipport.caller", "#[serde(default)]")
+        .type_attribute(".cowslipport.caller.SubmitJob", "#[serde(deny_unknown_fields)]")
         .compile_fds(descriptors)
         .map_err(|source| io_error(out, source))
 }
--- a/lib/src/protos/cowslipport.control.rs
+++ b/lib/src/protos/cowslipport.control.rs
@@ -266,6 +266,7 @@
     pub width: u32,
 }
 /// An amount of resources.
+#[derive(serde::Serialize)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Resources {
     #[prost(uint64, tag = "1")]
--- a/lib/src/protos/cowslipport.peer.rs
+++ b/lib/src/protos/cowslipport.peer.rs
@@ -251,6 +251,7 @@
     #[prost(message, repeated, tag = "2")]
     pub members: ::prost::alloc::vec::Vec<MemberProgress>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberProgress {
     #[prost(string, tag = "1")]
@@ -276,6 +277,7 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StatusReply {
     #[prost(uint64, tag = "1")]
@@ -299,6 +301,7 @@
     #[prost(string, repeated, tag = "10")]
     pub degraded: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PoolStatus {
     #[prost(string, tag = "1")]
@@ -312,6 +315,7 @@
     #[prost(string, tag = "5")]
     pub owner: ::prost::alloc::string::String,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TeamStatus {
     #[prost(string, tag = "1")]
@@ -323,6 +327,7 @@
     #[prost(message, optional, tag = "4")]
     pub granted: ::core::option::Option<super::control::Resources>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DataCentreStatus {
     #[prost(string, tag = "1")]
@@ -334,6 +339,7 @@
     #[prost(uint32, tag = "4")]
     pub vms: u32,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WaveStatus {
     #[prost(string, tag = "1")]
@@ -349,6 +355,7 @@
     #[prost(uint32, tag = "6")]
     pub total: u32,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberStatus {
     #[prost(string, tag = "1")]
@@ -370,11 +377,13 @@
     #[prost(string, tag = "2")]
     pub name: ::prost::alloc::string::String,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExplainReply {
     #[prost(message, repeated, tag = "1")]
     pub lines: ::prost::alloc::vec::Vec<ExplainLine>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ExplainLine {
     /// Time in milliseconds before now.
--- a/lib/src/protos/mod.rs
+++ b/lib/src/protos/mod.rs
@@ -28,3 +28,8 @@
 pub mod peer {
     include!("cowslipport.peer.rs");
 }
+
+/// JSON bodies of job calls.
+pub mod caller {
+    include!("cowslipport.caller.rs");
+}
