--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod arena;
 pub mod budget;
 pub mod config;
+mod config_diff;
 pub mod control;
+pub mod file_kind;
 pub mod findings;
 pub mod fold;
 mod fold_config;
--- a/lib/tests/test_manifest.rs
+++ b/lib/tests/test_manifest.rs
@@ -198,3 +198,32 @@
 line 21: logging.target_levels.peer.exchange: "loud" is not one of "error", "warning", "info", "debug", "trace"
 "#);
 }
+
+/// Guards against a commit that surprises its operator: each difference and
+/// each effect on running work is listed.
+#[test]
+fn differences_and_effects_are_listed() {
+    let old = Manifest::from_toml(VALID).expect("the text is valid");
+    let text = VALID
+        .replace("limit_cpu_milli = 64000", "limit_cpu_milli = 32000")
+        .replace("sha256 = \"2c", "sha256 = \"2d")
+        .replace("max_unavailable = 1", "max_unavailable = 2\nscope = \"rack\"")
+        .replace("w1", "w2")
+        .replace("slots_per_vm = 8", "slots_per_vm = 4");
+    let new = Manifest::from_toml(&text).expect("the text is valid");
+    insta::assert_snapshot!(old.differences_to(&new).join("\n"), @r#"
+pool web: slots_per_vm from 8 to 4
+budgets of pool web: pool from 1 to none
+budgets of pool web: rack from none to 2
+team payroll: limit_cpu_milli from 64000 to 32000
+team payroll: key k1 is withdrawn
+effect: calls with the key are refused and its queued jobs are cancelled
+team payroll: key k1 is granted
+effect: tasks above the new limit are stopped
+wave w2: added, pools = web, initial_width = 1, max_width = 4, max_failed = 1, soak_ms = 60000, reboot_timeout_ms = 600000
+effect: VMs of web begin to reboot
+wave w1: removed
+effect: no further VM is drained for it
+"#);
+    assert_eq!(old.differences_to(&old), Vec::<String>::new());
+}
