--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod arena;
 pub mod budget;
 pub mod config;
+mod config_diff;
 pub mod control;
 pub mod drain;
 pub mod ejection;
+pub mod file_kind;
 pub mod findings;
 pub mod fold;
 mod fold_config;
