fold, session: change the members one at a time

A process that reached the log alone expired all others, so the majority of the members that were left was itself, while the others had a majority of the former members. Ruled out: the takeover wait, the age of evidence.

Change: a session opens or expires only when a majority has applied the change before, as renewals say. A restart under the same name, an orderly close and a VM that is gone need no majority. An orderly close no longer releases partitions whose takeover wait it has not ended.

--- a/daemon/src/peer_task.rs
+++ b/daemon/src/peer_task.rs
@@ -440,9 +440,9 @@
     }
 
     fn close(&mut self, reply: oneshot::Sender<()>) {
-        self.config.keeper.close();
+        let now = self.config.clock.now();
+        let body = self.config.keeper.close(now, &self.state, &self.freshness);
         let control = self.config.control.clone();
-        let body = RecordBody::SessionClose { session: self.me };
         actix_rt::spawn(async move {
             control.append(body).await;
             let _ = reply.send(());
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -67,6 +67,9 @@
     pub sessions: BTreeMap<SessionId, Session>,
     /// Offset of the last record that changed the set of members.
     pub membership_epoch: Offset,
+    /// Offset of the last change of the members that a majority must have
+    /// applied before the next one.
+    pub quorum_epoch: Offset,
     /// Owner of each partition.
     pub owners: BTreeMap<PartitionId, Ownership>,
     /// Grants of teams in partitions. The sum for a team is at most its limit,
@@ -181,6 +184,8 @@
     pub open: SessionOpen,
     /// Number of its last renewal.
     pub renewal: u64,
+    /// Offset of the next record that it would apply at that renewal.
+    pub next_offset: Offset,
     /// Offset at which it joined.
     pub opened_at: Offset,
 }
@@ -266,6 +271,15 @@
         self.sessions.len() / 2 + 1
     }
 
+    /// True if a majority of the members has applied the last change of the
+    /// members, so that the next one may take effect. Majorities before and
+    /// after one change share a member; those before and after two need not.
+    pub fn membership_confirmed(&self) -> bool {
+        let has_applied = |session: &&Session| session.next_offset > self.quorum_epoch;
+        let count = self.sessions.values().filter(has_applied).count();
+        self.sessions.is_empty() || count >= self.majority()
+    }
+
     /// The manifest in force.
     pub fn manifest(&self) -> Manifest {
         let mut manifest = Manifest { policy: self.policy, ..Manifest::default() };
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -7,12 +7,10 @@
 use crate::budget;
 use crate::control::ControlState;
 use crate::control::DataCentre;
-use crate::control::Ownership;
 use crate::control::REMEMBERED_RECORDS;
-use crate::control::Session;
 use crate::control::Vm;
+use crate::fold_sessions::Release;
 use crate::ids::DataCentreId;
-use crate::ids::Epoch;
 use crate::ids::Offset;
 use crate::ids::PartitionId;
 use crate::ids::PoolId;
@@ -27,10 +25,8 @@
 use crate::record::GrantDirection;
 use crate::record::Health;
 use crate::record::RecordBody;
-use crate::record::SessionOpen;
 use crate::record::VmJoined;
 use crate::record::VmObservation;
-use crate::rendezvous;
 
 /// What a record did.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -99,6 +95,9 @@
     /// The session has renewed since, or is gone.
     #[error("session {0} has renewed its lease or is closed")]
     SessionNotExpired(SessionId),
+    /// A majority has not applied the last change of the members yet.
+    #[error("a majority has not applied the change of the members at offset {0} yet")]
+    MembershipPending(Offset),
     /// The session exists.
     #[error("session {0} exists")]
     SessionExists(SessionId),
@@ -189,11 +188,16 @@
                 self.set_data_centre(data_centre, *in_service)
             }
             RecordBody::SessionOpen(open) => self.open_session(offset, open),
-            RecordBody::SessionRenew { session, renewal } => self.renew_session(*session, *renewal),
-            RecordBody::SessionExpire { session, seen_renewal } => {
-                self.expire_session(offset, *session, *seen_renewal)
+            RecordBody::SessionRenew { session, renewal, next_offset } => {
+                self.renew_session(*session, *renewal, *next_offset)
+            }
+            RecordBody::SessionExpire { session, seen_renewal, vm_gone } => {
+                self.expire_session(offset, *session, *seen_renewal, *vm_gone)
+            }
+            RecordBody::SessionClose { session, released } => {
+                let release = if *released { Release::Complete } else { Release::Unknown };
+                self.end_session(offset, *session, release)
             }
-            RecordBody::SessionClose { session } => self.end_session(offset, *session, true),
             RecordBody::VmBatch(observations) => self.apply_observations(offset, observations),
             RecordBody::DrainBegin { vm, purpose } => self.begin_drain(offset, *vm, *purpose),
             RecordBody::VmOperation { vm, operation, step } => {
@@ -218,114 +222,6 @@
         Ok(vec![ControlChange::DataCentre(id)])
     }
 
-    fn open_session(
-        &mut self,
-        offset: Offset,
-        open: &SessionOpen,
-    ) -> Result<Vec<ControlChange>, VoidReason> {
-        if self.sessions.contains_key(&open.session) {
-            return Err(VoidReason::SessionExists(open.session));
-        }
-        let session = Session { open: open.clone(), renewal: 0, opened_at: offset };
-        self.sessions.insert(open.session, session);
-        self.membership_epoch = offset;
-        let mut changes = vec![ControlChange::Session(open.session)];
-        changes.extend(self.assign_partitions(offset, false));
-        Ok(changes)
-    }
-
-    fn renew_session(
-        &mut self,
-        id: SessionId,
-        renewal: u64,
-    ) -> Result<Vec<ControlChange>, VoidReason> {
-        let session =
-            self.sessions.get_mut(&id).ok_or_else(|| missing("session", &id.to_string()))?;
-        session.renewal = session.renewal.max(renewal);
-        Ok(vec![ControlChange::Session(id)])
-    }
-
-    fn expire_session(
-        &mut self,
-        offset: Offset,
-        id: SessionId,
-        seen_renewal: u64,
-    ) -> Result<Vec<ControlChange>, VoidReason> {
-        match self.sessions.get(&id) {
-            Some(session) if session.renewal == seen_renewal => self.end_session(offset, id, false),
-            Some(_) | None => Err(VoidReason::SessionNotExpired(id)),
-        }
-    }
-
-    fn end_session(
-        &mut self,
-        offset: Offset,
-        id: SessionId,
-        released: bool,
-    ) -> Result<Vec<ControlChange>, VoidReason> {
-        self.sessions.remove(&id).ok_or_else(|| missing("session", &id.to_string()))?;
-        self.membership_epoch = offset;
-        let mut changes = vec![ControlChange::Session(id)];
-        changes.extend(self.assign_partitions(offset, released));
-        Ok(changes)
-    }
-
-    /// Assigns each partition to the session that wins rendezvous hashing
-    /// among those of its region, or among all if the region has none.
-    pub(crate) fn assign_partitions(
-        &mut self,
-        offset: Offset,
-        released: bool,
-    ) -> Vec<ControlChange> {
-        let mut changes = Vec::new();
-        for partition in self.all_partitions() {
-            let winner = self.partition_winner(partition);
-            let current = self.owners.get(&partition).copied();
-            if current.is_some_and(|ownership| ownership.owner == winner) {
-                continue;
-            }
-            let no_owner_before = current.is_none_or(|ownership| ownership.owner.is_none());
-            // A pause between two owners keeps the word on the one before it.
-            let released = match current {
-                Some(ownership) if no_owner_before => ownership.released,
-                Some(ownership) => {
-                    released
-                        && !ownership.owner.is_some_and(|owner| self.sessions.contains_key(&owner))
-                }
-                None => true,
-            };
-            let epoch = Epoch(offset.0);
-            self.owners.insert(partition, Ownership { owner: winner, epoch, released });
-            changes.push(ControlChange::Partition(partition));
-        }
-        changes
-    }
-
-    fn all_partitions(&self) -> Vec<PartitionId> {
-        let mut partitions = Vec::new();
-        for (pool, _) in self.pools.iter() {
-            for (region, _) in self.regions.iter() {
-                partitions.push(PartitionId { pool, region });
-            }
-        }
-        partitions
-    }
-
-    fn partition_winner(&self, partition: PartitionId) -> Option<SessionId> {
-        let region_of = |session: &Session| {
-            let data_centre = self.data_centre_by_name(&session.open.data_centre)?;
-            Some(self.data_centres.get(data_centre)?.region)
-        };
-        let local = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| region_of(session) == Some(partition.region))
-            .map(|(id, _)| *id);
-        let key = (u64::from(partition.pool.0) << 32) | u64::from(partition.region.0);
-        rendezvous::winner(key, local)
-            .or_else(|| rendezvous::winner(key, self.sessions.keys().copied()))
-    }
-
     fn apply_observations(
         &mut self,
         offset: Offset,
--- a/lib/src/fold_config.rs
+++ b/lib/src/fold_config.rs
@@ -16,6 +16,7 @@
 use crate::fold::ControlChange;
 use crate::fold::VoidReason;
 use crate::fold::missing;
+use crate::fold_sessions::Release;
 use crate::ids::Offset;
 use crate::ids::PoolId;
 use crate::ids::RegionId;
@@ -44,7 +45,7 @@
         }
         self.revision = Revision(self.revision.0 + 1);
         self.revision_author.clone_from(&commit.author);
-        changes.extend(self.assign_partitions(offset, false));
+        changes.extend(self.assign_partitions(offset, Release::Unknown));
         Ok(changes)
     }
 
--- /dev/null
+++ b/lib/src/fold_sessions.rs
@@ -0,0 +1,158 @@
+//! The part of the fold that keeps the members and the owners of partitions.
+
+use crate::control::ControlState;
+use crate::control::Ownership;
+use crate::control::Session;
+use crate::fold::ControlChange;
+use crate::fold::VoidReason;
+use crate::fold::missing;
+use crate::ids::Epoch;
+use crate::ids::Offset;
+use crate::ids::PartitionId;
+use crate::ids::SessionId;
+use crate::record::SessionOpen;
+use crate::rendezvous;
+
+/// Whether an owner has said that nothing of it, or of an owner before it, can
+/// still be on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Release {
+    /// It has said so.
+    Complete,
+    /// It has not.
+    Unknown,
+}
+
+impl ControlState {
+    pub(crate) fn open_session(
+        &mut self,
+        offset: Offset,
+        open: &SessionOpen,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        if self.sessions.contains_key(&open.session) {
+            return Err(VoidReason::SessionExists(open.session));
+        }
+        // A process of the same name has been restarted; its former session
+        // cannot act any more.
+        let mut changes = Vec::new();
+        let mut sessions = self.sessions.iter();
+        let former = sessions.find(|(_, session)| session.open.name == open.name);
+        if let Some(former) = former.map(|(id, _)| *id) {
+            changes.extend(self.end_session(offset, former, Release::Unknown)?);
+        }
+        if !self.membership_confirmed() {
+            let pending = VoidReason::MembershipPending(self.quorum_epoch);
+            return if changes.is_empty() { Err(pending) } else { Ok(changes) };
+        }
+        let next_offset = Offset(0);
+        let session = Session { open: open.clone(), renewal: 0, next_offset, opened_at: offset };
+        self.sessions.insert(open.session, session);
+        self.membership_epoch = offset;
+        self.quorum_epoch = offset;
+        changes.push(ControlChange::Session(open.session));
+        changes.extend(self.assign_partitions(offset, Release::Unknown));
+        Ok(changes)
+    }
+
+    pub(crate) fn renew_session(
+        &mut self,
+        id: SessionId,
+        renewal: u64,
+        next_offset: Offset,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        let session =
+            self.sessions.get_mut(&id).ok_or_else(|| missing("session", &id.to_string()))?;
+        session.renewal = session.renewal.max(renewal);
+        session.next_offset = session.next_offset.max(next_offset);
+        Ok(vec![ControlChange::Session(id)])
+    }
+
+    pub(crate) fn expire_session(
+        &mut self,
+        offset: Offset,
+        id: SessionId,
+        seen_renewal: u64,
+        vm_gone: bool,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        match self.sessions.get(&id) {
+            Some(session) if session.renewal == seen_renewal => {}
+            Some(_) | None => return Err(VoidReason::SessionNotExpired(id)),
+        }
+        if !vm_gone {
+            if !self.membership_confirmed() {
+                return Err(VoidReason::MembershipPending(self.quorum_epoch));
+            }
+            self.quorum_epoch = offset;
+        }
+        self.end_session(offset, id, Release::Unknown)
+    }
+
+    pub(crate) fn end_session(
+        &mut self,
+        offset: Offset,
+        id: SessionId,
+        release: Release,
+    ) -> Result<Vec<ControlChange>, VoidReason> {
+        self.sessions.remove(&id).ok_or_else(|| missing("session", &id.to_string()))?;
+        self.membership_epoch = offset;
+        let mut changes = vec![ControlChange::Session(id)];
+        changes.extend(self.assign_partitions(offset, release));
+        Ok(changes)
+    }
+
+    /// Assigns each partition to the session that wins rendezvous hashing
+    /// among those of its region, or among all if the region has none.
+    pub(crate) fn assign_partitions(
+        &mut self,
+        offset: Offset,
+        release: Release,
+    ) -> Vec<ControlChange> {
+        let mut changes = Vec::new();
+        for partition in self.all_partitions() {
+            let winner = self.partition_winner(partition);
+            let current = self.owners.get(&partition).copied();
+            if current.is_some_and(|ownership| ownership.owner == winner) {
+                continue;
+            }
+            let no_owner_before = current.is_none_or(|ownership| ownership.owner.is_none());
+            // A pause between two owners keeps the word on the one before it.
+            let released = match current {
+                Some(ownership) if no_owner_before => ownership.released,
+                Some(ownership) => {
+                    release == Release::Complete
+                        && !ownership.owner.is_some_and(|owner| self.sessions.contains_key(&owner))
+                }
+                None => true,
+            };
+            let epoch = Epoch(offset.0);
+            self.owners.insert(partition, Ownership { owner: winner, epoch, released });
+            changes.push(ControlChange::Partition(partition));
+        }
+        changes
+    }
+
+    fn all_partitions(&self) -> Vec<PartitionId> {
+        let mut partitions = Vec::new();
+        for (pool, _) in self.pools.iter() {
+            for (region, _) in self.regions.iter() {
+                partitions.push(PartitionId { pool, region });
+            }
+        }
+        partitions
+    }
+
+    fn partition_winner(&self, partition: PartitionId) -> Option<SessionId> {
+        let region_of = |session: &Session| {
+            let data_centre = self.data_centre_by_name(&session.open.data_centre)?;
+            Some(self.data_centres.get(data_centre)?.region)
+        };
+        let local = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| region_of(session) == Some(partition.region))
+            .map(|(id, _)| *id);
+        let key = (u64::from(partition.pool.0) << 32) | u64::from(partition.region.0);
+        rendezvous::winner(key, local)
+            .or_else(|| rendezvous::winner(key, self.sessions.keys().copied()))
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod findings;
 pub mod fold;
 mod fold_config;
+mod fold_sessions;
 mod fold_vms;
 pub mod freshness;
 pub mod ids;
--- a/lib/src/protos/cowslipport.control.rs
+++ b/lib/src/protos/cowslipport.control.rs
@@ -129,6 +129,9 @@
     pub session: u64,
     #[prost(uint64, tag = "2")]
     pub renewal: u64,
+    /// Offset of the next record that the member will apply.
+    #[prost(uint64, tag = "3")]
+    pub next_offset: u64,
 }
 /// Ends a session whose lease has run out. Void if the session has renewed
 /// since the renewal that the writer saw.
@@ -138,12 +141,19 @@
     pub session: u64,
     #[prost(uint64, tag = "2")]
     pub seen_renewal: u64,
+    /// True if the platform has taken the VM of the session away.
+    #[prost(bool, tag = "3")]
+    pub vm_gone: bool,
 }
 /// A member leaves in an orderly way, after its last start of work.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SessionClose {
     #[prost(uint64, tag = "1")]
     pub session: u64,
+    /// True if no former owner of a partition of this session can still start
+    /// work there.
+    #[prost(bool, tag = "2")]
+    pub released: bool,
 }
 /// Observations of VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -336,6 +346,10 @@
     /// Offset of the last record that changed the set of sessions.
     #[prost(uint64, tag = "19")]
     pub membership_epoch: u64,
+    /// Offset of the last change of the members that a majority must have applied
+    /// before the next one.
+    #[prost(uint64, tag = "21")]
+    pub quorum_epoch: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DataCentreState {
@@ -380,6 +394,8 @@
     pub renewal: u64,
     #[prost(uint64, tag = "3")]
     pub opened_at: u64,
+    #[prost(uint64, tag = "4")]
+    pub next_offset: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct VmState {
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -1,6 +1,7 @@
 //! Checked records of the `control` stream.
 
 use crate::config::ConfigCommit;
+use crate::ids::Offset;
 use crate::ids::OperationId;
 use crate::ids::PartitionId;
 use crate::ids::PoolId;
@@ -42,6 +43,8 @@
         session: SessionId,
         /// Number of the renewal, rising.
         renewal: u64,
+        /// Offset of the next record that the member will apply.
+        next_offset: Offset,
     },
     /// Ends a session whose lease has run out.
     SessionExpire {
@@ -49,11 +52,15 @@
         session: SessionId,
         /// The last renewal that the writer saw.
         seen_renewal: u64,
+        /// True if the platform has taken the VM of the session away.
+        vm_gone: bool,
     },
     /// A member leaves after its last start of work.
     SessionClose {
         /// The member.
         session: SessionId,
+        /// True if no former owner of its partitions can still start work.
+        released: bool,
     },
     /// Observations of VMs.
     VmBatch(Vec<VmObservation>),
--- a/lib/src/session.rs
+++ b/lib/src/session.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::control::ControlState;
+use crate::control::Ownership;
 use crate::freshness::CONFIRMED_MAX_AGE_MS;
 use crate::freshness::FreshnessTracker;
 use crate::freshness::ViewState;
@@ -28,6 +29,12 @@
 /// start that it sent may still arrive while its ticket is good.
 pub const TAKEOVER_WAIT_MS: u64 = CONFIRMED_MAX_AGE_MS + TICKET_LIFETIME_MS;
 
+/// Time after which an attempt to join is repeated.
+const OPEN_RETRY_MS: u64 = 400;
+
+/// Time between renewals while a change of the members is not confirmed.
+const CONFIRM_INTERVAL_MS: u64 = 200;
+
 /// Step by which members take turns to expire a session, so that normally one
 /// of them writes the record.
 const EXPIRE_TURN_MS: u64 = 500;
@@ -42,6 +49,7 @@
     sent: BTreeMap<u64, TimeMs>,
     lease_until: Option<TimeMs>,
     last_renewed_at: Option<TimeMs>,
+    last_said: Offset,
     others: BTreeMap<SessionId, SeenRenewal>,
     majority_seen: BTreeMap<Offset, TimeMs>,
 }
@@ -78,6 +86,7 @@
             sent: BTreeMap::new(),
             lease_until: None,
             last_renewed_at: None,
+            last_said: Offset(0),
             others: BTreeMap::new(),
             majority_seen: BTreeMap::new(),
         }
@@ -93,9 +102,20 @@
         self.lease_until
     }
 
-    /// Stops renewing, before the session is closed.
-    pub fn close(&mut self) {
+    /// Stops renewing and starting work. Returns the record that closes the
+    /// session, which is appended after the last start of work.
+    pub fn close(
+        &mut self,
+        now: TimeMs,
+        state: &ControlState,
+        freshness: &FreshnessTracker,
+    ) -> RecordBody {
+        self.observe(now, state, freshness);
+        let mine = state.owners.values().filter(|entry| entry.owner == Some(self.open.session));
+        let released =
+            mine.collect::<Vec<_>>().into_iter().all(|entry| self.takeover_is_over(now, entry));
         self.closing = true;
+        RecordBody::SessionClose { session: self.open.session, released }
     }
 
     /// Records to append now.
@@ -135,15 +155,18 @@
             ViewState::Confirmed if !self.lease_valid(now) => return StartAuthority::LeaseEnded,
             ViewState::Confirmed | ViewState::Outage => {}
         }
-        if ownership.released {
-            return StartAuthority::Granted;
-        }
-        match self.majority_seen.get(&Offset(ownership.epoch.0)) {
-            Some(since) if now.since(*since) >= TAKEOVER_WAIT_MS => StartAuthority::Granted,
-            Some(_) | None => StartAuthority::TakeoverWait,
+        if self.takeover_is_over(now, &ownership) {
+            StartAuthority::Granted
+        } else {
+            StartAuthority::TakeoverWait
         }
     }
 
+    fn takeover_is_over(&self, now: TimeMs, ownership: &Ownership) -> bool {
+        let seen = self.majority_seen.get(&Offset(ownership.epoch.0));
+        ownership.released || seen.is_some_and(|since| now.since(*since) >= TAKEOVER_WAIT_MS)
+    }
+
     fn lease_valid(&self, now: TimeMs) -> bool {
         self.lease_until.is_some_and(|until| now < until)
     }
@@ -191,11 +214,12 @@
     }
 
     fn due_own_record(&mut self, now: TimeMs, state: &ControlState) -> Option<RecordBody> {
-        let retry_after_ms = RENEW_INTERVAL_MS;
-        if self.pending_since.is_some_and(|since| now.since(since) < retry_after_ms) {
-            return None;
-        }
         let Some(session) = state.sessions.get(&self.open.session) else {
+            if self.pending_since.is_some_and(|since| now.since(since) < OPEN_RETRY_MS)
+                || !self.may_open(state)
+            {
+                return None;
+            }
             // The lease counts from the first append that may have taken effect.
             if self.pending_since.is_none() {
                 self.sent.remove(&0);
@@ -204,14 +228,28 @@
             self.pending_since = Some(now);
             return Some(RecordBody::SessionOpen(self.open.clone()));
         };
-        if self.last_renewed_at.is_some_and(|at| now.since(at) < RENEW_INTERVAL_MS) {
+        // Members that joined or left wait until a majority has applied that.
+        let awaited = state.quorum_epoch >= self.last_said;
+        let interval_ms = if awaited { CONFIRM_INTERVAL_MS } else { RENEW_INTERVAL_MS };
+        if self.last_renewed_at.is_some_and(|at| now.since(at) < interval_ms) {
             return None;
         }
         self.last_renewed_at = Some(now);
-        self.pending_since = Some(now);
+        self.last_said = state.next_offset;
         self.renewal = self.renewal.max(session.renewal) + 1;
         self.sent.insert(self.renewal, now);
-        Some(RecordBody::SessionRenew { session: self.open.session, renewal: self.renewal })
+        Some(RecordBody::SessionRenew {
+            session: self.open.session,
+            renewal: self.renewal,
+            next_offset: state.next_offset,
+        })
+    }
+
+    /// True if an append of the session would take effect, or would end the
+    /// session that this process had before it was restarted.
+    fn may_open(&self, state: &ControlState) -> bool {
+        let mut sessions = state.sessions.values();
+        state.membership_confirmed() || sessions.any(|other| other.open.name == self.open.name)
     }
 
     fn due_expiry(
@@ -230,8 +268,11 @@
             let patience_ms = lease_ms + EXPIRE_TURN_MS * turn as u64;
             if now.since(seen.since) >= patience_ms && now.since(log_since) >= patience_ms {
                 let since = SeenRenewal { renewal: seen.renewal, since: now };
-                let record =
-                    RecordBody::SessionExpire { session: *session, seen_renewal: seen.renewal };
+                let record = RecordBody::SessionExpire {
+                    session: *session,
+                    seen_renewal: seen.renewal,
+                    vm_gone: false,
+                };
                 let session = *session;
                 self.others.insert(session, since);
                 return Some(record);
--- a/lib/src/snapshot.rs
+++ b/lib/src/snapshot.rs
@@ -192,6 +192,7 @@
                 .map(|(partition, ownership)| epoch_to_raw(*partition, ownership))
                 .collect(),
             membership_epoch: state.membership_epoch.0,
+            quorum_epoch: state.quorum_epoch.0,
         }
     }
 }
@@ -224,6 +225,7 @@
     raw::SessionState {
         open: Some((&session.open).into()),
         renewal: session.renewal,
+        next_offset: session.next_offset.0,
         opened_at: session.opened_at.0,
     }
 }
@@ -285,6 +287,7 @@
             revision_author: raw.revision_author.clone(),
             policy: raw.policy.as_ref().map(entity::policy).unwrap_or_default(),
             membership_epoch: Offset(raw.membership_epoch),
+            quorum_epoch: Offset(raw.quorum_epoch),
             recent_ids: raw.recent_ids.iter().map(Into::into).collect(),
             recent_id_set: raw.recent_ids.iter().map(Into::into).collect(),
             freed_vms: raw
@@ -384,6 +387,7 @@
         let session = Session {
             open: open.into(),
             renewal: entry.renewal,
+            next_offset: Offset(entry.next_offset),
             opened_at: Offset(entry.opened_at),
         };
         state.sessions.insert(session.open.session, session);
--- a/lib/src/wire_control.rs
+++ b/lib/src/wire_control.rs
@@ -100,14 +100,19 @@
                 author: set.author.clone(),
             },
             Body::SessionOpen(open) => Self::SessionOpen(open.into()),
-            Body::SessionRenew(renew) => {
-                Self::SessionRenew { session: SessionId(renew.session), renewal: renew.renewal }
-            }
+            Body::SessionRenew(renew) => Self::SessionRenew {
+                session: SessionId(renew.session),
+                renewal: renew.renewal,
+                next_offset: Offset(renew.next_offset),
+            },
             Body::SessionExpire(expire) => Self::SessionExpire {
                 session: SessionId(expire.session),
                 seen_renewal: expire.seen_renewal,
+                vm_gone: expire.vm_gone,
             },
-            Body::SessionClose(close) => Self::SessionClose { session: SessionId(close.session) },
+            Body::SessionClose(close) => {
+                Self::SessionClose { session: SessionId(close.session), released: close.released }
+            }
             Body::VmBatch(batch) => Self::VmBatch(
                 batch.observations.iter().map(TryInto::try_into).collect::<Result<_, _>>()?,
             ),
@@ -169,15 +174,22 @@
                 })
             }
             RecordBody::SessionOpen(open) => Self::SessionOpen(open.into()),
-            RecordBody::SessionRenew { session, renewal } => {
-                Self::SessionRenew(raw::SessionRenew { session: session.0, renewal: *renewal })
+            RecordBody::SessionRenew { session, renewal, next_offset } => {
+                Self::SessionRenew(raw::SessionRenew {
+                    session: session.0,
+                    renewal: *renewal,
+                    next_offset: next_offset.0,
+                })
             }
-            RecordBody::SessionExpire { session, seen_renewal } => {
-                let seen_renewal = *seen_renewal;
-                Self::SessionExpire(raw::SessionExpire { session: session.0, seen_renewal })
+            RecordBody::SessionExpire { session, seen_renewal, vm_gone } => {
+                Self::SessionExpire(raw::SessionExpire {
+                    session: session.0,
+                    seen_renewal: *seen_renewal,
+                    vm_gone: *vm_gone,
+                })
             }
-            RecordBody::SessionClose { session } => {
-                Self::SessionClose(raw::SessionClose { session: session.0 })
+            RecordBody::SessionClose { session, released } => {
+                Self::SessionClose(raw::SessionClose { session: session.0, released: *released })
             }
             RecordBody::VmBatch(observations) => Self::VmBatch(raw::VmBatch {
                 observations: observations.iter().map(Into::into).collect(),
--- a/lib/tests/test_fold.rs
+++ b/lib/tests/test_fold.rs
@@ -13,6 +13,7 @@
 use cowslipport_lib::control::ControlState;
 use cowslipport_lib::fold::Outcome;
 use cowslipport_lib::fold::VoidReason;
+use cowslipport_lib::ids::Offset;
 use cowslipport_lib::ids::OperationId;
 use cowslipport_lib::ids::PartitionId;
 use cowslipport_lib::ids::PoolId;
@@ -56,6 +57,14 @@
     }
 }
 
+impl Fold {
+    fn renew(&mut self, session: u64, renewal: u64) {
+        let next_offset = self.state.next_offset;
+        let session = SessionId(session);
+        self.apply_valid(RecordBody::SessionRenew { session, renewal, next_offset });
+    }
+}
+
 fn cpu(cpu_milli: u64) -> Resources {
     Resources { cpu_milli, memory_bytes: cpu_milli, accelerators: 0 }
 }
@@ -95,9 +104,13 @@
 }
 
 fn open(session: u64) -> RecordBody {
+    open_as(session, &format!("entry-{session}"))
+}
+
+fn open_as(session: u64, name: &str) -> RecordBody {
     RecordBody::SessionOpen(SessionOpen {
         session: SessionId(session),
-        name: format!("entry-{session}"),
+        name: name.to_owned(),
         data_centre: "dc1".to_owned(),
         peer_address: "127.0.0.1:1".to_owned(),
         lease_ms: 6000,
@@ -136,7 +149,10 @@
     ));
     fold.apply_valid(RecordBody::VmBatch((0..8).map(join).collect()));
     fold.apply_valid(open(11));
+    fold.renew(11, 1);
     fold.apply_valid(open(12));
+    fold.renew(11, 2);
+    fold.renew(12, 1);
     fold
 }
 
@@ -210,7 +226,9 @@
     let mut fold = fleet();
     let body = grant(&fold, 0, GrantDirection::Take, cpu(1000));
     let owner = fold.state.owners[&partition(0)].owner.unwrap();
-    fold.apply_valid(RecordBody::SessionExpire { session: owner, seen_renewal: 0 });
+    let seen_renewal = fold.state.sessions[&owner].renewal;
+    let vm_gone = false;
+    fold.apply_valid(RecordBody::SessionExpire { session: owner, seen_renewal, vm_gone });
     assert_eq!(fold.apply(body), Outcome::Void(VoidReason::EmptyBatch));
 }
 
@@ -265,8 +283,9 @@
 fn expiry_that_missed_a_renewal_is_void() {
     let mut fold = fleet();
     let session = SessionId(11);
-    fold.apply_valid(RecordBody::SessionRenew { session, renewal: 1 });
-    let outcome = fold.apply(RecordBody::SessionExpire { session, seen_renewal: 0 });
+    fold.apply_valid(RecordBody::SessionRenew { session, renewal: 1, next_offset: Offset(0) });
+    let outcome =
+        fold.apply(RecordBody::SessionExpire { session, seen_renewal: 0, vm_gone: false });
     assert_eq!(outcome, Outcome::Void(VoidReason::SessionNotExpired(session)));
 }
 
@@ -298,3 +317,34 @@
     records.extend(newer.into_iter().skip(1));
     assert_eq!(newest_snapshot(&records), Some(expected));
 }
+
+/// Guards against two changes of the members in a row, after which majorities
+/// before and after need not share a member, so that a process which can reach
+/// the log alone outvotes the others.
+#[test]
+fn second_change_of_the_members_waits_for_a_majority() {
+    let mut fold = fleet();
+    fold.apply_valid(open(13));
+    let pending = VoidReason::MembershipPending(fold.state.quorum_epoch);
+    assert_eq!(fold.apply(open(14)), Outcome::Void(pending.clone()));
+    let session = SessionId(11);
+    let expire = |vm_gone| RecordBody::SessionExpire { session, seen_renewal: 2, vm_gone };
+    assert_eq!(fold.apply(expire(false)), Outcome::Void(pending));
+    fold.apply_valid(expire(true));
+    fold.renew(12, 2);
+    fold.renew(13, 1);
+    fold.apply_valid(open(14));
+}
+
+/// Guards against a fleet of processes that were all restarted and can never
+/// join, because the sessions before the restart form the majority.
+#[test]
+fn restart_of_all_processes_forms_a_new_membership() {
+    let mut fold = fleet();
+    fold.apply_valid(open_as(21, "entry-11"));
+    fold.apply_valid(open_as(22, "entry-12"));
+    fold.renew(21, 1);
+    fold.apply_valid(open_as(22, "entry-12"));
+    let sessions: Vec<SessionId> = fold.state.sessions.keys().copied().collect();
+    assert_eq!(sessions, [SessionId(21), SessionId(22)]);
+}
