--- /dev/null
+++ b/lib/src/invariant.rs
@@ -0,0 +1,80 @@
+//! Assertions of invariants. A violation panics in builds with debug
+//! assertions; in others it is an error that makes the caller refuse the
+//! action.
+
+use std::fmt;
+
+/// An invariant that the code asserts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Invariant {
+    /// A task starts only with a key that the team holds.
+    StartKeyValid,
+    /// A task starts only within the partition's grant of its team.
+    StartWithinGrant,
+    /// A task starts only in a data centre that is in service.
+    StartDataCentreInService,
+    /// A task starts only on a worker that takes new work.
+    StartWorkerOpen,
+    /// A task starts only on a worker whose content is known.
+    StartWorkerKnown,
+    /// A task starts only by an owner that may start work.
+    StartByOwner,
+    /// A job has one live attempt at most.
+    JobOneAttempt,
+    /// A partition takes only what its team's limit leaves.
+    GrantWithinLimit,
+    /// A partition returns only grant that no task uses.
+    GrantReturnUnused,
+}
+
+impl Invariant {
+    /// Stable name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::StartKeyValid => "start-key-valid",
+            Self::StartWithinGrant => "start-within-grant",
+            Self::StartDataCentreInService => "start-data-centre-in-service",
+            Self::StartWorkerOpen => "start-worker-open",
+            Self::StartWorkerKnown => "start-worker-known",
+            Self::StartByOwner => "start-by-owner",
+            Self::JobOneAttempt => "job-one-attempt",
+            Self::GrantWithinLimit => "grant-within-limit",
+            Self::GrantReturnUnused => "grant-return-unused",
+        }
+    }
+}
+
+impl fmt::Display for Invariant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// An invariant that an action would have broken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("invariant {invariant} does not hold: {detail}")]
+pub struct Violation {
+    /// The invariant.
+    pub invariant: Invariant,
+    /// The values that break it.
+    pub detail: String,
+}
+
+/// Returns an error if `holds` is false.
+///
+/// # Panics
+///
+/// Panics instead in builds with debug assertions.
+pub fn check<D>(invariant: Invariant, holds: bool, detail: D) -> Result<(), Violation>
+where
+    D: FnOnce() -> String,
+{
+    if holds {
+        return Ok(());
+    }
+    let violation = Violation { invariant, detail: detail() };
+    if cfg!(debug_assertions) {
+        panic!("{violation}");
+    }
+    Err(violation)
+}
--- /dev/null
+++ b/lib/src/job_queue.rs
@@ -0,0 +1,197 @@
+//! The open jobs of a partition.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::arena::Arena;
+use crate::ids::JobId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::job::AttemptId;
+use crate::job::JobRef;
+use crate::job::JobSpec;
+use crate::job::JobState;
+use crate::job_class::JobClass;
+use crate::resources::Resources;
+use crate::scheduler_decision::EndReason;
+use crate::scheduler_decision::WaitReason;
+use crate::scheduler_event::JobOrigin;
+use crate::time::TimeMs;
+
+/// An open job.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) spec: JobSpec,
+    pub(crate) class: JobClass,
+    pub(crate) origin: JobOrigin,
+    pub(crate) order: u64,
+    pub(crate) accepted_at: TimeMs,
+    /// When it entered its state.
+    pub(crate) since: TimeMs,
+    pub(crate) state: JobState,
+    pub(crate) wait: WaitReason,
+    /// Last attempt whose end was dealt with.
+    pub(crate) settled: Option<AttemptId>,
+    /// Number of attempts that failed.
+    pub(crate) failures: u32,
+    /// Time before which it is not started again.
+    pub(crate) not_before: TimeMs,
+    /// Since when it is larger than every worker.
+    pub(crate) too_large_since: Option<TimeMs>,
+    /// Why it ends, and the VM of its last worker.
+    pub(crate) ending: Option<(EndReason, Option<VmId>)>,
+}
+
+impl Job {
+    pub(crate) fn is_queued(&self) -> bool {
+        self.state == JobState::Queued
+    }
+}
+
+/// The open jobs, with those that wait ordered by team.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct JobQueue {
+    jobs: Arena<JobId, Job>,
+    by_ref: BTreeMap<JobRef, JobId>,
+    queued: BTreeMap<TeamId, BTreeSet<(u64, JobId)>>,
+    free: Vec<JobId>,
+    next_order: u64,
+}
+
+impl JobQueue {
+    /// Adds a job unless it is open already.
+    pub(crate) fn accept(&mut self, now: TimeMs, spec: JobSpec, origin: JobOrigin) {
+        if self.by_ref.contains_key(&spec.job) {
+            return;
+        }
+        let order = self.next_order;
+        self.next_order += 1;
+        let name = spec.job.clone();
+        let job = Job {
+            class: JobClass::from(&spec.job),
+            spec,
+            origin,
+            order,
+            accepted_at: now,
+            since: now,
+            state: JobState::Queued,
+            wait: WaitReason::New,
+            settled: None,
+            failures: 0,
+            not_before: now,
+            too_large_since: None,
+            ending: None,
+        };
+        // Ids are used again, so that the arena grows with the open jobs and
+        // not with all jobs of a long ownership.
+        let id = match self.free.pop() {
+            Some(id) => {
+                self.jobs.insert_at(id, job);
+                id
+            }
+            None => self.jobs.insert(job),
+        };
+        self.queued.entry(name.team).or_default().insert((order, id));
+        self.by_ref.insert(name, id);
+    }
+
+    /// Removes a job.
+    pub(crate) fn remove(&mut self, name: &JobRef) -> Option<Job> {
+        let id = self.by_ref.remove(name)?;
+        let job = self.jobs.remove(id)?;
+        self.unqueue(name.team, job.order, id);
+        self.free.push(id);
+        Some(job)
+    }
+
+    /// Changes the state of a job and keeps the order of those that wait.
+    pub(crate) fn set_state(&mut self, now: TimeMs, id: JobId, state: JobState) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.state == state {
+            return;
+        }
+        job.state = state;
+        job.since = now;
+        let (team, order) = (job.spec.job.team, job.order);
+        match state {
+            JobState::Queued => {
+                job.wait = WaitReason::New;
+                self.queued.entry(team).or_default().insert((order, id));
+            }
+            JobState::Active { .. } | JobState::Ending { .. } => self.unqueue(team, order, id),
+        }
+    }
+
+    fn unqueue(&mut self, team: TeamId, order: u64, id: JobId) {
+        if let Some(jobs) = self.queued.get_mut(&team) {
+            jobs.remove(&(order, id));
+            if jobs.is_empty() {
+                self.queued.remove(&team);
+            }
+        }
+    }
+
+    pub(crate) fn id(&self, name: &JobRef) -> Option<JobId> {
+        self.by_ref.get(name).copied()
+    }
+
+    pub(crate) fn get(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(id)
+    }
+
+    pub(crate) fn by_name(&self, name: &JobRef) -> Option<&Job> {
+        self.jobs.get(self.id(name)?)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (JobId, &Job)> {
+        self.jobs.iter()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.by_ref.len()
+    }
+
+    /// Teams with jobs that wait.
+    pub(crate) fn waiting_teams(&self) -> impl Iterator<Item = TeamId> {
+        self.queued.keys().copied()
+    }
+
+    /// Waiting jobs of a team in the order in which they were accepted.
+    pub(crate) fn waiting(&self, team: TeamId) -> impl Iterator<Item = (JobId, &Job)> {
+        let ids = self.queued.get(&team).into_iter().flatten();
+        ids.filter_map(|(_, id)| Some((*id, self.jobs.get(*id)?)))
+    }
+
+    /// What waiting jobs of a team could use: jobs in order as far as their sum
+    /// is within `reach`, what the team may have at most; the first of them,
+    /// urgent ones, and others as far as they fit in `room`.
+    pub(crate) fn wanted(&self, team: TeamId, reach: Resources, room: Resources) -> Wanted {
+        let mut wanted = Wanted::default();
+        for (_, job) in self.waiting(team) {
+            let request = job.spec.request;
+            let sum = wanted.amount.saturating_add(request);
+            let useful = wanted.amount.is_zero() || job.spec.urgent || sum.fits_in(room);
+            if !useful || !sum.fits_in(reach) {
+                continue;
+            }
+            wanted.amount = sum;
+            if job.spec.urgent {
+                wanted.urgent = wanted.urgent.saturating_add(request);
+            }
+        }
+        wanted
+    }
+}
+
+/// What waiting jobs ask for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Wanted {
+    /// All that can be of use now.
+    pub(crate) amount: Resources,
+    /// The part of urgent jobs.
+    pub(crate) urgent: Resources,
+}
--- /dev/null
+++ b/lib/src/placement.rs
@@ -0,0 +1,337 @@
+//! The scheduler of one partition: its queue, its view of the workers, and
+//! what it decides.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::ids::DataCentreId;
+use crate::ids::Epoch;
+use crate::ids::JobId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::job::JobRef;
+use crate::job::JobState;
+use crate::job::TaskId;
+use crate::job::TaskState;
+use crate::job_class::ClassTable;
+use crate::job_queue::Job;
+use crate::job_queue::JobQueue;
+use crate::placement_start::Promise;
+use crate::quota::Quota;
+use crate::scheduler_decision::SchedulerDecision;
+use crate::scheduler_decision::WaitReason;
+use crate::scheduler_event::SchedulerEvent;
+use crate::scheduler_event::StartAnswer;
+use crate::scheduler_event::TASK_LEASE_MS;
+use crate::scheduler_event::TeamView;
+use crate::scheduler_event::WorkerReport;
+use crate::scheduler_event::WorkerSpec;
+use crate::time::TimeMs;
+use crate::worker_health::HealthTable;
+use crate::worker_view::Task;
+use crate::worker_view::TaskPhase;
+use crate::worker_view::Worker;
+
+/// A worker that refused a start for lack of room is filled by declared sizes
+/// for this time.
+const STRICT_MS: u64 = 60_000;
+
+/// A worker that refuses a start although it should have room gets none for
+/// this time, so that its refusals do not keep a job from other workers.
+const REFUSAL_BACKOFF_MS: u64 = 500;
+
+/// The queue and the workers of one partition. The owner calls
+/// [`Scheduler::handle`] for each event, and [`Scheduler::decide`] after events
+/// and at least every 100 ms.
+#[derive(Clone, Debug, Default)]
+pub struct Scheduler {
+    pub(crate) epoch: Option<Epoch>,
+    pub(crate) gained_at: TimeMs,
+    pub(crate) starts_allowed: bool,
+    pub(crate) next_attempt: u64,
+    pub(crate) queue: JobQueue,
+    pub(crate) workers: BTreeMap<VmId, Worker>,
+    pub(crate) teams: BTreeMap<TeamId, TeamState>,
+    pub(crate) returns: BTreeMap<DataCentreId, DataCentreReturn>,
+    pub(crate) classes: ClassTable,
+    pub(crate) health: HealthTable,
+    pub(crate) promises: Vec<Promise>,
+    /// Tasks that ended without a report of their end.
+    pub(crate) gone: Vec<GoneTask>,
+    /// True if a worker left before it told a new owner what it ran.
+    pub(crate) unanswered_left: bool,
+}
+
+/// What is known of a team.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TeamState {
+    pub(crate) view: Option<TeamView>,
+    pub(crate) quota: Quota,
+}
+
+/// Whether a data centre is in service, and since when it is again.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DataCentreReturn {
+    pub(crate) in_service: bool,
+    pub(crate) returned_at: Option<TimeMs>,
+}
+
+/// A task that is gone from its worker.
+#[derive(Clone, Debug)]
+pub(crate) struct GoneTask {
+    pub(crate) vm: VmId,
+    pub(crate) id: TaskId,
+    pub(crate) end: GoneEnd,
+}
+
+/// What is known of a task that is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GoneEnd {
+    /// It never started.
+    NotStarted,
+    /// It ran, and how it ended cannot be learned.
+    Lost,
+    /// It had this end before.
+    Ended(TaskState),
+}
+
+/// What a job does, for status and explanations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobStatus {
+    /// Its state.
+    pub state: JobState,
+    /// Why it waits, if it is queued.
+    pub wait: Option<WaitReason>,
+    /// Time since it entered the state.
+    pub age_ms: u64,
+}
+
+impl Scheduler {
+    /// A scheduler that owns nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over one event.
+    pub fn handle(&mut self, now: TimeMs, event: SchedulerEvent) {
+        match event {
+            SchedulerEvent::OwnershipGained { epoch } => self.gain(now, epoch),
+            SchedulerEvent::OwnershipLost => *self = Self::default(),
+            SchedulerEvent::StartsAllowed(allowed) => self.starts_allowed = allowed,
+            SchedulerEvent::JobAccepted { job, origin } => self.queue.accept(now, job, origin),
+            SchedulerEvent::JobCancelled(job) | SchedulerEvent::JobEnded(job) => {
+                self.queue.remove(&job);
+            }
+            SchedulerEvent::TeamChanged { team, view } => {
+                let state = self.teams.entry(team).or_default();
+                state.quota.set_limit(view.limit);
+                state.view = Some(view);
+            }
+            SchedulerEvent::GrantChanged { team, amount, total } => {
+                self.teams.entry(team).or_default().quota.set_grant(amount, total);
+            }
+            SchedulerEvent::GrantAnswered { team, direction } => {
+                self.teams.entry(team).or_default().quota.answer(direction);
+            }
+            SchedulerEvent::WorkerPut { vm, spec } => self.put_worker(now, vm, spec),
+            SchedulerEvent::WorkerLeft { vm } => {
+                if let Some(worker) = self.workers.get_mut(&vm) {
+                    worker.left_since.get_or_insert(now);
+                }
+            }
+            SchedulerEvent::WorkerReport { vm, report } => self.take_report(now, vm, report),
+            SchedulerEvent::WorkerSilent { vm } => {
+                if let Some(worker) = self.workers.get_mut(&vm) {
+                    worker.silent_since.get_or_insert(now);
+                }
+            }
+            SchedulerEvent::StartAnswered { vm, task, answer, ticket } => {
+                self.take_start_answer(now, vm, &task, answer, ticket);
+            }
+        }
+    }
+
+    /// What is to be done now.
+    pub fn decide(&mut self, now: TimeMs) -> Vec<SchedulerDecision> {
+        let mut decisions = Vec::new();
+        if self.epoch.is_none() {
+            return decisions;
+        }
+        self.expire_leases(now);
+        if !self.is_held(now) {
+            self.settle(now, &mut decisions);
+        }
+        self.control_tasks(now, &mut decisions);
+        self.start_jobs(now, &mut decisions);
+        self.change_grants(now, &mut decisions);
+        decisions
+    }
+
+    /// Why no job starts at all, if so.
+    pub(crate) fn gate(&self, now: TimeMs) -> Option<WaitReason> {
+        if self.epoch.is_none() || !self.starts_allowed {
+            Some(WaitReason::StartsForbidden)
+        } else if self.is_held(now) {
+            Some(WaitReason::WorkersUnknown)
+        } else {
+            None
+        }
+    }
+
+    /// True while a worker that the former owner may have used has not
+    /// answered, until its tasks' leases have run out.
+    pub(crate) fn is_held(&self, now: TimeMs) -> bool {
+        now < self.gained_at.plus(TASK_LEASE_MS)
+            && self.workers.values().any(|worker| worker.inherited)
+    }
+
+    fn gain(&mut self, now: TimeMs, epoch: Epoch) {
+        self.epoch = Some(epoch);
+        self.gained_at = now;
+        self.starts_allowed = false;
+        self.next_attempt = 0;
+        for worker in self.workers.values_mut() {
+            worker.inherited = true;
+            worker.polled_at = None;
+            worker.tasks.clear();
+        }
+    }
+
+    fn put_worker(&mut self, now: TimeMs, vm: VmId, spec: WorkerSpec) {
+        let entry = self.returns.entry(spec.data_centre).or_insert(DataCentreReturn {
+            in_service: spec.data_centre_in_service,
+            returned_at: None,
+        });
+        if spec.data_centre_in_service && !entry.in_service {
+            entry.returned_at = Some(now);
+        }
+        entry.in_service = spec.data_centre_in_service;
+        let worker = self.workers.entry(vm).or_insert_with(|| Worker::new(spec, false));
+        worker.spec = spec;
+        if worker.left_since.take().is_some() {
+            // It may have run tasks of another pool since.
+            worker.polled_at = None;
+        }
+    }
+
+    fn take_report(&mut self, now: TimeMs, vm: VmId, report: WorkerReport) {
+        let Some(worker) = self.workers.get_mut(&vm) else { return };
+        // A report on a poll before the ownership does not tell what the
+        // former owner started since.
+        if self.epoch.is_some() && report.polled_at < self.gained_at {
+            return;
+        }
+        let gone = worker.take_report(now, report, &mut self.classes);
+        self.gone.extend(gone.into_iter().map(|(id, task)| {
+            let end = match task.phase {
+                TaskPhase::Starting => GoneEnd::NotStarted,
+                TaskPhase::Reported(state) if state.is_live() => GoneEnd::Lost,
+                TaskPhase::Reported(state) => GoneEnd::Ended(state),
+            };
+            GoneTask { vm, id, end }
+        }));
+    }
+
+    fn take_start_answer(
+        &mut self,
+        now: TimeMs,
+        vm: VmId,
+        id: &TaskId,
+        answer: StartAnswer,
+        ticket: Option<u64>,
+    ) {
+        let Some(worker) = self.workers.get_mut(&vm) else { return };
+        let Some(task) = worker.tasks.get_mut(id) else { return };
+        if task.phase != TaskPhase::Starting {
+            return;
+        }
+        if let Some(ticket) = ticket {
+            worker.ticket = ticket;
+        }
+        match answer {
+            StartAnswer::Started | StartAnswer::Known => confirm(now, task),
+            StartAnswer::Unknown => {}
+            StartAnswer::OldEpoch => {
+                // Another owner has a higher epoch; the fold will tell.
+                self.starts_allowed = false;
+                self.refuse(now, vm, id);
+            }
+            StartAnswer::OldTicket => {
+                if ticket.is_none() {
+                    worker.backoff_until = now.plus(REFUSAL_BACKOFF_MS);
+                }
+                self.refuse(now, vm, id);
+            }
+            StartAnswer::NoRoom => {
+                if worker.is_strict(now) {
+                    worker.backoff_until = now.plus(REFUSAL_BACKOFF_MS);
+                }
+                worker.strict_until = now.plus(STRICT_MS);
+                self.refuse(now, vm, id);
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: TimeMs, vm: VmId, id: &TaskId) {
+        if let Some(worker) = self.workers.get_mut(&vm) {
+            worker.tasks.remove(id);
+        }
+        if let Some(job) = self.queue.id(&id.job) {
+            self.requeue(now, job, vm, id);
+        }
+    }
+
+    /// Puts a job back into the queue if `id` is its current attempt.
+    pub(crate) fn requeue(&mut self, now: TimeMs, job: JobId, vm: VmId, id: &TaskId) {
+        let current = JobState::Active { vm, attempt: id.attempt };
+        if self.queue.get(job).is_some_and(|job| job.state == current) {
+            self.queue.set_state(now, job, JobState::Queued);
+        }
+    }
+
+    /// What an open job does.
+    pub fn job_status(&self, now: TimeMs, job: &JobRef) -> Option<JobStatus> {
+        let job = self.queue.by_name(job)?;
+        Some(self.status_of(now, job))
+    }
+
+    /// All open jobs in no particular order, with what they do.
+    pub fn jobs(&self, now: TimeMs) -> impl Iterator<Item = (&JobRef, JobStatus)> {
+        self.queue.iter().map(move |(_, job)| (&job.spec.job, self.status_of(now, job)))
+    }
+
+    /// Number of open jobs.
+    pub fn open_jobs(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn status_of(&self, now: TimeMs, job: &Job) -> JobStatus {
+        let wait = match job.state {
+            JobState::Queued => Some(self.gate(now).unwrap_or(job.wait)),
+            JobState::Active { .. } | JobState::Ending { .. } => None,
+        };
+        JobStatus { state: job.state, wait, age_ms: now.since(job.since) }
+    }
+
+    /// Workers that are to be polled often, since they have not answered yet
+    /// or a start or an action has not shown its effect.
+    pub fn urgent_polls(&self) -> BTreeSet<VmId> {
+        let is_pending = |task: &Task| {
+            task.pending.is_some() || (task.phase == TaskPhase::Starting && task.is_live())
+        };
+        self.workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.silent_since.is_none()
+                    && (worker.polled_at.is_none() || worker.tasks.values().any(is_pending))
+            })
+            .map(|(vm, _)| *vm)
+            .collect()
+    }
+}
+
+fn confirm(now: TimeMs, task: &mut Task) {
+    task.phase = TaskPhase::Reported(TaskState::Running);
+    task.known_at = now;
+    task.started_at = now;
+}
--- /dev/null
+++ b/lib/src/placement_check.rs
@@ -0,0 +1,182 @@
+//! Whether a waiting job may start: key, limit, grant, size, and the
+//! invariants of the start.
+
+use crate::ids::JobId;
+use crate::ids::VmId;
+use crate::invariant;
+use crate::invariant::Invariant;
+use crate::invariant::Violation;
+use crate::job::JobOutcome;
+use crate::job::JobState;
+use crate::placement::Scheduler;
+use crate::placement_start::Attempt;
+use crate::placement_start::Round;
+use crate::quota::QuotaChange;
+use crate::quota::QuotaNeed;
+use crate::resources::Resources;
+use crate::scheduler_decision::EndReason;
+use crate::scheduler_decision::SchedulerDecision;
+use crate::scheduler_decision::WaitReason;
+use crate::scheduler_event::JobOrigin;
+use crate::time::TimeMs;
+use crate::worker_health::WorkerHealth;
+use crate::worker_view::Worker;
+
+/// A job for which there was no room or no grant for this long holds back
+/// other jobs that would take what becomes free.
+pub(crate) const STARVED_MS: u64 = 30_000;
+
+/// Time for which a job must be larger than all workers before it is given up,
+/// since workers may be about to join.
+const TOO_LARGE_MS: u64 = 10_000;
+
+impl Scheduler {
+    /// Checks what does not depend on room: pauses, doubts, key and limit.
+    pub(crate) fn check_job(
+        &mut self,
+        now: TimeMs,
+        id: JobId,
+        out: &mut Vec<SchedulerDecision>,
+    ) -> Result<(), Attempt> {
+        let Some(job) = self.queue.get(id) else { return Err(Attempt::Ended) };
+        let view = self.teams.get(&job.spec.job.team).and_then(|state| state.view.as_ref());
+        let Some(view) = view else { return Err(Attempt::Waits(WaitReason::TeamUnknown)) };
+        let end = if !view.keys.contains(&job.spec.key) {
+            Some((JobOutcome::KeyWithdrawn, EndReason::KeyRevoked))
+        } else if !job.spec.request.fits_in(view.limit) {
+            Some((JobOutcome::CannotRun, EndReason::LargerThanLimit))
+        } else {
+            None
+        };
+        if let Some((outcome, reason)) = end {
+            self.end_job(now, id, outcome, reason, None, out);
+            return Err(Attempt::Ended);
+        }
+        if now < job.not_before {
+            return Err(Attempt::Waits(WaitReason::Backoff));
+        }
+        let in_doubt = job.origin == JobOrigin::Inherited
+            && !job.spec.repeatable
+            && self.workers.values().any(|worker| worker.inherited);
+        if in_doubt { Err(Attempt::Waits(WaitReason::MayHaveRun)) } else { Ok(()) }
+    }
+
+    /// Returns why the team's grant does not allow the job, if so.
+    pub(crate) fn check_grant(
+        &mut self,
+        now: TimeMs,
+        id: JobId,
+        round: &mut Round,
+        out: &mut Vec<SchedulerDecision>,
+    ) -> Option<WaitReason> {
+        let job = self.queue.get(id)?;
+        let (team, request, urgent) = (job.spec.job.team, job.spec.request, job.spec.urgent);
+        let starved = now.since(job.since) >= STARVED_MS;
+        let quota = self.teams.get(&team)?.quota;
+        let used = round.used.get(&team).copied().unwrap_or_default();
+        let needed = used.saturating_add(request);
+        if needed.fits_in(quota.available()) {
+            return None;
+        }
+        let reach = quota.reach();
+        if needed.fits_in(reach) {
+            return Some(WaitReason::GrantPending);
+        }
+        if urgent && request.fits_in(reach) {
+            self.free_own_grant(now, team, needed.saturating_sub(reach), out);
+            return Some(WaitReason::Preempting);
+        }
+        if starved && request.fits_in(reach) {
+            round.blocked.insert(team);
+        }
+        Some(WaitReason::TeamLimit)
+    }
+
+    /// Ends a job that has been larger than every worker for some time.
+    pub(crate) fn check_fits_any(
+        &mut self,
+        now: TimeMs,
+        id: JobId,
+        out: &mut Vec<SchedulerDecision>,
+    ) -> Option<Attempt> {
+        let job = self.queue.get(id)?;
+        let size = self.classes.estimate(&job.class, job.spec.request).min(job.spec.request);
+        let present = || self.workers.values().filter(|worker| worker.left_since.is_none());
+        if present().next().is_none() {
+            return Some(Attempt::Waits(WaitReason::NoWorker));
+        }
+        let fits = present().any(|worker| size.fits_in(worker.spec.capacity));
+        let job = self.queue.get_mut(id)?;
+        if fits {
+            job.too_large_since = None;
+            return None;
+        }
+        let since = *job.too_large_since.get_or_insert(now);
+        if now.since(since) < TOO_LARGE_MS {
+            return Some(Attempt::Waits(WaitReason::NoRoom));
+        }
+        let reason = EndReason::LargerThanWorkers;
+        self.end_job(now, id, JobOutcome::CannotRun, reason, None, out);
+        Some(Attempt::Ended)
+    }
+
+    /// The invariants of a start, checked once more against the state itself.
+    pub(crate) fn check_start(
+        &self,
+        now: TimeMs,
+        id: JobId,
+        vm: VmId,
+        round: &Round,
+    ) -> Result<(), Violation> {
+        let (Some(job), Some(worker)) = (self.queue.get(id), self.workers.get(&vm)) else {
+            return Ok(());
+        };
+        let name = &job.spec.job;
+        let subject = || format!("start of job {name} on VM {vm}");
+        invariant::check(Invariant::StartByOwner, self.gate(now).is_none(), subject)?;
+        let in_service = worker.spec.data_centre_in_service;
+        invariant::check(Invariant::StartDataCentreInService, in_service, subject)?;
+        invariant::check(Invariant::StartWorkerKnown, worker.polled_at.is_some(), subject)?;
+        let quarantined = matches!(self.health.health(now, vm), WorkerHealth::Quarantined { .. });
+        let is_open = worker.is_open() && !quarantined;
+        invariant::check(Invariant::StartWorkerOpen, is_open, subject)?;
+        let state = self.teams.get(&name.team);
+        let key_valid = state
+            .and_then(|state| state.view.as_ref())
+            .is_some_and(|view| view.keys.contains(&job.spec.key));
+        invariant::check(Invariant::StartKeyValid, key_valid, subject)?;
+        let grant = state.map(|state| state.quota.available()).unwrap_or_default();
+        let used = round.used.get(&name.team).copied().unwrap_or_default();
+        let within = used.saturating_add(job.spec.request).fits_in(grant);
+        invariant::check(Invariant::StartWithinGrant, within, subject)?;
+        let is_live = |worker: &Worker| worker.live_tasks().any(|(task, _)| task.job == *name);
+        let idle = job.state == JobState::Queued && !self.workers.values().any(is_live);
+        invariant::check(Invariant::JobOneAttempt, idle, subject)
+    }
+
+    /// Takes and returns grant.
+    pub(crate) fn change_grants(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        if self.gate(now).is_some() {
+            return;
+        }
+        let round = self.new_round(now);
+        let room = round.free.values().fold(Resources::ZERO, |sum, free| sum.saturating_add(*free));
+        for (team, state) in &mut self.teams {
+            let used = round.used.get(team).copied().unwrap_or_default();
+            let reach = state.quota.reach().saturating_sub(used);
+            let wanted = self.queue.wanted(*team, reach, room);
+            let need = QuotaNeed { used, wanted: wanted.amount, urgent: wanted.urgent };
+            out.extend(match state.quota.decide(now, *team, need) {
+                Ok(change) => change.map(|change| match change {
+                    QuotaChange::Take(amount, reason) => {
+                        SchedulerDecision::TakeGrant { team: *team, amount, reason }
+                    }
+                    QuotaChange::Return(amount, reason) => {
+                        SchedulerDecision::ReturnGrant { team: *team, amount, reason }
+                    }
+                }),
+                Err(violation) => Some(SchedulerDecision::Refused(violation)),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/placement_control.rs
@@ -0,0 +1,254 @@
+//! Actions on running tasks: stops of closed jobs, lowered limits, data
+//! centres that are out, drains, and actions that show no effect.
+
+use crate::config::DataCentreOutPolicy;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::job::JobState;
+use crate::job::TaskAction;
+use crate::job::TaskId;
+use crate::job::TaskState;
+use crate::placement::Scheduler;
+use crate::preemption;
+use crate::preemption::CHECKPOINT_MS;
+use crate::preemption::Victim;
+use crate::resources::Resources;
+use crate::scheduler_decision::ControlReason;
+use crate::scheduler_decision::SchedulerDecision;
+use crate::scheduler_event::WorkerService;
+use crate::time::TimeMs;
+use crate::worker_view::PendingAction;
+use crate::worker_view::Task;
+use crate::worker_view::TaskPhase;
+use crate::worker_view::Worker;
+use crate::worker_view::throttled;
+
+/// Time after which an action that shows no effect is sent again.
+const RESEND_MS: u64 = 1_000;
+
+/// The same for checkpoints that nothing waits for, as they may take long.
+const PATIENT_RESEND_MS: u64 = 5_000;
+
+/// An action to be sent.
+pub(crate) struct Action {
+    pub(crate) vm: VmId,
+    pub(crate) task: TaskId,
+    pub(crate) action: TaskAction,
+    pub(crate) reason: ControlReason,
+    /// Other tasks that were eligible.
+    pub(crate) candidates: u32,
+}
+
+impl Scheduler {
+    /// Decides actions that do not depend on waiting jobs.
+    pub(crate) fn control_tasks(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        if !self.is_held(now) {
+            self.stop_closed(now, out);
+        }
+        self.move_tasks(now, out);
+        self.enforce_limits(now, out);
+        self.press_pending(now, out);
+    }
+
+    /// Sends an action to a task that is known to run.
+    pub(crate) fn control(
+        &mut self,
+        now: TimeMs,
+        action: Action,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
+        let Action { vm, task: id, action, reason, candidates } = action;
+        let task = self.workers.get_mut(&vm).and_then(|worker| worker.tasks.get_mut(&id));
+        let Some(task) = task else { return };
+        task.pending = Some(PendingAction { action, reason, since: now });
+        task.stop_sent |= action == TaskAction::Stop;
+        out.push(SchedulerDecision::Control { task: id, vm, action, reason, candidates });
+    }
+
+    fn control_all(&mut self, now: TimeMs, actions: Vec<Action>, out: &mut Vec<SchedulerDecision>) {
+        for action in actions {
+            self.control(now, action, out);
+        }
+    }
+
+    /// Running tasks of all workers that can be told something.
+    fn running(&self) -> impl Iterator<Item = (VmId, &Worker, &TaskId, &Task)> {
+        self.workers.iter().flat_map(|(vm, worker)| {
+            let tasks = worker.live_tasks().filter(|(_, task)| task.phase != TaskPhase::Starting);
+            tasks.map(move |(id, task)| (*vm, worker, id, task))
+        })
+    }
+
+    fn stop_closed(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        let actions = self
+            .running()
+            .filter(|(_, _, _, task)| !is_stopping(task))
+            .filter_map(|(vm, _, id, _)| {
+                let reason = match self.queue.by_name(&id.job).map(|job| job.state) {
+                    None | Some(JobState::Ending { .. }) => ControlReason::JobClosed,
+                    Some(JobState::Active { attempt, .. }) if attempt > id.attempt => {
+                        ControlReason::Superseded
+                    }
+                    Some(JobState::Active { .. } | JobState::Queued) => return None,
+                };
+                Some(Action {
+                    vm,
+                    task: id.clone(),
+                    action: TaskAction::Stop,
+                    reason,
+                    candidates: 0,
+                })
+            })
+            .collect();
+        self.control_all(now, actions, out);
+    }
+
+    /// Checkpoints tasks on workers that drain or are in a data centre that is
+    /// out.
+    fn move_tasks(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        let actions = self
+            .running()
+            .filter(|(_, worker, _, task)| !task.is_leaving() && worker.silent_since.is_none())
+            .filter_map(|(vm, worker, id, _)| {
+                let reason = match (worker.spec.service, worker.spec.on_data_centre_out) {
+                    (WorkerService::Draining, _) => ControlReason::Draining,
+                    (WorkerService::Open | WorkerService::Closed, policy) => {
+                        let leaves = policy == DataCentreOutPolicy::Checkpoint
+                            && !worker.spec.data_centre_in_service;
+                        leaves.then_some(ControlReason::DataCentreOut)?
+                    }
+                };
+                Some(Action {
+                    vm,
+                    task: id.clone(),
+                    action: TaskAction::Checkpoint,
+                    reason,
+                    candidates: 0,
+                })
+            })
+            .collect();
+        self.control_all(now, actions, out);
+    }
+
+    /// Ends tasks of teams whose limit was lowered, least lost work first.
+    fn enforce_limits(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        let capped: Vec<(TeamId, Resources)> = self
+            .teams
+            .iter()
+            .filter_map(|(team, state)| Some((*team, state.quota.cap()?)))
+            .collect();
+        for (team, cap) in capped {
+            let mut staying = Resources::ZERO;
+            let mut victims = Vec::new();
+            for (vm, worker) in &self.workers {
+                for (id, task) in worker.live_tasks().filter(|(id, _)| id.job.team == team) {
+                    if task.is_leaving() {
+                        continue;
+                    }
+                    staying = staying.saturating_add(task.request);
+                    if task.phase != TaskPhase::Starting {
+                        victims.push(self.victim(now, *vm, worker, id, task));
+                    }
+                }
+            }
+            let excess = staying.saturating_sub(cap);
+            if excess.is_zero() {
+                continue;
+            }
+            let candidates = u32::try_from(victims.len()).unwrap_or(u32::MAX).saturating_sub(1);
+            // If tasks that cannot be told yet are part of the excess, all
+            // others end.
+            let chosen = preemption::plan_grant(excess, &victims)
+                .unwrap_or_else(|| victims.iter().collect());
+            for victim in chosen {
+                let Victim { vm, task, .. } = victim.clone();
+                let (action, reason) = (TaskAction::Checkpoint, ControlReason::LimitLowered);
+                self.control(now, Action { vm, task, action, reason, candidates }, out);
+            }
+        }
+    }
+
+    /// Sends actions without effect again, and stops tasks whose checkpoint
+    /// takes too long for what waits for it.
+    fn press_pending(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        let actions = self
+            .running()
+            .filter_map(|(vm, _, id, task)| {
+                let pending = task.pending?;
+                let age_ms = now.since(pending.since);
+                let (action, reason) = match pending.action {
+                    TaskAction::Checkpoint => self.press_checkpoint(id, pending.reason, age_ms)?,
+                    TaskAction::Throttle | TaskAction::Unthrottle | TaskAction::Stop => {
+                        (age_ms >= RESEND_MS).then_some((pending.action, pending.reason))?
+                    }
+                };
+                Some(Action { vm, task: id.clone(), action, reason, candidates: 0 })
+            })
+            .collect();
+        self.control_all(now, actions, out);
+    }
+
+    fn press_checkpoint(
+        &self,
+        id: &TaskId,
+        reason: ControlReason,
+        age_ms: u64,
+    ) -> Option<(TaskAction, ControlReason)> {
+        match reason {
+            ControlReason::LimitLowered => {
+                (age_ms >= CHECKPOINT_MS).then_some((TaskAction::Stop, ControlReason::Escalation))
+            }
+            ControlReason::UrgentRoom | ControlReason::UrgentGrant => {
+                let repeatable = self.queue.by_name(&id.job).is_none_or(|job| job.spec.repeatable);
+                if repeatable {
+                    (age_ms >= CHECKPOINT_MS)
+                        .then_some((TaskAction::Stop, ControlReason::Escalation))
+                } else {
+                    (age_ms >= RESEND_MS).then_some((TaskAction::Checkpoint, reason))
+                }
+            }
+            ControlReason::Escalation
+            | ControlReason::DataCentreOut
+            | ControlReason::Draining
+            | ControlReason::JobClosed
+            | ControlReason::Superseded
+            | ControlReason::RoomAgain => {
+                (age_ms >= PATIENT_RESEND_MS).then_some((TaskAction::Checkpoint, reason))
+            }
+        }
+    }
+
+    /// What the end or the throttling of a task would free and lose.
+    pub(crate) fn victim(
+        &self,
+        now: TimeMs,
+        vm: VmId,
+        worker: &Worker,
+        id: &TaskId,
+        task: &Task,
+    ) -> Victim {
+        let size = task.size(&self.classes);
+        let can_throttle = task.phase == TaskPhase::Reported(TaskState::Running)
+            && task.pending.is_none()
+            && !worker.is_strict(now);
+        let freed_by_throttle = if can_throttle {
+            size.saturating_sub(throttled(task.full_size(&self.classes)))
+        } else {
+            Resources::ZERO
+        };
+        let share = task.request.dominant_share_ppm(worker.spec.capacity).min(1_000_000);
+        Victim {
+            vm,
+            task: id.clone(),
+            lost_work: now.since(task.started_at).saturating_mul(share) / 1_000,
+            repeatable: self.queue.by_name(&id.job).is_none_or(|job| job.spec.repeatable),
+            freed_by_throttle,
+            freed_by_end: size,
+            request: task.request,
+        }
+    }
+}
+
+fn is_stopping(task: &Task) -> bool {
+    task.pending.is_some_and(|pending| pending.action == TaskAction::Stop)
+}
--- /dev/null
+++ b/lib/src/placement_settle.rs
@@ -0,0 +1,333 @@
+//! What becomes of jobs when their tasks end, fail or are lost.
+
+use crate::ids::JobId;
+use crate::ids::VmId;
+use crate::job::JobOutcome;
+use crate::job::JobState;
+use crate::job::TaskId;
+use crate::job::TaskState;
+use crate::placement::GoneEnd;
+use crate::placement::GoneTask;
+use crate::placement::Scheduler;
+use crate::scheduler_decision::EndReason;
+use crate::scheduler_decision::QuarantineReason;
+use crate::scheduler_decision::ReleaseReason;
+use crate::scheduler_decision::SchedulerDecision;
+use crate::scheduler_event::JobOrigin;
+use crate::scheduler_event::TASK_LEASE_MS;
+use crate::time::TimeMs;
+use crate::worker_health::HealthChange;
+use crate::worker_health::SURVIVAL_MS;
+use crate::worker_health::WorkerHealth;
+use crate::worker_view::LEASE_MARGIN_MS;
+use crate::worker_view::TaskPhase;
+
+/// First pause after a failed attempt; it doubles with each one. It gives the
+/// failures on a bad worker time to add up before the job is tried there again.
+const BACKOFF_MS: u64 = 1_000;
+
+/// Largest number of doublings of the pause.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Time after which the end of a job that is not in the stream is decided
+/// again, as the batch with it may be lost.
+const END_RETRY_MS: u64 = 30_000;
+
+impl Scheduler {
+    /// Counts tasks of workers that are silent or have left as lost once their
+    /// leases have run out, and forgets workers that left.
+    pub(crate) fn expire_leases(&mut self, now: TimeMs) {
+        let mut removed = Vec::new();
+        for (vm, worker) in &mut self.workers {
+            let since = match (worker.silent_since, worker.left_since) {
+                (Some(silent), Some(left)) => Some(silent.min(left)),
+                (silent, left) => silent.or(left),
+            };
+            let expired =
+                since.is_some_and(|since| now.since(since) >= TASK_LEASE_MS + LEASE_MARGIN_MS);
+            if expired {
+                worker.polled_at = None;
+                for (id, task) in std::mem::take(&mut worker.tasks) {
+                    let end = match task.phase {
+                        TaskPhase::Reported(state) if !state.is_live() => GoneEnd::Ended(state),
+                        TaskPhase::Reported(_) | TaskPhase::Starting => GoneEnd::Lost,
+                    };
+                    self.gone.push(GoneTask { vm: *vm, id, end });
+                }
+            }
+            let is_empty = worker.tasks.is_empty() && worker.polled_at.is_some();
+            if worker.left_since.is_some() && (expired || is_empty) {
+                removed.push(*vm);
+            }
+        }
+        for vm in removed {
+            let worker = self.workers.remove(&vm);
+            self.unanswered_left |= worker.is_some_and(|worker| worker.inherited);
+            self.health.forget(vm);
+        }
+    }
+
+    /// Brings the jobs in line with what is known of their tasks.
+    pub(crate) fn settle(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        self.adopt_tasks(now);
+        self.note_results(now);
+        self.judge_workers(now, out);
+        for GoneTask { vm, id, end } in std::mem::take(&mut self.gone) {
+            self.settle_gone(now, vm, &id, end, out);
+        }
+        self.settle_ended(now, out);
+        self.settle_may_have_run(now, out);
+        self.end_again(now, out);
+    }
+
+    /// Connects live tasks with their jobs. The latest attempt is the one that
+    /// counts.
+    fn adopt_tasks(&mut self, now: TimeMs) {
+        for (vm, worker) in &self.workers {
+            for (id, _) in worker.live_tasks() {
+                let Some(job_id) = self.queue.id(&id.job) else { continue };
+                let Some(job) = self.queue.get(job_id) else { continue };
+                let adopts = match job.state {
+                    JobState::Queued => true,
+                    JobState::Active { attempt, .. } => id.attempt > attempt,
+                    JobState::Ending { .. } => false,
+                };
+                if adopts {
+                    let state = JobState::Active { vm: *vm, attempt: id.attempt };
+                    self.queue.set_state(now, job_id, state);
+                }
+            }
+        }
+    }
+
+    fn note_results(&mut self, now: TimeMs) {
+        for (vm, worker) in &mut self.workers {
+            for (id, task) in &mut worker.tasks {
+                let failed = match task.phase {
+                    TaskPhase::Reported(TaskState::Failed) => true,
+                    TaskPhase::Reported(TaskState::Succeeded) => false,
+                    TaskPhase::Reported(TaskState::Running | TaskState::Throttled)
+                        if now.since(task.started_at) >= SURVIVAL_MS =>
+                    {
+                        false
+                    }
+                    TaskPhase::Reported(_) | TaskPhase::Starting => continue,
+                };
+                let job = self.queue.by_name(&id.job);
+                let is_settled = job.is_none_or(|job| job.settled >= Some(id.attempt));
+                if is_settled || (task.survived && !failed) {
+                    continue;
+                }
+                task.survived = !failed;
+                self.health.note(now, *vm, &id.job, &task.class, failed);
+            }
+        }
+    }
+
+    fn judge_workers(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        for change in self.health.judge(now, self.workers.len()) {
+            out.push(match change {
+                HealthChange::Quarantine { vm, failed_jobs, duration_ms } => {
+                    let reason = QuarantineReason::ManyJobsFailed;
+                    SchedulerDecision::Quarantine { vm, reason, failed_jobs, duration_ms }
+                }
+                HealthChange::ProbeFailed { vm, duration_ms } => {
+                    let reason = QuarantineReason::ProbeFailed;
+                    SchedulerDecision::Quarantine { vm, reason, failed_jobs: 1, duration_ms }
+                }
+                HealthChange::Release { vm } => {
+                    SchedulerDecision::Release { vm, reason: ReleaseReason::ProbeSucceeded }
+                }
+            });
+        }
+    }
+
+    fn settle_gone(
+        &mut self,
+        now: TimeMs,
+        vm: VmId,
+        id: &TaskId,
+        end: GoneEnd,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
+        let Some(job_id) = self.queue.id(&id.job) else { return };
+        let current = JobState::Active { vm, attempt: id.attempt };
+        let Some(job) = self.queue.get_mut(job_id) else { return };
+        if job.state != current {
+            return;
+        }
+        match end {
+            GoneEnd::NotStarted => self.queue.set_state(now, job_id, JobState::Queued),
+            GoneEnd::Lost => {
+                job.settled = Some(id.attempt);
+                if job.spec.repeatable {
+                    self.queue.set_state(now, job_id, JobState::Queued);
+                } else {
+                    let reason = EndReason::WorkerLost;
+                    self.end_job(now, job_id, JobOutcome::Lost, reason, Some(vm), out);
+                }
+            }
+            GoneEnd::Ended(state) => {
+                self.settle_end(now, job_id, vm, id, state, out);
+            }
+        }
+    }
+
+    fn settle_ended(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        let ended: Vec<(VmId, TaskId, TaskState)> = self
+            .workers
+            .iter()
+            .flat_map(|(vm, worker)| worker.tasks.iter().map(|(id, task)| (*vm, id, task.phase)))
+            .filter_map(|(vm, id, phase)| match phase {
+                TaskPhase::Reported(state) if !state.is_live() => Some((vm, id.clone(), state)),
+                TaskPhase::Reported(_) | TaskPhase::Starting => None,
+            })
+            .collect();
+        for (vm, id, state) in ended {
+            if !self.keeps_end(now, vm, &id, state, out) {
+                if let Some(worker) = self.workers.get_mut(&vm) {
+                    worker.tasks.remove(&id);
+                }
+                out.push(SchedulerDecision::Acknowledge { task: id, vm });
+            }
+        }
+    }
+
+    /// Deals with the end of a task. Returns true if the worker must keep it,
+    /// since it is not in the stream yet.
+    fn keeps_end(
+        &mut self,
+        now: TimeMs,
+        vm: VmId,
+        id: &TaskId,
+        state: TaskState,
+        out: &mut Vec<SchedulerDecision>,
+    ) -> bool {
+        let Some(job_id) = self.queue.id(&id.job) else { return false };
+        let Some(job) = self.queue.get(job_id) else { return false };
+        let is_current = match job.state {
+            JobState::Active { attempt, .. } => attempt == id.attempt,
+            JobState::Queued => job.settled < Some(id.attempt),
+            JobState::Ending { .. } => return true,
+        };
+        // The job is done whichever attempt did it.
+        if is_current || state == TaskState::Succeeded {
+            self.settle_end(now, job_id, vm, id, state, out);
+        }
+        let state = self.queue.get(job_id).map(|job| job.state);
+        matches!(state, Some(JobState::Ending { .. }))
+    }
+
+    fn settle_end(
+        &mut self,
+        now: TimeMs,
+        job_id: JobId,
+        vm: VmId,
+        id: &TaskId,
+        state: TaskState,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
+        let Some(job) = self.queue.get_mut(job_id) else { return };
+        job.settled = job.settled.max(Some(id.attempt));
+        let repeatable = job.spec.repeatable;
+        let (outcome, reason) = match state {
+            TaskState::Succeeded => (JobOutcome::Succeeded, EndReason::TaskSucceeded),
+            TaskState::Failed if !repeatable => (JobOutcome::Failed, EndReason::TaskFailed),
+            TaskState::Failed if self.fails_for_good(now, job_id, vm) => {
+                (JobOutcome::Failed, EndReason::FailedOnWorkers)
+            }
+            TaskState::Stopped if !repeatable => {
+                if self.was_told_to_stop(vm, id) {
+                    (JobOutcome::Failed, EndReason::StoppedForGood)
+                } else {
+                    (JobOutcome::Lost, EndReason::WorkerLost)
+                }
+            }
+            TaskState::Failed | TaskState::Stopped | TaskState::Checkpointed => {
+                self.queue.set_state(now, job_id, JobState::Queued);
+                return;
+            }
+            TaskState::Running | TaskState::Throttled => return,
+        };
+        self.end_job(now, job_id, outcome, reason, Some(vm), out);
+    }
+
+    /// Counts a failed attempt. A failure on a worker in quarantine does not
+    /// count against the job.
+    fn fails_for_good(&mut self, now: TimeMs, job_id: JobId, vm: VmId) -> bool {
+        let workers = self.workers.values().filter(|worker| worker.is_open()).count();
+        let is_good = self.health.health(now, vm) == WorkerHealth::Good;
+        let Some(job) = self.queue.get_mut(job_id) else { return false };
+        job.not_before = now.plus(BACKOFF_MS << job.failures.min(MAX_DOUBLINGS));
+        if !is_good {
+            return false;
+        }
+        job.failures += 1;
+        self.health.job_is_at_fault(&job.spec.job, job.failures, workers)
+    }
+
+    fn was_told_to_stop(&self, vm: VmId, id: &TaskId) -> bool {
+        let task = self.workers.get(&vm).and_then(|worker| worker.tasks.get(id));
+        task.is_some_and(|task| task.stop_sent)
+    }
+
+    /// Ends jobs that may have run on a worker that left before it told what
+    /// it ran for the former owner, and that must not run twice.
+    fn settle_may_have_run(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        if !std::mem::take(&mut self.unanswered_left) {
+            return;
+        }
+        let epoch = self.epoch;
+        let doubtful: Vec<JobId> = self
+            .queue
+            .iter()
+            .filter(|(_, job)| {
+                job.state == JobState::Queued
+                    && job.origin == JobOrigin::Inherited
+                    && !job.spec.repeatable
+                    && job.settled.is_none_or(|attempt| Some(attempt.epoch) < epoch)
+            })
+            .map(|(id, _)| id)
+            .collect();
+        for id in doubtful {
+            self.end_job(now, id, JobOutcome::Lost, EndReason::MayHaveRun, None, out);
+        }
+    }
+
+    fn end_again(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+        let overdue: Vec<(JobId, JobOutcome)> = self
+            .queue
+            .iter()
+            .filter(|(_, job)| now.since(job.since) >= END_RETRY_MS)
+            .filter_map(|(id, job)| match job.state {
+                JobState::Ending { outcome } => Some((id, outcome)),
+                JobState::Queued | JobState::Active { .. } => None,
+            })
+            .collect();
+        for (id, outcome) in overdue {
+            let ending = self.queue.get(id).and_then(|job| job.ending);
+            if let Some((reason, vm)) = ending {
+                self.end_job(now, id, outcome, reason, vm, out);
+            }
+        }
+    }
+
+    /// Decides the end of a job.
+    pub(crate) fn end_job(
+        &mut self,
+        now: TimeMs,
+        id: JobId,
+        outcome: JobOutcome,
+        reason: EndReason,
+        vm: Option<VmId>,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
+        self.queue.set_state(now, id, JobState::Ending { outcome });
+        self.promises.retain(|promise| promise.job != id);
+        let Some(job) = self.queue.get_mut(id) else { return };
+        job.since = now;
+        job.ending = Some((reason, vm));
+        let job = job.spec.job.clone();
+        out.push(SchedulerDecision::EndJob { job, outcome, reason, vm });
+    }
+}
--- /dev/null
+++ b/lib/tests/placement_fake/mod.rs
@@ -0,0 +1,449 @@
+//! A small fleet that runs what schedulers decide: workers with fencing,
+//! tickets and leases, a lossy network, and the records of one partition.
+//! It checks the invariants as the workers see them.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cowslipport_lib::config::DataCentreOutPolicy;
+use cowslipport_lib::ids::DataCentreId;
+use cowslipport_lib::ids::Epoch;
+use cowslipport_lib::ids::PoolId;
+use cowslipport_lib::ids::RackId;
+use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::job::JobOutcome;
+use cowslipport_lib::job::JobRef;
+use cowslipport_lib::job::JobSpec;
+use cowslipport_lib::job::TaskAction;
+use cowslipport_lib::job::TaskId;
+use cowslipport_lib::job::TaskState;
+use cowslipport_lib::placement::Scheduler;
+use cowslipport_lib::record::GrantDirection;
+use cowslipport_lib::resources::Resources;
+use cowslipport_lib::scheduler_decision::EndReason;
+use cowslipport_lib::scheduler_decision::SchedulerDecision;
+use cowslipport_lib::scheduler_event::JobOrigin;
+use cowslipport_lib::scheduler_event::SchedulerEvent;
+use cowslipport_lib::scheduler_event::StartAnswer;
+use cowslipport_lib::scheduler_event::TASK_LEASE_MS;
+use cowslipport_lib::scheduler_event::TaskReport;
+use cowslipport_lib::scheduler_event::TeamView;
+use cowslipport_lib::scheduler_event::WorkerReport;
+use cowslipport_lib::scheduler_event::WorkerService;
+use cowslipport_lib::scheduler_event::WorkerSpec;
+use cowslipport_lib::time::TimeMs;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::worker::fake_worker;
+
+mod worker;
+
+/// Length of one step.
+const STEP_MS: u64 = 20;
+
+/// Time for which a ticket is valid on a worker.
+const TICKET_MS: u64 = 2_000;
+
+/// Time that the platform allows between a change and its effect on tasks.
+const GRACE_MS: u64 = 4_000;
+
+/// What a job really does, other than what it declares.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Truth {
+    pub(crate) run_ms: u64,
+    pub(crate) used: Resources,
+    pub(crate) fails: bool,
+}
+
+#[derive(Clone, Debug)]
+struct FakeTask {
+    state: TaskState,
+    request: Resources,
+    started_at: TimeMs,
+    worked_ms: u64,
+}
+
+/// A worker of the fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeWorker {
+    pub(crate) spec: WorkerSpec,
+    pub(crate) fails_everything: bool,
+    /// False while nothing reaches the worker.
+    pub(crate) reachable: bool,
+    highest_epoch: Epoch,
+    tickets: BTreeMap<u64, TimeMs>,
+    next_ticket: u64,
+    tasks: BTreeMap<TaskId, FakeTask>,
+    lease_until: TimeMs,
+}
+
+/// A message on its way.
+enum Message {
+    Poll { vm: VmId, sent: TimeMs, epoch: Epoch, renew: bool },
+    Start { vm: VmId, task: TaskId, epoch: Epoch, ticket: u64, request: Resources },
+    Control { vm: VmId, task: TaskId, epoch: Epoch, action: TaskAction },
+    Acknowledge { vm: VmId, task: TaskId },
+    Event(SchedulerEvent),
+    Grant { team: TeamId, amount: Resources, direction: GrantDirection },
+    End { job: JobRef, outcome: JobOutcome },
+}
+
+/// A process that owns, or owned, the partition.
+struct Owner {
+    scheduler: Scheduler,
+    epoch: Epoch,
+    paused: bool,
+    /// What it was about to send when it was paused.
+    held: Vec<(TimeMs, Message)>,
+    last_answer: BTreeMap<VmId, TimeMs>,
+    next_poll: BTreeMap<VmId, TimeMs>,
+}
+
+/// Faults of the network between the owner and its workers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) lost_permille: u32,
+    pub(crate) duplicated_permille: u32,
+    /// Largest extra time that a message takes.
+    pub(crate) lag_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FakeTeam {
+    pub(crate) limit: Resources,
+    pub(crate) grant: Resources,
+    limit_since: TimeMs,
+    old_limit: Resources,
+}
+
+/// The fleet.
+pub(crate) struct Fleet {
+    pub(crate) now: TimeMs,
+    pub(crate) workers: BTreeMap<VmId, FakeWorker>,
+    pub(crate) teams: BTreeMap<TeamId, (FakeTeam, TeamView)>,
+    pub(crate) truths: BTreeMap<JobRef, Truth>,
+    pub(crate) open: BTreeMap<JobRef, JobSpec>,
+    pub(crate) outcomes: BTreeMap<JobRef, (JobOutcome, EndReason)>,
+    pub(crate) starts: BTreeMap<JobRef, u32>,
+    pub(crate) first_start: BTreeMap<JobRef, TimeMs>,
+    pub(crate) accepted_at: BTreeMap<JobRef, TimeMs>,
+    pub(crate) quarantined: BTreeSet<VmId>,
+    pub(crate) faults: Faults,
+    /// Team work done, in thousandths of a core times milliseconds.
+    pub(crate) worked: BTreeMap<TeamId, u64>,
+    pub(crate) decisions: Vec<(TimeMs, SchedulerDecision)>,
+    progress: BTreeMap<JobRef, u64>,
+    key_ends: BTreeMap<(TeamId, String), TimeMs>,
+    out_since: BTreeMap<DataCentreId, TimeMs>,
+    owners: Vec<Owner>,
+    current: usize,
+    messages: BTreeMap<(TimeMs, u64), (usize, Message)>,
+    sequence: u64,
+    rng: ChaCha8Rng,
+}
+
+pub(crate) fn cores(count: u64) -> Resources {
+    Resources { cpu_milli: count * 1_000, memory_bytes: count << 32, accelerators: 0 }
+}
+
+pub(crate) fn job(team: u32, name: &str, size: Resources) -> JobSpec {
+    JobSpec {
+        job: JobRef { team: TeamId(team), name: name.to_owned() },
+        key: "key".to_owned(),
+        pool: PoolId(0),
+        request: size,
+        urgent: false,
+        declared_run_ms: None,
+        payload: String::new(),
+        repeatable: true,
+    }
+}
+
+impl Fleet {
+    /// A fleet of `vms` workers of 32 cores, four to a rack, in three data
+    /// centres, and teams with equal shares that may use all of it.
+    pub(crate) fn new(seed: u64, vms: u32, teams: u32) -> Self {
+        let mut fleet = Self {
+            now: TimeMs(0),
+            workers: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            truths: BTreeMap::new(),
+            open: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            first_start: BTreeMap::new(),
+            accepted_at: BTreeMap::new(),
+            quarantined: BTreeSet::new(),
+            faults: Faults::default(),
+            worked: BTreeMap::new(),
+            decisions: Vec::new(),
+            progress: BTreeMap::new(),
+            key_ends: BTreeMap::new(),
+            out_since: BTreeMap::new(),
+            owners: Vec::new(),
+            current: 0,
+            messages: BTreeMap::new(),
+            sequence: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        for vm in 0..vms {
+            fleet.workers.insert(VmId(vm), fake_worker(vm));
+        }
+        for team in 0..teams {
+            let limit = cores(u64::from(vms) * 32);
+            let view =
+                TeamView { share_milli: 1_000, limit, keys: BTreeSet::from(["key".to_owned()]) };
+            let team_state = FakeTeam { limit, old_limit: limit, ..FakeTeam::default() };
+            fleet.teams.insert(TeamId(team), (team_state, view));
+        }
+        fleet.add_owner(Epoch(1));
+        fleet
+    }
+
+    /// A new process owns the partition; the former owner is not told.
+    pub(crate) fn add_owner(&mut self, epoch: Epoch) {
+        let mut scheduler = Scheduler::new();
+        let now = self.now;
+        for (team, (state, view)) in &self.teams {
+            let team = *team;
+            scheduler.handle(now, SchedulerEvent::TeamChanged { team, view: view.clone() });
+            let (amount, total) = (state.grant, state.grant);
+            scheduler.handle(now, SchedulerEvent::GrantChanged { team, amount, total });
+        }
+        for (vm, worker) in &self.workers {
+            scheduler.handle(now, SchedulerEvent::WorkerPut { vm: *vm, spec: worker.spec });
+        }
+        for spec in self.open.values() {
+            let (job, origin) = (spec.clone(), JobOrigin::Inherited);
+            scheduler.handle(now, SchedulerEvent::JobAccepted { job, origin });
+        }
+        scheduler.handle(now, SchedulerEvent::OwnershipGained { epoch });
+        scheduler.handle(now, SchedulerEvent::StartsAllowed(true));
+        self.owners.push(Owner {
+            scheduler,
+            epoch,
+            paused: false,
+            held: Vec::new(),
+            last_answer: BTreeMap::new(),
+            next_poll: BTreeMap::new(),
+        });
+        self.current = self.owners.len() - 1;
+    }
+
+    /// The owner in the fold stops in the middle of what it does.
+    pub(crate) fn pause_owner(&mut self) {
+        self.owners[self.current].paused = true;
+    }
+
+    /// A paused owner goes on with what it was about to send.
+    pub(crate) fn resume_owner(&mut self, index: usize) {
+        self.owners[index].paused = false;
+        for (at, message) in std::mem::take(&mut self.owners[index].held) {
+            self.post(index, at.max(self.now), message);
+        }
+    }
+
+    pub(crate) fn scheduler(&self) -> &Scheduler {
+        &self.owners[self.current].scheduler
+    }
+
+    fn tell(&mut self, event: SchedulerEvent) {
+        let now = self.now;
+        for owner in self.owners.iter_mut().filter(|owner| !owner.paused) {
+            owner.scheduler.handle(now, event.clone());
+        }
+    }
+
+    pub(crate) fn submit(&mut self, spec: JobSpec, truth: Truth) {
+        self.truths.insert(spec.job.clone(), truth);
+        self.open.insert(spec.job.clone(), spec.clone());
+        self.accepted_at.insert(spec.job.clone(), self.now);
+        self.tell(SchedulerEvent::JobAccepted { job: spec, origin: JobOrigin::New });
+    }
+
+    pub(crate) fn cancel(&mut self, job: &JobRef) {
+        if self.open.remove(job).is_some() {
+            self.tell(SchedulerEvent::JobCancelled(job.clone()));
+        }
+    }
+
+    pub(crate) fn set_limit(&mut self, team: u32, limit: Resources) {
+        let team = TeamId(team);
+        let now = self.now;
+        let (state, view) = self.teams.get_mut(&team).expect("the team exists");
+        state.old_limit = state.limit;
+        state.limit = limit;
+        state.limit_since = now;
+        view.limit = limit;
+        let view = view.clone();
+        self.tell(SchedulerEvent::TeamChanged { team, view });
+    }
+
+    pub(crate) fn withdraw_keys(&mut self, team: u32) {
+        let team = TeamId(team);
+        let (_, view) = self.teams.get_mut(&team).expect("the team exists");
+        for key in std::mem::take(&mut view.keys) {
+            self.key_ends.insert((team, key), self.now);
+        }
+        let view = view.clone();
+        self.tell(SchedulerEvent::TeamChanged { team, view });
+    }
+
+    pub(crate) fn set_share(&mut self, team: u32, share_milli: u32) {
+        let team = TeamId(team);
+        let (_, view) = self.teams.get_mut(&team).expect("the team exists");
+        view.share_milli = share_milli;
+        let view = view.clone();
+        self.tell(SchedulerEvent::TeamChanged { team, view });
+    }
+
+    pub(crate) fn change_worker<F>(&mut self, vm: VmId, change: F)
+    where
+        F: FnOnce(&mut WorkerSpec),
+    {
+        let worker = self.workers.get_mut(&vm).expect("the worker exists");
+        change(&mut worker.spec);
+        let spec = worker.spec;
+        self.tell(SchedulerEvent::WorkerPut { vm, spec });
+    }
+
+    pub(crate) fn set_data_centre(&mut self, data_centre: u32, in_service: bool) {
+        let data_centre = DataCentreId(data_centre);
+        if in_service {
+            self.out_since.remove(&data_centre);
+        } else {
+            self.out_since.insert(data_centre, self.now);
+        }
+        let vms: Vec<VmId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.spec.data_centre == data_centre)
+            .map(|(vm, _)| *vm)
+            .collect();
+        for vm in vms {
+            self.change_worker(vm, |spec| spec.data_centre_in_service = in_service);
+        }
+    }
+
+    /// Runs the fleet for a time.
+    pub(crate) fn run(&mut self, duration_ms: u64) {
+        let end = self.now.plus(duration_ms);
+        while self.now < end {
+            self.now = self.now.plus(STEP_MS);
+            while let Some(entry) = self.messages.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let (owner, message) = entry.remove();
+                self.deliver(owner, message);
+            }
+            for index in 0..self.owners.len() {
+                self.run_owner(index);
+            }
+            self.work();
+            self.check_invariants();
+        }
+    }
+
+    fn run_owner(&mut self, index: usize) {
+        let owner = &mut self.owners[index];
+        if owner.paused {
+            return;
+        }
+        let (now, epoch) = (self.now, owner.epoch);
+        let urgent = owner.scheduler.urgent_polls();
+        let mut polls = Vec::new();
+        for vm in self.workers.keys() {
+            let last = *owner.last_answer.entry(*vm).or_insert(now);
+            let silent = now.since(last) > 6_000;
+            if silent {
+                owner.scheduler.handle(now, SchedulerEvent::WorkerSilent { vm: *vm });
+            }
+            let next = owner.next_poll.entry(*vm).or_insert(now);
+            let interval = if urgent.contains(vm) { 500 } else { 2_000 };
+            if now >= *next || next.since(now) > interval {
+                *next = now.plus(interval);
+                polls.push(Message::Poll { vm: *vm, sent: now, epoch, renew: !silent });
+            }
+        }
+        let decisions = owner.scheduler.decide(now);
+        for poll in polls {
+            self.send(index, poll);
+        }
+        for decision in decisions {
+            self.carry_out(index, decision);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, decision: SchedulerDecision) {
+        self.decisions.push((self.now, decision.clone()));
+        let epoch = self.owners[index].epoch;
+        match decision {
+            SchedulerDecision::Start { task, vm, epoch, ticket, request, .. } => {
+                let answer = StartAnswer::Unknown;
+                let event =
+                    SchedulerEvent::StartAnswered { vm, task: task.clone(), answer, ticket: None };
+                self.post(index, self.now.plus(1_000), Message::Event(event));
+                self.send(index, Message::Start { vm, task, epoch, ticket, request });
+            }
+            SchedulerDecision::Control { task, vm, action, .. } => {
+                self.send(index, Message::Control { vm, task, epoch, action });
+            }
+            SchedulerDecision::Acknowledge { task, vm } => {
+                self.send(index, Message::Acknowledge { vm, task });
+            }
+            SchedulerDecision::TakeGrant { team, amount, .. } => {
+                let message = Message::Grant { team, amount, direction: GrantDirection::Take };
+                self.post(index, self.now.plus(40), message);
+            }
+            SchedulerDecision::ReturnGrant { team, amount, .. } => {
+                let message = Message::Grant { team, amount, direction: GrantDirection::Return };
+                self.post(index, self.now.plus(400), message);
+            }
+            SchedulerDecision::Quarantine { vm, .. } => {
+                self.quarantined.insert(vm);
+            }
+            SchedulerDecision::Release { vm, .. } => {
+                self.quarantined.remove(&vm);
+            }
+            SchedulerDecision::EndJob { job, outcome, reason, .. } => {
+                if self.open.contains_key(&job) {
+                    self.outcomes.insert(job.clone(), (outcome, reason));
+                }
+                self.post(index, self.now.plus(500), Message::End { job, outcome });
+            }
+            SchedulerDecision::Refused(violation) => panic!("{violation}"),
+        }
+    }
+
+    /// Sends over the lossy network.
+    fn send(&mut self, owner: usize, message: Message) {
+        if self.rng.random_range(0..1_000) < self.faults.lost_permille {
+            return;
+        }
+        let lag = self.rng.random_range(0..=self.faults.lag_ms);
+        self.post(owner, self.now.plus(2 + lag), message);
+    }
+
+    fn reply(&mut self, owner: usize, event: SchedulerEvent) {
+        if self.rng.random_range(0..1_000) < self.faults.duplicated_permille {
+            self.send(owner, Message::Event(event.clone()));
+        }
+        self.send(owner, Message::Event(event));
+    }
+
+    fn post(&mut self, owner: usize, at: TimeMs, message: Message) {
+        if self.owners[owner].paused {
+            self.owners[owner].held.push((at, message));
+            return;
+        }
+        self.sequence += 1;
+        self.messages.insert((at, self.sequence), (owner, message));
+    }
+}
--- /dev/null
+++ b/lib/tests/placement_fake/worker.rs
@@ -0,0 +1,255 @@
+//! What the workers and the records of the fleet do, and the invariants.
+
+use std::collections::BTreeMap;
+
+use cowslipport_lib::config::DataCentreOutPolicy;
+use cowslipport_lib::job::TaskState;
+
+use super::*;
+
+pub(super) fn fake_worker(vm: u32) -> FakeWorker {
+    FakeWorker {
+        spec: WorkerSpec {
+            capacity: cores(32),
+            data_centre: DataCentreId(vm / 4 % 3),
+            rack: RackId(vm / 4),
+            service: WorkerService::Open,
+            data_centre_in_service: true,
+            on_data_centre_out: DataCentreOutPolicy::Finish,
+        },
+        fails_everything: false,
+        reachable: true,
+        highest_epoch: Epoch(0),
+        tickets: BTreeMap::new(),
+        next_ticket: 1,
+        tasks: BTreeMap::new(),
+        lease_until: TimeMs(0),
+    }
+}
+
+impl FakeWorker {
+    fn issue_ticket(&mut self, now: TimeMs) -> u64 {
+        self.next_ticket += 1;
+        self.tickets.insert(self.next_ticket, now);
+        self.tickets.retain(|_, at| now.since(*at) <= TICKET_MS);
+        self.next_ticket
+    }
+
+    fn live(&self) -> impl Iterator<Item = (&TaskId, &FakeTask)> {
+        self.tasks.iter().filter(|(_, task)| task.state.is_live())
+    }
+}
+
+impl Fleet {
+    pub(super) fn deliver(&mut self, owner: usize, message: Message) {
+        match message {
+            Message::Poll { vm, sent, epoch, renew } => self.poll(owner, vm, sent, epoch, renew),
+            Message::Start { vm, task, epoch, ticket, request } => {
+                let worker = self.workers.get_mut(&vm).expect("the worker exists");
+                if !worker.reachable {
+                    return;
+                }
+                let fresh = worker.tickets.get(&ticket);
+                let fresh = fresh.is_some_and(|at| self.now.since(*at) <= TICKET_MS);
+                let used = worker.live().fold(Resources::ZERO, |sum, (id, _)| {
+                    sum.saturating_add(self.truths[&id.job].used)
+                });
+                let room = used.saturating_add(self.truths[&task.job].used);
+                let answer = if epoch < worker.highest_epoch {
+                    StartAnswer::OldEpoch
+                } else if worker.tasks.contains_key(&task) {
+                    StartAnswer::Known
+                } else if !fresh {
+                    StartAnswer::OldTicket
+                } else if !room.fits_in(cores(64)) {
+                    StartAnswer::NoRoom
+                } else {
+                    StartAnswer::Started
+                };
+                let ticket = Some(worker.issue_ticket(self.now));
+                if answer == StartAnswer::Started {
+                    self.begin(vm, &task, request);
+                }
+                self.reply(owner, SchedulerEvent::StartAnswered { vm, task, answer, ticket });
+            }
+            Message::Control { vm, task, epoch, action } => {
+                let worker = self.workers.get_mut(&vm).expect("the worker exists");
+                if worker.reachable && epoch >= worker.highest_epoch {
+                    control(worker, &task, action, &mut self.progress);
+                }
+            }
+            Message::Acknowledge { vm, task } => {
+                let worker = self.workers.get_mut(&vm).expect("the worker exists");
+                if worker.tasks.get(&task).is_some_and(|task| !task.state.is_live()) {
+                    worker.tasks.remove(&task);
+                }
+            }
+            Message::Event(event) => {
+                if self.owners[owner].paused {
+                    return;
+                }
+                if let SchedulerEvent::WorkerReport { vm, .. } = &event {
+                    self.owners[owner].last_answer.insert(*vm, self.now);
+                }
+                self.owners[owner].scheduler.handle(self.now, event);
+            }
+            Message::Grant { team, amount, direction } => {
+                self.apply_grant(owner, team, amount, direction);
+            }
+            Message::End { job, outcome: _ } => {
+                if owner == self.current && self.open.remove(&job).is_some() {
+                    self.tell(SchedulerEvent::JobEnded(job));
+                }
+            }
+        }
+    }
+
+    fn poll(&mut self, owner: usize, vm: VmId, sent: TimeMs, epoch: Epoch, renew: bool) {
+        let now = self.now;
+        let worker = self.workers.get_mut(&vm).expect("the worker exists");
+        if !worker.reachable || epoch < worker.highest_epoch {
+            return;
+        }
+        worker.highest_epoch = epoch;
+        if renew {
+            worker.lease_until = worker.lease_until.max(now.plus(TASK_LEASE_MS));
+        }
+        let ticket = worker.issue_ticket(now);
+        let tasks = worker
+            .tasks
+            .iter()
+            .map(|(id, task)| TaskReport {
+                task: id.clone(),
+                state: task.state,
+                request: task.request,
+                used: self.truths[&id.job].used,
+                age_ms: now.since(task.started_at),
+            })
+            .collect();
+        let report = WorkerReport { polled_at: sent, ticket, tasks };
+        self.reply(owner, SchedulerEvent::WorkerReport { vm, report });
+    }
+
+    /// A worker starts a task: the invariants of a start hold now.
+    fn begin(&mut self, vm: VmId, id: &TaskId, request: Resources) {
+        let name = &id.job;
+        let worker = self.workers.get_mut(&vm).expect("the worker exists");
+        let out_since = self.out_since.get(&worker.spec.data_centre);
+        let out = out_since.is_some_and(|since| self.now.since(*since) > GRACE_MS);
+        assert!(!out, "{id} starts on VM {vm} in a data centre that is out");
+        let spec_key = (name.team, "key".to_owned());
+        let revoked = self.key_ends.get(&spec_key);
+        let revoked = revoked.is_some_and(|since| self.now.since(*since) > GRACE_MS);
+        assert!(!revoked, "{id} starts with a revoked key");
+        let starts = self.starts.entry(name.clone()).or_default();
+        *starts += 1;
+        self.first_start.entry(name.clone()).or_insert(self.now);
+        let state = TaskState::Running;
+        let worked_ms = self.progress.get(name).copied().unwrap_or_default();
+        let task = FakeTask { state, request, started_at: self.now, worked_ms };
+        worker.tasks.insert(id.clone(), task);
+    }
+
+    fn apply_grant(
+        &mut self,
+        owner: usize,
+        team: TeamId,
+        amount: Resources,
+        direction: GrantDirection,
+    ) {
+        let (state, _) = self.teams.get_mut(&team).expect("the team exists");
+        let next = match direction {
+            GrantDirection::Take => state.grant.saturating_add(amount),
+            GrantDirection::Return => state.grant.saturating_sub(amount),
+        };
+        let valid = direction == GrantDirection::Return || next.fits_in(state.limit);
+        if owner == self.current && valid {
+            state.grant = next;
+            let (amount, total) = (next, next);
+            self.tell(SchedulerEvent::GrantChanged { team, amount, total });
+        }
+        let answer = SchedulerEvent::GrantAnswered { team, direction };
+        self.owners[owner].scheduler.handle(self.now, answer);
+    }
+
+    pub(super) fn work(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            for (id, task) in &mut worker.tasks {
+                if !task.state.is_live() {
+                    continue;
+                }
+                if now > worker.lease_until {
+                    task.state = TaskState::Stopped;
+                    continue;
+                }
+                let truth = self.truths[&id.job];
+                let speed = if task.state == TaskState::Throttled { 4 } else { 1 };
+                task.worked_ms += STEP_MS / speed;
+                *self.worked.entry(id.job.team).or_default() +=
+                    task.request.cpu_milli * STEP_MS / speed;
+                let fails = truth.fails || worker.fails_everything;
+                let runs_ms = if fails { truth.run_ms.min(200) } else { truth.run_ms };
+                if task.worked_ms >= runs_ms {
+                    task.state = if fails { TaskState::Failed } else { TaskState::Succeeded };
+                }
+            }
+        }
+    }
+
+    pub(super) fn check_invariants(&self) {
+        let mut used: BTreeMap<TeamId, Resources> = BTreeMap::new();
+        let mut live: BTreeMap<&JobRef, &TaskId> = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (id, task) in worker.live() {
+                let sum = used.entry(id.job.team).or_default();
+                *sum = sum.saturating_add(task.request);
+                let other = live.insert(&id.job, id);
+                assert!(other.is_none(), "{id} and {other:?} run at {}", self.now);
+            }
+        }
+        for (team, used) in used {
+            let (state, _) = &self.teams[&team];
+            let recent = self.now.since(state.limit_since) <= GRACE_MS;
+            let limit = if recent { state.limit.max(state.old_limit) } else { state.limit };
+            assert!(used.fits_in(limit), "team {team} runs {used} at {}", self.now);
+        }
+        let twice = self.starts.iter().find(|(job, count)| {
+            let spec = self.open.get(*job);
+            spec.is_some_and(|spec| !spec.repeatable) && **count > 1
+        });
+        let twice = twice.filter(|(job, _)| !self.progress.contains_key(*job));
+        assert!(twice.is_none(), "{twice:?} started again without a checkpoint");
+    }
+
+    /// Number of live tasks on a worker.
+    pub(crate) fn live_on(&self, vm: u32) -> usize {
+        self.workers[&VmId(vm)].live().count()
+    }
+
+    /// Declared sizes of the live tasks of a team.
+    pub(crate) fn used_by(&self, team: u32) -> Resources {
+        let tasks = self.workers.values().flat_map(FakeWorker::live);
+        tasks
+            .filter(|(id, _)| id.job.team == TeamId(team))
+            .fold(Resources::ZERO, |sum, (_, task)| sum.saturating_add(task.request))
+    }
+}
+
+fn control(
+    worker: &mut FakeWorker,
+    id: &TaskId,
+    action: TaskAction,
+    progress: &mut BTreeMap<JobRef, u64>,
+) {
+    let Some(task) = worker.tasks.get_mut(id).filter(|task| task.state.is_live()) else { return };
+    task.state = match action {
+        TaskAction::Throttle => TaskState::Throttled,
+        TaskAction::Unthrottle => TaskState::Running,
+        TaskAction::Checkpoint => {
+            progress.insert(id.job.clone(), task.worked_ms);
+            TaskState::Checkpointed
+        }
+        TaskAction::Stop => TaskState::Stopped,
+    };
+}
