--- a/lib/src/job.rs
+++ b/lib/src/job.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use crate::ids::Epoch;
+use crate::ids::Offset;
 use crate::ids::PoolId;
 use crate::ids::RecordId;
 use crate::ids::TeamId;
@@ -156,6 +157,8 @@
 pub struct JobRecord {
     /// Identifies the append.
     pub id: RecordId,
+    /// Epoch of the owner that wrote it.
+    pub epoch: Epoch,
     /// What the record says.
     pub body: JobRecordBody,
 }
@@ -186,9 +189,15 @@
 /// from its start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct JobSnapshot {
+    /// Offset of the first record that is not part of the snapshot.
+    pub next_offset: Offset,
+    /// Highest epoch of the records before.
+    pub epoch: Epoch,
     /// Open jobs in the order in which they were accepted.
     pub jobs: Vec<JobSpec>,
-    /// Ids of the last records, so that a repeated append is recognised.
+    /// Jobs that ended last, oldest first.
+    pub recent_ends: Vec<JobEnd>,
+    /// Ids of the last records, oldest first.
     pub recent_ids: Vec<RecordId>,
 }
 
--- a/lib/src/protos/cowslipport.control.rs
+++ b/lib/src/protos/cowslipport.control.rs
@@ -436,6 +436,10 @@
 pub struct JobRecord {
     #[prost(message, optional, tag = "1")]
     pub id: ::core::option::Option<RecordId>,
+    /// Epoch of the owner that wrote the record. A record with a lower epoch than
+    /// one before it is void.
+    #[prost(uint64, tag = "6")]
+    pub epoch: u64,
     #[prost(oneof = "job_record::Body", tags = "2, 3, 4, 5")]
     pub body: ::core::option::Option<job_record::Body>,
 }
@@ -517,6 +521,16 @@
     pub jobs: ::prost::alloc::vec::Vec<Job>,
     #[prost(message, repeated, tag = "2")]
     pub recent_ids: ::prost::alloc::vec::Vec<RecordId>,
+    /// Offset of the first record that is not part of the snapshot. Records may
+    /// have been appended between it and the snapshot's own offset.
+    #[prost(uint64, tag = "3")]
+    pub next_offset: u64,
+    /// Highest epoch of the records before.
+    #[prost(uint64, tag = "4")]
+    pub epoch: u64,
+    /// Jobs that ended last, so that a repeated submission is recognised.
+    #[prost(message, repeated, tag = "5")]
+    pub recent_ends: ::prost::alloc::vec::Vec<JobEnd>,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/lib/src/wire_control.rs
+++ b/lib/src/wire_control.rs
@@ -46,7 +46,7 @@
     }
 }
 
-fn one<M>(path: &str, message: M) -> Findings
+pub(crate) fn one<M>(path: &str, message: M) -> Findings
 where
     M: Into<String>,
 {
@@ -55,7 +55,7 @@
     findings
 }
 
-fn absent(path: &str) -> Findings {
+pub(crate) fn absent(path: &str) -> Findings {
     one(path, "field is missing")
 }
 
--- a/lib/tests/placement_fake/mod.rs
+++ b/lib/tests/placement_fake/mod.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use cowslipport_lib::config::DataCentreOutPolicy;
 use cowslipport_lib::ids::DataCentreId;
 use cowslipport_lib::ids::Epoch;
 use cowslipport_lib::ids::PoolId;
