--- a/lib/src/wave.rs
+++ b/lib/src/wave.rs
@@ -274,7 +274,7 @@
         }
         let done = u32::try_from(wave.done.len()).unwrap_or(u32::MAX);
         let failed = u32::try_from(wave.failed.len()).unwrap_or(u32::MAX);
-        Some(WaveDecision::Finish { wave: self.wave, done, failed })
+        Some(WaveDecision::Finish { wave: self.wave, done, failed, width: wave.width })
     }
 
     fn may_update(&mut self, now: TimeMs) -> bool {
--- a/lib/src/wave_decision.rs
+++ b/lib/src/wave_decision.rs
@@ -90,6 +90,8 @@
         done: u32,
         /// VMs that did not.
         failed: u32,
+        /// Width at the end.
+        width: u32,
     },
     /// Nothing happens for this reason.
     Wait(WaveWait),
@@ -197,8 +199,8 @@
             Self::Widen { wave, width, .. } => {
                 Some(RecordBody::WaveUpdate { wave, phase: WavePhase::Running, width })
             }
-            Self::Finish { wave, .. } => {
-                Some(RecordBody::WaveUpdate { wave, phase: WavePhase::Finished, width: 1 })
+            Self::Finish { wave, width, .. } => {
+                Some(RecordBody::WaveUpdate { wave, phase: WavePhase::Finished, width })
             }
         }
     }
