moves, buffer, data_centre_change: when a VM changes its pool

Cause: nothing decides how many VMs a pool holds and when it gives or takes one, nor how a data centre leaves and returns.

Change: buffer.rs estimates the VMs that the worst usual burst needs within the time a request may wait, and adds a reserve for the budget or the largest rack. moves.rs brings VMs to pools that lack some and gives surplus back when holding it has cost as much as a move; a VM on its way to a spare pool is maintained if a wave waits for it. data_centre_change.rs orders tasks that leave and admits returning VMs by doubling.

--- /dev/null
+++ b/lib/src/buffer.rs
@@ -0,0 +1,220 @@
+//! How many VMs each pool needs for its demand, and how many more it holds
+//! free for each failure domain.
+//!
+//! Demand comes in bursts of some seconds, far shorter than a move takes. A
+//! pool therefore has VMs for its worst recent burst, spread over the time
+//! that a request may wait, and moves follow only changes that last.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::config::BudgetScope;
+use crate::control::ControlState;
+use crate::control::Vm;
+use crate::ids::PoolId;
+use crate::ids::RackId;
+use crate::record::Health;
+
+/// Time between two samples of demand.
+pub const SAMPLE_MS: u64 = 1000;
+
+/// Samples of one chunk. A chunk is about as long as a round of bursts
+/// through all pools, so most chunks of a pool hold one burst.
+pub const CHUNK_SAMPLES: usize = 60;
+
+/// Chunks that the estimate remembers.
+pub const CHUNKS: usize = 10;
+
+/// Chunks that have to be complete before a pool gives or takes a VM.
+pub const LEARNING_CHUNKS: usize = 3;
+
+/// Rank of the chunk, from the largest need, that sets the need of the pool.
+/// With 1, a single unusual burst moves no VM.
+pub const NEED_RANK: usize = 1;
+
+/// Time that a request may wait for a slot, in samples.
+pub const WAIT_SAMPLES: u64 = 10;
+
+/// Demand of one pool, sampled once a second.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DemandTracker {
+    chunk: Vec<u32>,
+    needs: VecDeque<u32>,
+    recent: VecDeque<u32>,
+}
+
+impl DemandTracker {
+    /// Adds a sample: slots that the requests which arrived in the last
+    /// second occupy, that is their number times their service time in
+    /// seconds.
+    pub fn record(&mut self, offered_slots: u32, slots_per_vm: u32) {
+        self.recent.push_back(offered_slots);
+        if self.recent.len() > CHUNKS * CHUNK_SAMPLES {
+            self.recent.pop_front();
+        }
+        self.chunk.push(offered_slots);
+        if self.chunk.len() == CHUNK_SAMPLES {
+            self.needs.push_back(vms_for(&self.chunk, slots_per_vm));
+            self.chunk.clear();
+            if self.needs.len() > CHUNKS {
+                self.needs.pop_front();
+            }
+        }
+    }
+
+    /// VMs that the pool needs, or nothing while the demand is being learned.
+    pub fn need(&self) -> Option<u32> {
+        if self.needs.len() < LEARNING_CHUNKS {
+            return None;
+        }
+        let mut needs: Vec<u32> = self.needs.iter().copied().collect();
+        needs.sort_unstable_by(|left, right| right.cmp(left));
+        needs.get(NEED_RANK).copied()
+    }
+
+    /// Part of the high samples of this pool, in thousandths, at which the
+    /// other pool is high as well. A sample is high above the mean.
+    pub fn coincidence_permille(&self, other: &Self) -> u32 {
+        let (mine, others) = (self.mean(), other.mean());
+        let mut high = 0_u32;
+        let mut both = 0_u32;
+        for (left, right) in self.recent.iter().rev().zip(other.recent.iter().rev()) {
+            if u64::from(*left) > mine {
+                high += 1;
+                both += u32::from(u64::from(*right) > others);
+            }
+        }
+        (both * 1000).checked_div(high).unwrap_or_default()
+    }
+
+    fn mean(&self) -> u64 {
+        let sum: u64 = self.recent.iter().map(|sample| u64::from(*sample)).sum();
+        sum / (self.recent.len() as u64).max(1)
+    }
+}
+
+/// The smallest number of VMs with which no work of the samples waits longer
+/// than [`WAIT_SAMPLES`].
+pub fn vms_for(samples: &[u32], slots_per_vm: u32) -> u32 {
+    let slots = u64::from(slots_per_vm.max(1));
+    let highest = samples.iter().copied().max().unwrap_or_default();
+    let mut low = 0;
+    let mut high = u64::from(highest).div_ceil(slots);
+    while low < high {
+        let middle = low.midpoint(high);
+        if keeps_up(samples, middle * slots) {
+            high = middle;
+        } else {
+            low = middle + 1;
+        }
+    }
+    u32::try_from(high).unwrap_or(u32::MAX)
+}
+
+fn keeps_up(samples: &[u32], capacity: u64) -> bool {
+    let mut backlog = 0_u64;
+    samples.iter().all(|sample| {
+        backlog = (backlog + u64::from(*sample)).saturating_sub(capacity);
+        backlog <= capacity * WAIT_SAMPLES
+    })
+}
+
+/// Demand of all pools.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// The pools with demand.
+    pub pools: BTreeMap<PoolId, DemandTracker>,
+}
+
+impl Demand {
+    /// How much the bursts of two pools coincide, in thousandths.
+    pub fn coincidence_permille(&self, left: PoolId, right: PoolId) -> u32 {
+        match (self.pools.get(&left), self.pools.get(&right)) {
+            (Some(left), Some(right)) => left.coincidence_permille(right),
+            (None, _) | (_, None) => 0,
+        }
+    }
+}
+
+/// What a pool has and what it should have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolBuffer {
+    /// VMs for the demand; nothing while the demand is being learned.
+    pub need: Option<u32>,
+    /// VMs held free on top, so that the loss of a rack or the VMs that a
+    /// budget allows to be unavailable leave the need.
+    pub reserve: u32,
+    /// VMs that can serve, with those on their way to the pool and without
+    /// those on their way out.
+    pub have: u32,
+    /// Low mark: with fewer VMs the pool takes one.
+    pub low_mark: u32,
+    /// High mark: with more VMs the pool can give one.
+    pub high_mark: u32,
+}
+
+impl PoolBuffer {
+    /// VMs that are missing.
+    pub fn deficit(&self) -> u32 {
+        self.low_mark.saturating_sub(self.have)
+    }
+
+    /// VMs above the high mark.
+    pub fn surplus(&self) -> u32 {
+        self.have.saturating_sub(self.high_mark)
+    }
+}
+
+/// What each pool has and should have. A spare pool needs nothing.
+pub fn buffers(state: &ControlState, demand: &Demand) -> BTreeMap<PoolId, PoolBuffer> {
+    let mut have: BTreeMap<PoolId, u32> = BTreeMap::new();
+    let mut racks: BTreeMap<(PoolId, RackId), u32> = BTreeMap::new();
+    for (_, vm) in state.vms.iter().filter(|(_, vm)| serves(state, vm)) {
+        let pool = vm.pool_after_move();
+        *have.entry(pool).or_default() += 1;
+        *racks.entry((pool, vm.rack)).or_default() += 1;
+    }
+    let mut buffers = BTreeMap::new();
+    for (id, pool) in state.pools.iter() {
+        let have = have.get(&id).copied().unwrap_or_default();
+        let in_rack = |((rack_pool, _), count): (&(PoolId, RackId), &u32)| {
+            if *rack_pool == id { *count } else { 0 }
+        };
+        let largest_rack = racks.iter().map(in_rack).max().unwrap_or_default();
+        let need = demand.pools.get(&id).and_then(DemandTracker::need);
+        let reserve = if pool.spec.spare { 0 } else { pool_reserve(state, id).max(largest_rack) };
+        let want = match (pool.spec.spare, need) {
+            (true, _) => 0,
+            (false, Some(need)) => need + reserve,
+            (false, None) => have,
+        };
+        let want = want.clamp(pool.spec.min_vms, pool.spec.max_vms.max(pool.spec.min_vms));
+        buffers.insert(id, PoolBuffer { need, reserve, have, low_mark: want, high_mark: want });
+    }
+    buffers
+}
+
+/// VMs of a pool that its budgets allow to be unavailable, at least one for a
+/// VM that fails.
+pub fn pool_reserve(state: &ControlState, pool: PoolId) -> u32 {
+    let Some(pool) = state.pools.get(pool) else { return 0 };
+    pool.budgets
+        .iter()
+        .filter(|budget| budget.scope == BudgetScope::Pool)
+        .map(|budget| budget.max_unavailable)
+        .min()
+        .unwrap_or(1)
+        .max(1)
+}
+
+/// True if the VM serves its pool or will once its operation is done.
+fn serves(state: &ControlState, vm: &Vm) -> bool {
+    match vm.health {
+        Health::Up => state.data_centre_in_service(vm),
+        // A VM that reboots does not answer.
+        Health::Down | Health::Unknown => {
+            vm.operation.is_some() && state.data_centre_in_service(vm)
+        }
+        Health::Leaving => false,
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,14 +3,20 @@
 
 pub mod arena;
 pub mod budget;
+pub mod buffer;
 pub mod config;
 pub mod control;
+pub mod data_centre_change;
 pub mod drain;
 pub mod findings;
 pub mod fold;
 mod fold_config;
 mod fold_vms;
 pub mod ids;
+mod move_choice;
+pub mod move_decision;
+pub mod moves;
+pub mod operation;
 pub mod protos;
 pub mod record;
 pub mod rendezvous;
--- /dev/null
+++ b/lib/src/move_choice.rs
@@ -0,0 +1,225 @@
+//! Which VM a pool gives, and how a move goes on.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use crate::budget::BudgetView;
+use crate::buffer::PoolBuffer;
+use crate::config::Policy;
+use crate::control::ControlState;
+use crate::control::Vm;
+use crate::drain::DrainGoal;
+use crate::drain::DrainStatus;
+use crate::ids::DataCentreId;
+use crate::ids::PoolId;
+use crate::ids::RackId;
+use crate::ids::VmId;
+use crate::move_decision::MoveCancelReason;
+use crate::move_decision::MoveDecision;
+use crate::move_decision::MoveReason;
+use crate::move_decision::MoveWait;
+use crate::moves::MOVE_COST_MS;
+use crate::moves::MoveView;
+use crate::operation;
+use crate::operation::SeenOperation;
+use crate::record::Health;
+use crate::time::TimeMs;
+
+/// Time for which a VM that is not needed is held before it is given back.
+pub(crate) fn hold_ms(policy: &Policy) -> u64 {
+    let moves = u64::from(policy.weight_moves_milli);
+    let buffer = u64::from(policy.weight_buffer_milli.max(1));
+    MOVE_COST_MS.saturating_mul(moves) / buffer
+}
+
+/// Counts a VM of `from` as one of `to`.
+pub(crate) fn shift(buffers: &mut BTreeMap<PoolId, PoolBuffer>, from: PoolId, to: PoolId) {
+    if let Some(buffer) = buffers.get_mut(&from) {
+        buffer.have = buffer.have.saturating_sub(1);
+    }
+    if let Some(buffer) = buffers.get_mut(&to) {
+        buffer.have += 1;
+    }
+}
+
+/// Pools whose demand is not known yet.
+pub(crate) fn learning<'a>(
+    state: &'a ControlState,
+    buffers: &'a BTreeMap<PoolId, PoolBuffer>,
+) -> impl Iterator<Item = MoveWait> + 'a {
+    state
+        .pools
+        .iter()
+        .filter(|(id, pool)| {
+            !pool.spec.spare && buffers.get(id).is_some_and(|buffer| buffer.need.is_none())
+        })
+        .map(|(pool, _)| MoveWait::Learning { pool })
+}
+
+/// Pools that lack VMs, the one that lacks the largest part first.
+pub(crate) fn pools_by_deficit(buffers: &BTreeMap<PoolId, PoolBuffer>) -> Vec<PoolId> {
+    let mut pools: Vec<(Reverse<u64>, PoolId)> = buffers
+        .iter()
+        .filter(|(_, buffer)| buffer.deficit() > 0)
+        .map(|(pool, buffer)| {
+            let missing = u64::from(buffer.deficit()) * 1000 / u64::from(buffer.low_mark.max(1));
+            (Reverse(missing), *pool)
+        })
+        .collect();
+    pools.sort_unstable();
+    pools.into_iter().map(|(_, pool)| pool).collect()
+}
+
+/// VMs that a pool lacks and may take.
+pub(crate) fn missing(
+    state: &ControlState,
+    buffers: &BTreeMap<PoolId, PoolBuffer>,
+    pool: PoolId,
+) -> Option<u32> {
+    let missing = buffers.get(&pool)?.deficit();
+    (missing > 0 && has_room(state, buffers, pool)).then_some(missing)
+}
+
+/// True if the pool may take another VM.
+pub(crate) fn has_room(
+    state: &ControlState,
+    buffers: &BTreeMap<PoolId, PoolBuffer>,
+    pool: PoolId,
+) -> bool {
+    let size = state.pool_size_after_moves(pool);
+    let have = buffers.get(&pool).map_or(0, |buffer| buffer.have);
+    state.pools.get(pool).is_some_and(|pool| size.max(have) < pool.spec.max_vms)
+}
+
+pub(crate) fn deficit_reason(
+    view: MoveView<'_>,
+    buffers: &BTreeMap<PoolId, PoolBuffer>,
+    from: PoolId,
+    to: PoolId,
+) -> MoveReason {
+    let (have, want) = buffers.get(&to).map_or((0, 0), |buffer| (buffer.have, buffer.low_mark));
+    let coincidence_permille = view.demand.coincidence_permille(to, from);
+    MoveReason::Deficit { have, want, coincidence_permille }
+}
+
+/// The VM that the first of the donors gives, within its budgets. It spreads
+/// the VMs of the taker over racks and data centres, and comes from the rack
+/// in which the donor has most.
+pub(crate) fn choose_vm(
+    view: MoveView<'_>,
+    donors: &[PoolId],
+    taker: PoolId,
+    budgets: &BudgetView,
+    proposed: &BTreeMap<VmId, (PoolId, TimeMs)>,
+) -> Result<(PoolId, VmId), Option<MoveWait>> {
+    let spread = Spread::new(view.state, proposed);
+    let mut wait = None;
+    for donor in donors {
+        let mut vms: Vec<(VmId, &Vm)> = view
+            .state
+            .vms
+            .iter()
+            .filter(|(id, vm)| vm.pool == *donor && !proposed.contains_key(id))
+            .filter(|(_, vm)| view.state.is_in_service(vm))
+            .collect();
+        vms.sort_by_cached_key(|(id, vm)| (spread.cost(vm, taker), *id));
+        for (id, vm) in vms {
+            match budgets.check(view.state, vm) {
+                Ok(()) => return Ok((*donor, id)),
+                Err((domain, exceeded)) => {
+                    wait = wait.or(Some(MoveWait::budget(*donor, domain, exceeded)));
+                }
+            }
+        }
+    }
+    Err(wait)
+}
+
+/// VMs of each pool by rack and data centre, once all moves are done.
+struct Spread {
+    racks: BTreeMap<(PoolId, RackId), u32>,
+    data_centres: BTreeMap<(PoolId, DataCentreId), u32>,
+}
+
+impl Spread {
+    fn new(state: &ControlState, proposed: &BTreeMap<VmId, (PoolId, TimeMs)>) -> Self {
+        let mut spread = Self { racks: BTreeMap::new(), data_centres: BTreeMap::new() };
+        for (id, vm) in state.vms.iter() {
+            let pool = proposed.get(&id).map_or(vm.pool_after_move(), |(to, _)| *to);
+            *spread.racks.entry((pool, vm.rack)).or_default() += 1;
+            *spread.data_centres.entry((pool, vm.data_centre)).or_default() += 1;
+        }
+        spread
+    }
+
+    fn cost(&self, vm: &Vm, taker: PoolId) -> (u32, u32, Reverse<u32>) {
+        let rack = |pool| self.racks.get(&(pool, vm.rack)).copied().unwrap_or_default();
+        let centre = self.data_centres.get(&(taker, vm.data_centre)).copied().unwrap_or_default();
+        (rack(taker), centre, Reverse(rack(vm.pool)))
+    }
+}
+
+/// The next step of a VM that is drained for a move.
+pub(crate) fn step_drain(
+    view: MoveView<'_>,
+    buffers: &BTreeMap<PoolId, PoolBuffer>,
+    id: VmId,
+    vm: &Vm,
+    seen: &SeenOperation,
+) -> MoveDecision {
+    let operation = seen.id;
+    if let Some(reason) = cancel_reason(view.state, buffers, vm) {
+        return MoveDecision::Cancel { vm: id, operation, reason };
+    }
+    let report = view.reports.get(&id);
+    match operation::drain_status(view.state, vm, seen, DrainGoal::Move, report, view.now) {
+        DrainStatus::Drained(reason) => MoveDecision::Move { vm: id, operation, reason },
+        DrainStatus::Waiting(wait) => MoveDecision::Wait(MoveWait::Drain { vm: id, wait }),
+        DrainStatus::GiveUp { session, in_flight } => {
+            let reason = MoveCancelReason::RequestsInFlight { session, in_flight };
+            MoveDecision::Cancel { vm: id, operation, reason }
+        }
+    }
+}
+
+fn cancel_reason(
+    state: &ControlState,
+    buffers: &BTreeMap<PoolId, PoolBuffer>,
+    vm: &Vm,
+) -> Option<MoveCancelReason> {
+    let to = vm.pool_after_move();
+    let Some(target) = state.pools.get(to) else {
+        return Some(MoveCancelReason::PoolRemoved(to));
+    };
+    let healthy = match vm.health {
+        Health::Up | Health::Unknown => true,
+        Health::Down | Health::Leaving => false,
+    };
+    if !healthy || !state.data_centre_in_service(vm) {
+        return Some(MoveCancelReason::VmNotInService);
+    }
+    let needed = buffers.get(&vm.pool).is_some_and(|buffer| buffer.deficit() > 0);
+    (target.spec.spare && needed).then_some(MoveCancelReason::NeededAgain)
+}
+
+/// The next step of a VM that has its new pool. One that goes to a spare pool
+/// is not needed at once and is maintained on the way if a wave waits for it.
+pub(crate) fn step_moved(
+    view: MoveView<'_>,
+    id: VmId,
+    vm: &Vm,
+    seen: &SeenOperation,
+) -> MoveDecision {
+    let operation = seen.id;
+    let spare = view.state.pools.get(vm.pool).is_some_and(|pool| pool.spec.spare);
+    let in_service = vm.health == Health::Up && view.state.data_centre_in_service(vm);
+    if !spare || !in_service || view.state.running_waves_for(id).is_empty() {
+        return MoveDecision::Done { vm: id, operation };
+    }
+    let report = view.reports.get(&id);
+    match operation::drain_status(view.state, vm, seen, DrainGoal::Stop, report, view.now) {
+        DrainStatus::Drained(_) => MoveDecision::Reboot { vm: id, operation },
+        DrainStatus::Waiting(wait) => MoveDecision::Wait(MoveWait::Drain { vm: id, wait }),
+        DrainStatus::GiveUp { .. } => MoveDecision::Done { vm: id, operation },
+    }
+}
--- /dev/null
+++ b/lib/src/moves.rs
@@ -0,0 +1,279 @@
+//! Which VM changes its pool and when.
+//!
+//! A VM that a pool no longer needs stays until holding it has cost as much
+//! as moving it, as in the ski rental problem: whatever the demand does next,
+//! the cost is at most twice that of a policy that knows it. Until then it is
+//! lent to a pool that lacks one, which saves a move through the spare pool.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::budget::BudgetView;
+use crate::buffer::Demand;
+use crate::buffer::PoolBuffer;
+use crate::buffer::buffers;
+use crate::control::ControlState;
+use crate::control::OperationPhase;
+use crate::control::Vm;
+use crate::ids::PoolId;
+use crate::ids::VmId;
+use crate::move_choice::choose_vm;
+use crate::move_choice::deficit_reason;
+use crate::move_choice::has_room;
+use crate::move_choice::hold_ms;
+use crate::move_choice::learning;
+use crate::move_choice::missing;
+use crate::move_choice::pools_by_deficit;
+use crate::move_choice::shift;
+use crate::move_choice::step_drain;
+use crate::move_choice::step_moved;
+use crate::move_decision::MoveDecision;
+use crate::move_decision::MoveReason;
+use crate::move_decision::MoveWait;
+use crate::operation::Operations;
+use crate::operation::PROPOSAL_RETRY_MS;
+use crate::operation::RebootStatus;
+use crate::operation::SeenOperation;
+use crate::operation::VmReport;
+use crate::record::DrainPurpose;
+use crate::time::TimeMs;
+
+/// Time of holding a VM free that costs as much as a move, at equal weights.
+/// A move takes a VM out of service for about a minute and disturbs tasks.
+pub const MOVE_COST_MS: u64 = 900_000;
+
+/// Time for which a VM must have been more than a pool needs before the pool
+/// lends it.
+pub const LEND_AFTER_MS: u64 = 120_000;
+
+/// Time that a VM gets to come back when it is rebooted during a move and no
+/// wave says otherwise.
+const DEFAULT_REBOOT_TIMEOUT_MS: u64 = 1_800_000;
+
+/// What a planner decides on.
+#[derive(Clone, Copy, Debug)]
+pub struct MoveView<'a> {
+    /// The folded state.
+    pub state: &'a ControlState,
+    /// The time.
+    pub now: TimeMs,
+    /// Demand of the pools.
+    pub demand: &'a Demand,
+    /// Reports of VMs that have an operation.
+    pub reports: &'a BTreeMap<VmId, VmReport>,
+}
+
+/// Plans all moves. One process does so, the one whose session has the lowest
+/// id; two that race are settled by the fold.
+#[derive(Clone, Debug, Default)]
+pub struct MovePlanner {
+    operations: Operations,
+    /// Since when each VM above the high mark of a pool was there; the one
+    /// that has been there longest first.
+    surplus: BTreeMap<PoolId, Vec<TimeMs>>,
+    proposed: BTreeMap<VmId, (PoolId, TimeMs)>,
+}
+
+impl MovePlanner {
+    /// The decisions that are due. Called after each change of the fold and
+    /// at least once a second.
+    pub fn plan(&mut self, view: MoveView<'_>) -> Vec<MoveDecision> {
+        let is_move = |purpose| match purpose {
+            DrainPurpose::Move(_) => true,
+            DrainPurpose::Wave(_) => false,
+        };
+        self.operations.observe(view.state, view.now, is_move);
+        let (operations, now) = (&self.operations, view.now);
+        self.proposed.retain(|vm, (_, proposed)| {
+            !operations.contains(*vm) && now.since(*proposed) < PROPOSAL_RETRY_MS
+        });
+        let mut buffers = buffers(view.state, view.demand);
+        self.count_proposed(view.state, &mut buffers);
+        self.observe_surplus(view.now, &buffers);
+        let mut decisions = self.step_operations(view, &buffers);
+        decisions.extend(self.begin_moves(view, buffers));
+        decisions
+    }
+
+    /// Pools that are about to give a VM, for the order of waves.
+    pub fn due_moves(&self, state: &ControlState) -> BTreeSet<PoolId> {
+        let gives = |pool: &PoolId| state.pools.get(*pool).is_some_and(|pool| !pool.spec.spare);
+        let surplus = self.surplus.iter().filter(|(_, since)| !since.is_empty());
+        surplus.map(|(pool, _)| *pool).filter(gives).collect()
+    }
+
+    fn count_proposed(&self, state: &ControlState, buffers: &mut BTreeMap<PoolId, PoolBuffer>) {
+        for (id, (to, _)) in &self.proposed {
+            let Some(vm) = state.vms.get(*id) else { continue };
+            shift(buffers, vm.pool, *to);
+        }
+    }
+
+    fn observe_surplus(&mut self, now: TimeMs, buffers: &BTreeMap<PoolId, PoolBuffer>) {
+        self.surplus.retain(|pool, _| buffers.contains_key(pool));
+        for (pool, buffer) in buffers {
+            let since = self.surplus.entry(*pool).or_default();
+            since.resize(buffer.surplus() as usize, now);
+        }
+    }
+
+    fn step_operations(
+        &mut self,
+        view: MoveView<'_>,
+        buffers: &BTreeMap<PoolId, PoolBuffer>,
+    ) -> Vec<MoveDecision> {
+        let mut decisions = Vec::new();
+        for (id, seen) in self.operations.youngest_first() {
+            let Some(vm) = view.state.vms.get(id) else { continue };
+            let decision = match seen.phase {
+                OperationPhase::Draining => step_drain(view, buffers, id, vm, &seen),
+                OperationPhase::Moved => step_moved(view, id, vm, &seen),
+                OperationPhase::Rebooting => self.step_reboot(view, id, vm, &seen),
+            };
+            if decision.record().is_none() || self.operations.may_propose(id, view.now) {
+                decisions.push(decision);
+            }
+        }
+        decisions
+    }
+
+    fn step_reboot(
+        &mut self,
+        view: MoveView<'_>,
+        id: VmId,
+        vm: &Vm,
+        seen: &SeenOperation,
+    ) -> MoveDecision {
+        let operation = seen.id;
+        let waves = view.state.running_waves_for(id);
+        let timeout_ms = waves
+            .iter()
+            .filter_map(|wave| Some(view.state.waves.get(*wave)?.spec.reboot_timeout_ms))
+            .max()
+            .unwrap_or(DEFAULT_REBOOT_TIMEOUT_MS);
+        let report = view.reports.get(&id);
+        match self.operations.reboot_status(view.state, (id, vm), report, timeout_ms, view.now) {
+            RebootStatus::Back => MoveDecision::Done { vm: id, operation },
+            RebootStatus::Failed { waited_ms } => {
+                MoveDecision::Failed { vm: id, operation, waited_ms }
+            }
+            RebootStatus::CallPlatform => MoveDecision::CallPlatform { vm: id, operation },
+            RebootStatus::Waiting => MoveDecision::Wait(MoveWait::Reboot { vm: id }),
+        }
+    }
+
+    fn begin_moves(
+        &mut self,
+        view: MoveView<'_>,
+        mut buffers: BTreeMap<PoolId, PoolBuffer>,
+    ) -> Vec<MoveDecision> {
+        let mut budgets = BudgetView::new(view.state);
+        for vm in self.proposed.keys().filter_map(|id| view.state.vms.get(*id)) {
+            budgets.add_drain(vm);
+        }
+        let mut decisions = Vec::new();
+        let mut waits: BTreeSet<MoveWait> = learning(view.state, &buffers).collect();
+        for pool in pools_by_deficit(&buffers) {
+            while let Some(missing) = missing(view.state, &buffers, pool) {
+                let donors = self.donors(view, &buffers, pool);
+                match choose_vm(view, &donors, pool, &budgets, &self.proposed) {
+                    Ok((from, id)) => {
+                        let reason = deficit_reason(view, &buffers, from, pool);
+                        let begun = self.begin(view, &mut budgets, &mut buffers, id, pool, reason);
+                        decisions.push(begun);
+                    }
+                    Err(wait) => {
+                        waits.insert(wait.unwrap_or(MoveWait::NoDonor { pool, missing }));
+                        break;
+                    }
+                }
+            }
+        }
+        decisions.extend(self.return_surplus(view, &mut budgets, &mut buffers, &mut waits));
+        decisions.extend(waits.into_iter().map(MoveDecision::Wait));
+        decisions
+    }
+
+    /// Pools that can give a VM to `taker`: those that have had more than
+    /// they need for a while, the one whose bursts coincide least first, then
+    /// spare pools.
+    fn donors(
+        &self,
+        view: MoveView<'_>,
+        buffers: &BTreeMap<PoolId, PoolBuffer>,
+        taker: PoolId,
+    ) -> Vec<PoolId> {
+        let mut donors = Vec::new();
+        for (pool, buffer) in buffers.iter().filter(|(pool, _)| **pool != taker) {
+            let Some(entry) = view.state.pools.get(*pool) else { continue };
+            let longest = self.surplus.get(pool).and_then(|since| since.first());
+            let held_ms = longest.map_or(0, |since| view.now.since(*since));
+            if buffer.surplus() == 0 || buffer.have <= entry.spec.min_vms {
+                continue;
+            }
+            if !entry.spec.spare && held_ms < LEND_AFTER_MS {
+                continue;
+            }
+            let coincidence = view.demand.coincidence_permille(taker, *pool);
+            donors.push((entry.spec.spare, coincidence, *pool));
+        }
+        donors.sort_unstable();
+        donors.into_iter().map(|(_, _, pool)| pool).collect()
+    }
+
+    fn return_surplus(
+        &mut self,
+        view: MoveView<'_>,
+        budgets: &mut BudgetView,
+        buffers: &mut BTreeMap<PoolId, PoolBuffer>,
+        waits: &mut BTreeSet<MoveWait>,
+    ) -> Vec<MoveDecision> {
+        let spare = view.state.pools.iter().find(|(_, pool)| pool.spec.spare);
+        let Some((spare, _)) = spare else { return Vec::new() };
+        let hold_ms = hold_ms(&view.state.policy);
+        let mut decisions = Vec::new();
+        let pools: Vec<PoolId> = buffers.keys().copied().filter(|pool| *pool != spare).collect();
+        for pool in pools {
+            let held = self.surplus.get(&pool).cloned().unwrap_or_default();
+            let is_due = |since: &&TimeMs| view.now.since(**since) >= hold_ms;
+            for since in held.iter().filter(is_due) {
+                let free = buffers.get(&pool).is_some_and(|buffer| buffer.surplus() > 0);
+                if !free || !has_room(view.state, buffers, spare) {
+                    break;
+                }
+                let chosen = choose_vm(view, &[pool], spare, budgets, &self.proposed);
+                let (_, id) = match chosen {
+                    Ok(chosen) => chosen,
+                    Err(wait) => {
+                        waits.extend(wait);
+                        break;
+                    }
+                };
+                let reason = MoveReason::Surplus { held_ms: view.now.since(*since) };
+                decisions.push(self.begin(view, budgets, buffers, id, spare, reason));
+            }
+        }
+        decisions
+    }
+
+    fn begin(
+        &mut self,
+        view: MoveView<'_>,
+        budgets: &mut BudgetView,
+        buffers: &mut BTreeMap<PoolId, PoolBuffer>,
+        id: VmId,
+        to: PoolId,
+        reason: MoveReason,
+    ) -> MoveDecision {
+        let vm = view.state.vms.get(id).expect("the VM was chosen from the state");
+        budgets.add_drain(vm);
+        shift(buffers, vm.pool, to);
+        if let Some(since) = self.surplus.get_mut(&vm.pool)
+            && !since.is_empty()
+        {
+            since.remove(0);
+        }
+        self.proposed.insert(id, (to, view.now));
+        MoveDecision::BeginDrain { vm: id, from: vm.pool, to, reason }
+    }
+}
--- a/lib/src/wave.rs
+++ b/lib/src/wave.rs
@@ -10,20 +10,22 @@
 use crate::budget::BudgetView;
 use crate::config::WaveSpec;
 use crate::control::ControlState;
-use crate::control::Operation;
 use crate::control::OperationPhase;
 use crate::control::Vm;
 use crate::control::Wave;
-use crate::drain;
-use crate::drain::Drain;
 use crate::drain::DrainGoal;
-use crate::drain::DrainReport;
 use crate::drain::DrainStatus;
 use crate::ids::Offset;
 use crate::ids::OperationId;
 use crate::ids::PoolId;
 use crate::ids::VmId;
 use crate::ids::WaveId;
+use crate::operation;
+use crate::operation::Operations;
+use crate::operation::PROPOSAL_RETRY_MS;
+use crate::operation::RebootStatus;
+use crate::operation::SeenOperation;
+use crate::operation::VmReport;
 use crate::record::DrainPurpose;
 use crate::record::Health;
 use crate::record::WavePhase;
@@ -34,29 +36,12 @@
 use crate::wave_decision::WaveWait;
 use crate::wave_order;
 
-/// Time after which a proposal that the fold does not show is made again. An
-/// append normally takes some tens of milliseconds.
-pub const PROPOSAL_RETRY_MS: u64 = 2000;
-
-/// Time after which the platform is asked again for a reboot.
-pub const PLATFORM_RETRY_MS: u64 = 10_000;
-
 /// Time for which a VM is left alone after its drain was given up.
 pub const GIVE_UP_BACKOFF_MS: u64 = 60_000;
 
 /// Time that a VM gets to come back when its wave was removed meanwhile.
 const REMOVED_REBOOT_TIMEOUT_MS: u64 = 1_800_000;
 
-/// What this process knows about a VM apart from the fold.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct VmReport {
-    /// What is in flight to the VM.
-    pub drain: DrainReport,
-    /// Since when the VM is back and healthy after the reboot of its
-    /// operation.
-    pub back_since: Option<TimeMs>,
-}
-
 /// What a planner decides on.
 #[derive(Clone, Copy, Debug)]
 pub struct WaveView<'a> {
@@ -74,29 +59,19 @@
 #[derive(Clone, Debug)]
 pub struct WavePlanner {
     wave: WaveId,
-    operations: BTreeMap<VmId, SeenOperation>,
+    operations: Operations,
     soaking: BTreeMap<VmId, TimeMs>,
     proposed_drains: BTreeMap<VmId, TimeMs>,
     proposed_update: Option<TimeMs>,
     left_alone: BTreeMap<VmId, TimeMs>,
 }
 
-/// When this process saw an operation.
-#[derive(Clone, Copy, Debug)]
-struct SeenOperation {
-    id: OperationId,
-    phase: OperationPhase,
-    since: TimeMs,
-    proposed: Option<TimeMs>,
-    called: Option<TimeMs>,
-}
-
 impl WavePlanner {
     /// A planner of a wave.
     pub fn new(wave: WaveId) -> Self {
         Self {
             wave,
-            operations: BTreeMap::new(),
+            operations: Operations::default(),
             soaking: BTreeMap::new(),
             proposed_drains: BTreeMap::new(),
             proposed_update: None,
@@ -140,24 +115,9 @@
 
     fn observe(&mut self, view: WaveView<'_>, wave: &Wave) {
         let purpose = DrainPurpose::Wave(self.wave);
-        let current: BTreeMap<VmId, Operation> = view
-            .state
-            .vms
-            .iter()
-            .filter_map(|(id, vm)| Some((id, vm.operation?)))
-            .filter(|(_, operation)| operation.purpose == purpose)
-            .collect();
-        self.operations.retain(|vm, _| current.contains_key(vm));
-        for (vm, operation) in current {
-            let Operation { id, phase, purpose: _ } = operation;
-            let seen = self.operations.get(&vm);
-            if !seen.is_some_and(|seen| seen.id == id && seen.phase == phase) {
-                let since = view.now;
-                let seen = SeenOperation { id, phase, since, proposed: None, called: None };
-                self.operations.insert(vm, seen);
-            }
-            self.proposed_drains.remove(&vm);
-        }
+        self.operations.observe(view.state, view.now, |other| other == purpose);
+        let operations = &self.operations;
+        self.proposed_drains.retain(|vm, _| !operations.contains(*vm));
         let now = view.now;
         self.proposed_drains.retain(|_, proposed| now.since(*proposed) < PROPOSAL_RETRY_MS);
         self.left_alone.retain(|_, since| now.since(*since) < GIVE_UP_BACKOFF_MS);
@@ -180,19 +140,15 @@
         let mut excess = self.unproven(wave, view.now).saturating_sub(width_of(wave));
         let mut decisions = Vec::new();
         // The youngest drains are given up first when the wave was narrowed.
-        let mut order: Vec<(OperationId, VmId)> =
-            self.operations.iter().map(|(vm, seen)| (seen.id, *vm)).collect();
-        order.sort_unstable_by(|left, right| right.cmp(left));
-        for (_, id) in order {
+        for (id, seen) in self.operations.youngest_first() {
             let Some(vm) = view.state.vms.get(id) else { continue };
-            let Some(seen) = self.operations.get(&id).copied() else { continue };
             let decision = match seen.phase {
                 OperationPhase::Draining => {
                     let cancel = cancel_reason(view.state, wave, vm, excess);
                     excess = excess.saturating_sub(u32::from(cancel.is_some()));
-                    step_drain(view, id, vm, seen, cancel)
+                    step_drain(view, id, vm, &seen, cancel)
                 }
-                OperationPhase::Rebooting => self.step_reboot(view, wave, id, vm),
+                OperationPhase::Rebooting => self.step_reboot(view, wave, id, vm, seen.id),
                 // A wave moves no VM.
                 OperationPhase::Moved => continue,
             };
@@ -201,30 +157,24 @@
         decisions
     }
 
-    fn step_reboot(&mut self, view: WaveView<'_>, wave: &Wave, id: VmId, vm: &Vm) -> WaveDecision {
-        let Some(seen) = self.operations.get_mut(&id) else {
-            return WaveDecision::Wait(WaveWait::Reboot { vm: id });
-        };
-        let operation = seen.id;
-        let back = view.reports.get(&id).is_some_and(|report| report.back_since.is_some());
-        if back && vm.health == Health::Up {
-            return WaveDecision::Done { vm: id, operation };
-        }
-        if !view.state.data_centre_in_service(vm) {
-            // Whatever took the data centre out may keep the VM away.
-            seen.since = view.now;
-            return WaveDecision::Wait(WaveWait::Reboot { vm: id });
-        }
-        let waited_ms = view.now.since(seen.since);
-        if waited_ms >= wave.spec.reboot_timeout_ms {
-            return WaveDecision::Failed { vm: id, operation, waited_ms };
-        }
-        let due = seen.called.is_none_or(|called| view.now.since(called) >= PLATFORM_RETRY_MS);
-        if due && !back {
-            seen.called = Some(view.now);
-            return WaveDecision::CallPlatform { vm: id, operation };
+    fn step_reboot(
+        &mut self,
+        view: WaveView<'_>,
+        wave: &Wave,
+        id: VmId,
+        vm: &Vm,
+        operation: OperationId,
+    ) -> WaveDecision {
+        let timeout_ms = wave.spec.reboot_timeout_ms;
+        let report = view.reports.get(&id);
+        match self.operations.reboot_status(view.state, (id, vm), report, timeout_ms, view.now) {
+            RebootStatus::Back => WaveDecision::Done { vm: id, operation },
+            RebootStatus::Failed { waited_ms } => {
+                WaveDecision::Failed { vm: id, operation, waited_ms }
+            }
+            RebootStatus::CallPlatform => WaveDecision::CallPlatform { vm: id, operation },
+            RebootStatus::Waiting => WaveDecision::Wait(WaveWait::Reboot { vm: id }),
         }
-        WaveDecision::Wait(WaveWait::Reboot { vm: id })
     }
 
     /// Drops a record that was proposed a moment ago.
@@ -237,11 +187,9 @@
         if decision.record().is_none() {
             return Some(decision);
         }
-        let seen = self.operations.get_mut(&vm)?;
-        if seen.proposed.is_some_and(|proposed| now.since(proposed) < PROPOSAL_RETRY_MS) {
+        if !self.operations.may_propose(vm, now) {
             return None;
         }
-        seen.proposed = Some(now);
         if let WaveDecision::Cancel { reason: CancelReason::RequestsInFlight { .. }, .. } = decision
         {
             self.left_alone.insert(vm, now);
@@ -394,17 +342,15 @@
     view: WaveView<'_>,
     id: VmId,
     vm: &Vm,
-    seen: SeenOperation,
+    seen: &SeenOperation,
     cancel: Option<CancelReason>,
 ) -> WaveDecision {
     let operation = seen.id;
     if let Some(reason) = cancel {
         return WaveDecision::Cancel { vm: id, operation, reason };
     }
-    let drain = Drain::new(view.state, vm.pool, operation, DrainGoal::Stop, seen.since);
-    let unknown = DrainReport::default();
-    let report = view.reports.get(&id).map_or(&unknown, |report| &report.drain);
-    match drain::status(view.state, &drain, report, view.now) {
+    let report = view.reports.get(&id);
+    match operation::drain_status(view.state, vm, seen, DrainGoal::Stop, report, view.now) {
         DrainStatus::Drained(reason) => WaveDecision::Reboot { vm: id, operation, reason },
         DrainStatus::Waiting(wait) => WaveDecision::Wait(WaveWait::Drain { vm: id, wait }),
         DrainStatus::GiveUp { session, in_flight } => {
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -26,6 +26,7 @@
 use cowslipport_lib::ids::RecordId;
 use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::ids::VmId;
+use cowslipport_lib::operation::VmReport;
 use cowslipport_lib::record::ControlRecord;
 use cowslipport_lib::record::Health;
 use cowslipport_lib::record::RecordBody;
@@ -35,7 +36,6 @@
 use cowslipport_lib::record::VmStep;
 use cowslipport_lib::resources::Resources;
 use cowslipport_lib::time::TimeMs;
-use cowslipport_lib::wave::VmReport;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
