--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,9 +3,11 @@
 
 pub mod arena;
 pub mod budget;
+pub mod buffer;
 pub mod config;
 mod config_diff;
 pub mod control;
+pub mod data_centre_change;
 pub mod drain;
 pub mod ejection;
 pub mod file_kind;
@@ -22,6 +24,10 @@
 pub mod job_log;
 mod job_queue;
 pub mod keys;
+mod move_choice;
+pub mod move_decision;
+pub mod moves;
+pub mod operation;
 pub mod placement;
 mod placement_check;
 mod placement_choice;
