standin: VM list, workers, upstreams and a whole fleet

Tests and the demo need the rest of the platform. Workers fence by epoch and ticket, keep task leases on their own clock, report usage late, and check that what they run fits. Upstreams count runs by idempotency key and break answers on demand. The VM list lags, reboots by token, and runs the processes of its VMs on addresses that survive a reboot. A recorder task keeps fleet-wide sums of each team, ordered by the time of the change, and the runs of each request.

--- /dev/null
+++ b/standin/src/fleet.rs
@@ -0,0 +1,149 @@
+//! A whole small platform on loopback: log, VM list, and VMs with workers and
+//! upstream instances.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use cowslipport_lib::record::VmJoined;
+
+use crate::clock::Clock;
+use crate::log_server;
+use crate::log_server::LogMessage;
+use crate::log_store::LogLimits;
+use crate::machine::MachineMailboxes;
+use crate::machine::MachineSpec;
+use crate::recorder;
+use crate::recorder::RecorderMessage;
+use crate::recorder::Summary;
+use crate::serve::Error;
+use crate::serve::Handle;
+use crate::upstream_model::UpstreamSettings;
+use crate::vm_inventory::InventorySettings;
+use crate::vm_list_server;
+use crate::vm_list_server::VmListMessage;
+use crate::worker_agent::WorkerSettings;
+
+/// VMs of one pool in one rack.
+#[derive(Clone, Debug)]
+pub struct RackSpec {
+    /// Name of the data centre.
+    pub data_centre: String,
+    /// Name of the rack, unique in the data centre.
+    pub rack: String,
+    /// Name of the pool.
+    pub pool: String,
+    /// Number of VMs.
+    pub vms: u32,
+}
+
+/// A whole platform.
+#[derive(Clone, Debug, Default)]
+pub struct FleetSpec {
+    /// Limits of the log.
+    pub log: LogLimits,
+    /// What the VM list does.
+    pub inventory: InventorySettings,
+    /// What each worker can do.
+    pub worker: WorkerSettings,
+    /// What each upstream instance can do; VMs have none if none.
+    pub upstream: Option<UpstreamSettings>,
+    /// The VMs.
+    pub racks: Vec<RackSpec>,
+    /// Port of the log; any if zero.
+    pub log_port: u16,
+    /// Port of the VM list; any if zero.
+    pub vm_list_port: u16,
+    /// Decides which calls the log rejects.
+    pub seed: u64,
+}
+
+/// A running platform.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The log.
+    pub log: Handle<LogMessage>,
+    /// The VM list.
+    pub vm_list: Handle<VmListMessage>,
+    /// The history of all VMs.
+    pub recorder: mpsc::Sender<RecorderMessage>,
+    /// The VMs that were started.
+    pub vms: Vec<VmJoined>,
+    /// The clock of all histories.
+    pub clock: Clock,
+}
+
+/// Starts a platform. It needs the local runtime of `actix-rt`.
+pub async fn start(spec: FleetSpec) -> Result<Fleet, Error> {
+    let clock = Clock::start();
+    let loopback = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+    let log = log_server::start(loopback(spec.log_port), spec.log, spec.seed).await?;
+    let recorder = recorder::start();
+    let list_address = loopback(spec.vm_list_port);
+    let vm_list =
+        vm_list_server::start(list_address, spec.inventory, clock, recorder.clone()).await?;
+    let mut fleet = Fleet { log, vm_list, recorder, vms: Vec::new(), clock };
+    for rack in &spec.racks {
+        for index in 0..rack.vms {
+            fleet.run(machine(&spec, rack, index)).await?;
+        }
+    }
+    Ok(fleet)
+}
+
+fn machine(spec: &FleetSpec, rack: &RackSpec, index: u32) -> MachineSpec {
+    let RackSpec { data_centre, rack, pool, vms: _ } = rack;
+    MachineSpec {
+        name: format!("{data_centre}-{rack}-{pool}-{index}"),
+        data_centre: data_centre.clone(),
+        rack: rack.clone(),
+        pool: pool.clone(),
+        worker: spec.worker,
+        upstream: spec.upstream,
+    }
+}
+
+impl Fleet {
+    /// Starts one more VM.
+    pub async fn run(&mut self, spec: MachineSpec) -> Result<VmJoined, Error> {
+        let (reply, started) = oneshot::channel();
+        self.tell(VmListMessage::Run { spec, reply }).await;
+        let joined = started.await.expect("the VM list runs as long as the fleet")?;
+        self.vms.push(joined.clone());
+        Ok(joined)
+    }
+
+    /// Sends a message to the VM list.
+    pub async fn tell(&self, message: VmListMessage) {
+        let sent = self.vm_list.mailbox().send(message).await;
+        assert!(sent.is_ok(), "the VM list runs as long as the fleet");
+    }
+
+    /// Mailboxes of the processes of a VM; none if it is not up.
+    pub async fn mailboxes(&self, vm: &str) -> Option<MachineMailboxes> {
+        let (reply, mailboxes) = oneshot::channel();
+        self.tell(VmListMessage::Mailboxes { vm: vm.to_owned(), reply }).await;
+        mailboxes.await.ok().flatten()
+    }
+
+    /// Counts over the whole fleet.
+    pub async fn summary(&self) -> Summary {
+        let (reply, summary) = oneshot::channel();
+        let sent = self.recorder.send(RecorderMessage::Summary(reply)).await;
+        assert!(sent.is_ok(), "the recorder runs as long as the fleet");
+        summary.await.expect("the recorder runs as long as the fleet")
+    }
+
+    /// Ends all VMs, the VM list and the log.
+    pub async fn shutdown(self) {
+        let (reply, off) = oneshot::channel();
+        self.tell(VmListMessage::PowerOffAll(reply)).await;
+        // The list may have panicked; the sockets are closed anyway.
+        let _ = off.await;
+        self.vm_list.shutdown().await;
+        self.log.shutdown().await;
+    }
+}
--- /dev/null
+++ b/standin/src/history.rs
@@ -0,0 +1,123 @@
+//! What ran in the whole fleet: amounts of teams over time, and requests by
+//! idempotency key.
+
+use std::collections::BTreeMap;
+
+use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::resources::Resources;
+use cowslipport_lib::time::TimeMs;
+
+use crate::worker_agent::RunningSample;
+
+/// How often a request was run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Runs {
+    /// Times that an upstream began it.
+    pub started: u32,
+    /// Times that an upstream ended it.
+    pub finished: u32,
+}
+
+/// The sums over the fleet of what a team occupies, from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSample {
+    /// When it began.
+    pub at: TimeMs,
+    /// Sum of the declared sizes.
+    pub requested: Resources,
+    /// Sum of what the tasks use.
+    pub used: Resources,
+}
+
+/// Reports of workers and upstreams, in order of time.
+#[derive(Debug, Default)]
+pub struct FleetHistory {
+    running: BTreeMap<TeamId, BTreeMap<String, RunningSample>>,
+    changes: BTreeMap<TeamId, Vec<(String, RunningSample)>>,
+    runs: BTreeMap<String, Runs>,
+    /// Requests in flight on each VM.
+    in_flight: BTreeMap<String, u32>,
+    interrupted_requests: u32,
+    interrupted_tasks: u32,
+}
+
+impl FleetHistory {
+    /// Takes note of what a team occupies on one VM.
+    pub fn note_running(&mut self, vm: &str, sample: RunningSample) {
+        self.running.entry(sample.team).or_default().insert(vm.to_owned(), sample);
+        self.changes.entry(sample.team).or_default().push((vm.to_owned(), sample));
+    }
+
+    /// Takes note of a request that an upstream begins.
+    pub fn note_started(&mut self, vm: &str, key: &str) {
+        self.runs.entry(key.to_owned()).or_default().started += 1;
+        *self.in_flight.entry(vm.to_owned()).or_default() += 1;
+    }
+
+    /// Takes note of a request that an upstream has ended.
+    pub fn note_finished(&mut self, vm: &str, key: &str) {
+        self.runs.entry(key.to_owned()).or_default().finished += 1;
+        let in_flight = self.in_flight.entry(vm.to_owned()).or_default();
+        *in_flight = in_flight.saturating_sub(1);
+    }
+
+    /// Takes note of a VM that goes away with all that runs on it.
+    pub fn note_down(&mut self, vm: &str, at: TimeMs) {
+        self.interrupted_requests += self.in_flight.remove(vm).unwrap_or(0);
+        let occupied: Vec<RunningSample> =
+            self.running.values().filter_map(|by_vm| by_vm.get(vm)).copied().collect();
+        for sample in occupied {
+            self.interrupted_tasks += sample.tasks;
+            let (requested, used) = (Resources::ZERO, Resources::ZERO);
+            self.note_running(vm, RunningSample { at, tasks: 0, requested, used, ..sample });
+        }
+    }
+
+    /// The sums of a team over time, one for each millisecond in which they
+    /// change. Reports of different VMs may arrive in another order than they
+    /// were made in, so the changes are ordered by their own time.
+    pub fn samples(&self, team: TeamId) -> Vec<FleetSample> {
+        let mut changes = self.changes.get(&team).cloned().unwrap_or_default();
+        changes.sort_by_key(|(_, sample)| sample.at);
+        let mut by_vm: BTreeMap<&str, RunningSample> = BTreeMap::new();
+        let mut samples = Vec::new();
+        for group in changes.chunk_by(|(_, left), (_, right)| left.at == right.at) {
+            by_vm.extend(group.iter().map(|(vm, sample)| (vm.as_str(), *sample)));
+            let at = group[0].1.at;
+            let mut sum = FleetSample { at, requested: Resources::ZERO, used: Resources::ZERO };
+            for sample in by_vm.values() {
+                sum.requested = sum.requested.saturating_add(sample.requested);
+                sum.used = sum.used.saturating_add(sample.used);
+            }
+            samples.push(sum);
+        }
+        samples
+    }
+
+    /// The largest declared amount of a team, in each resource on its own.
+    pub fn peak_requested(&self, team: TeamId) -> Resources {
+        let samples = self.samples(team);
+        samples.iter().fold(Resources::ZERO, |peak, sample| peak.max(sample.requested))
+    }
+
+    /// Runs by idempotency key.
+    pub fn runs(&self) -> &BTreeMap<String, Runs> {
+        &self.runs
+    }
+
+    /// Keys whose request was begun more than once.
+    pub fn repeated(&self) -> Vec<String> {
+        let repeated = self.runs.iter().filter(|(_, runs)| runs.started > 1);
+        repeated.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Requests that were in flight on a VM when it went away.
+    pub fn interrupted_requests(&self) -> u32 {
+        self.interrupted_requests
+    }
+
+    /// Tasks that ran on a VM when it went away.
+    pub fn interrupted_tasks(&self) -> u32 {
+        self.interrupted_tasks
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,18 @@
 //! bounded mailbox. Faults are messages to that mailbox.
 
 pub mod clock;
+pub mod fleet;
+pub mod history;
 pub mod log_server;
 pub mod log_store;
+pub mod machine;
+pub mod recorder;
 pub mod serve;
+mod upstream_http;
+pub mod upstream_model;
+pub mod upstream_server;
+pub mod vm_inventory;
+pub mod vm_list_server;
+pub mod worker_agent;
+pub mod worker_server;
+pub mod worker_task;
--- a/standin/src/log_server.rs
+++ b/standin/src/log_server.rs
@@ -83,9 +83,9 @@
         waiting: Vec::new(),
         unanswered: Vec::new(),
     };
-    let state = tokio::spawn(task.run());
+    let state = actix_rt::spawn(task.run());
     let service = LogServer::new(LogService { mailbox: mailbox.clone() });
-    let server = tokio::spawn(async move {
+    let server = actix_rt::spawn(async move {
         let shutdown = async move { drop(stopped.await) };
         let incoming = TcpListenerStream::new(listener);
         // An error of the listener ends the stand-in; its clients see that.
--- /dev/null
+++ b/standin/src/upstream_server.rs
@@ -0,0 +1,160 @@
+//! An upstream instance as an HTTP server. A request runs for the time that
+//! its `x-service-ms` header says; the response repeats method, path,
+//! idempotency key and body, so that a caller can check that it is whole and
+//! its own.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use crate::clock::Clock;
+use crate::history::Runs;
+use crate::recorder::Reporter;
+use crate::serve;
+use crate::serve::Error;
+use crate::serve::Handle;
+use crate::upstream_http;
+use crate::upstream_model::Admission;
+use crate::upstream_model::AnswerFault;
+use crate::upstream_model::RequestEvent;
+use crate::upstream_model::RequestNumber;
+use crate::upstream_model::UpstreamFaults;
+use crate::upstream_model::UpstreamModel;
+use crate::upstream_model::UpstreamSettings;
+
+/// Messages to the task that owns an instance.
+#[derive(Debug)]
+pub enum UpstreamMessage {
+    /// A request arrives.
+    Request {
+        /// Idempotency key, empty if there is none.
+        key: String,
+        /// Service time, if the request says one.
+        service_ms: Option<u64>,
+        /// Gets the end.
+        reply: oneshot::Sender<RequestEnd>,
+    },
+    /// Replaces the faults.
+    SetFaults(UpstreamFaults),
+    /// Asks how often each request was run.
+    Runs(oneshot::Sender<BTreeMap<String, Runs>>),
+}
+
+/// How a request ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// It has run and is answered.
+    Answer(AnswerFault),
+    /// It is refused and not run.
+    Refused,
+    /// It is refused and not run, as the instance is leaving.
+    Leaving,
+}
+
+/// Starts an upstream instance. It needs the local runtime of `actix-rt`.
+pub async fn start(
+    listen: SocketAddr,
+    settings: UpstreamSettings,
+    clock: Clock,
+    reporter: Reporter,
+) -> Result<Handle<UpstreamMessage>, Error> {
+    let (listener, address) = serve::bind(listen).await?;
+    let (mailbox, messages) = mpsc::channel(serve::MAILBOX_MESSAGES);
+    let (stop, stopped) = oneshot::channel();
+    let task = UpstreamTask {
+        model: UpstreamModel::new(settings),
+        clock,
+        reporter,
+        messages,
+        replies: BTreeMap::new(),
+    };
+    let state = actix_rt::spawn(task.run());
+    let server = actix_rt::spawn(accept(listener, mailbox.clone(), stopped));
+    Ok(Handle::new(address, mailbox, stop, server, state))
+}
+
+/// Accepts connections until the stand-in stops; its connections end with it.
+async fn accept(
+    listener: TcpListener,
+    mailbox: mpsc::Sender<UpstreamMessage>,
+    mut stopped: oneshot::Receiver<()>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { break };
+                connections.spawn_local(upstream_http::serve(stream, mailbox.clone()));
+            }
+            Some(_) = connections.join_next() => {}
+            _ = &mut stopped => break,
+        }
+    }
+}
+
+/// Owns an instance and the requests that wait for their end.
+struct UpstreamTask {
+    model: UpstreamModel,
+    clock: Clock,
+    reporter: Reporter,
+    messages: mpsc::Receiver<UpstreamMessage>,
+    replies: BTreeMap<RequestNumber, oneshot::Sender<RequestEnd>>,
+}
+
+impl UpstreamTask {
+    async fn run(mut self) {
+        loop {
+            let deadline = self.model.next_event();
+            tokio::select! {
+                message = self.messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => break,
+                },
+                () = self.clock.sleep_until(deadline) => {}
+            }
+            self.model.advance(self.clock.now());
+            for event in self.model.take_events() {
+                self.publish(event).await;
+            }
+        }
+    }
+
+    /// Acts on a message.
+    fn handle(&mut self, message: UpstreamMessage) {
+        match message {
+            UpstreamMessage::Request { key, service_ms, reply } => {
+                match self.model.arrive(self.clock.now(), &key, service_ms) {
+                    Admission::Accepted(number) => drop(self.replies.insert(number, reply)),
+                    Admission::Refused => end(reply, RequestEnd::Refused),
+                    Admission::Leaving => end(reply, RequestEnd::Leaving),
+                    Admission::Closed => {
+                        end(reply, RequestEnd::Answer(AnswerFault::CloseAfterRead));
+                    }
+                }
+            }
+            UpstreamMessage::SetFaults(faults) => self.model.set_faults(faults),
+            UpstreamMessage::Runs(reply) => drop(reply.send(self.model.runs().clone())),
+        }
+    }
+
+    async fn publish(&mut self, event: RequestEvent) {
+        match event {
+            RequestEvent::Started { key } => self.reporter.started(key).await,
+            RequestEvent::Finished { number, key, answer } => {
+                self.reporter.finished(key).await;
+                if let Some(reply) = self.replies.remove(&number) {
+                    end(reply, RequestEnd::Answer(answer));
+                }
+            }
+        }
+    }
+}
+
+/// Ends a request. Its caller may be gone.
+fn end(reply: oneshot::Sender<RequestEnd>, end: RequestEnd) {
+    let _ = reply.send(end);
+}
--- /dev/null
+++ b/standin/src/vm_list_server.rs
@@ -0,0 +1,298 @@
+//! The VM list as a gRPC server, which also runs the processes of its VMs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::transport::Server;
+
+use cowslipport_lib::protos::platform as raw;
+use cowslipport_lib::protos::platform::vm_list_server::VmList;
+use cowslipport_lib::protos::platform::vm_list_server::VmListServer;
+use cowslipport_lib::record::VmJoined;
+use cowslipport_lib::time::TimeMs;
+
+use crate::clock::Clock;
+use crate::machine::Machine;
+use crate::machine::MachineMailboxes;
+use crate::machine::MachineSpec;
+use crate::recorder::RecorderMessage;
+use crate::serve;
+use crate::serve::Error;
+use crate::serve::Handle;
+use crate::vm_inventory::InventorySettings;
+use crate::vm_inventory::ListedVm;
+use crate::vm_inventory::RebootError;
+use crate::vm_inventory::RebootOutcome;
+use crate::vm_inventory::VmInventory;
+use crate::vm_inventory::VmListFaults;
+
+/// Messages to the task that owns the VM list.
+#[derive(Debug)]
+pub enum VmListMessage {
+    /// A call of the service.
+    Call(VmListCall),
+    /// Replaces the faults.
+    SetFaults(VmListFaults),
+    /// Adds a VM that somebody else runs.
+    Add(VmJoined),
+    /// Starts the processes of a VM and adds it.
+    Run {
+        /// The VM.
+        spec: MachineSpec,
+        /// Gets what the list will show.
+        reply: oneshot::Sender<Result<VmJoined, Error>>,
+    },
+    /// Removes a VM and ends its processes.
+    Remove {
+        /// Name of the VM.
+        vm: String,
+    },
+    /// Ends the processes of a VM without a word on the list.
+    PowerOff {
+        /// Name of the VM.
+        vm: String,
+    },
+    /// Starts the processes of a VM again.
+    PowerOn {
+        /// Name of the VM.
+        vm: String,
+    },
+    /// Marks a VM as leaving, or takes the mark away.
+    SetLeaving {
+        /// Name of the VM.
+        vm: String,
+        /// The mark.
+        leaving: bool,
+    },
+    /// Asks for the mailboxes of a VM's processes; none if it is not up.
+    Mailboxes {
+        /// Name of the VM.
+        vm: String,
+        /// Gets the mailboxes.
+        reply: oneshot::Sender<Option<MachineMailboxes>>,
+    },
+    /// Asks how many reboots were begun.
+    Reboots(oneshot::Sender<u64>),
+    /// Ends the processes of all VMs.
+    PowerOffAll(oneshot::Sender<()>),
+}
+
+/// A call of the service.
+#[derive(Debug)]
+pub enum VmListCall {
+    /// Lists the VMs.
+    List(oneshot::Sender<Result<Vec<ListedVm>, Status>>),
+    /// Reboots a VM.
+    Reboot {
+        /// Name of the VM.
+        vm: String,
+        /// Identifies the request, so that it takes effect once.
+        token: String,
+        /// Gets the result.
+        reply: oneshot::Sender<Result<(), Status>>,
+    },
+}
+
+/// Starts a VM list. It needs the local runtime of `actix-rt`.
+pub async fn start(
+    listen: SocketAddr,
+    settings: InventorySettings,
+    clock: Clock,
+    recorder: mpsc::Sender<RecorderMessage>,
+) -> Result<Handle<VmListMessage>, Error> {
+    let (listener, address) = serve::bind(listen).await?;
+    let (mailbox, messages) = mpsc::channel(serve::MAILBOX_MESSAGES);
+    let (stop, stopped) = oneshot::channel::<()>();
+    let task = VmListTask {
+        inventory: VmInventory::new(settings),
+        machines: BTreeMap::new(),
+        clock,
+        recorder,
+        messages,
+        delayed: BTreeMap::new(),
+        next_delayed: 0,
+    };
+    let state = actix_rt::spawn(task.run());
+    let service = VmListServer::new(VmListService { mailbox: mailbox.clone() });
+    let server = actix_rt::spawn(async move {
+        let shutdown = async move { drop(stopped.await) };
+        let incoming = TcpListenerStream::new(listener);
+        // An error of the listener ends the stand-in; its clients see that.
+        let _ = Server::builder()
+            .add_service(service)
+            .serve_with_incoming_shutdown(incoming, shutdown)
+            .await;
+    });
+    Ok(Handle::new(address, mailbox, stop, server, state))
+}
+
+struct VmListService {
+    mailbox: mpsc::Sender<VmListMessage>,
+}
+
+#[tonic::async_trait]
+impl VmList for VmListService {
+    async fn list(
+        &self,
+        _request: Request<raw::ListRequest>,
+    ) -> Result<Response<raw::ListReply>, Status> {
+        let call = |reply| VmListMessage::Call(VmListCall::List(reply));
+        let listed = serve::ask(&self.mailbox, call).await??;
+        let to_raw = |entry: &ListedVm| raw::ListedVm {
+            vm: Some((&entry.vm).into()),
+            leaving: entry.leaving,
+        };
+        Ok(Response::new(raw::ListReply { vms: listed.iter().map(to_raw).collect() }))
+    }
+
+    async fn reboot(
+        &self,
+        request: Request<raw::RebootRequest>,
+    ) -> Result<Response<raw::RebootReply>, Status> {
+        let raw::RebootRequest { vm, token } = request.into_inner();
+        let call = |reply| VmListMessage::Call(VmListCall::Reboot { vm, token, reply });
+        serve::ask(&self.mailbox, call).await??;
+        Ok(Response::new(raw::RebootReply {}))
+    }
+}
+
+/// Owns the VMs, their processes, and the calls that are held back.
+struct VmListTask {
+    inventory: VmInventory,
+    machines: BTreeMap<String, Machine>,
+    clock: Clock,
+    recorder: mpsc::Sender<RecorderMessage>,
+    messages: mpsc::Receiver<VmListMessage>,
+    /// Calls held back by the delay, by the time at which they take effect.
+    delayed: BTreeMap<(TimeMs, u64), VmListCall>,
+    next_delayed: u64,
+}
+
+impl VmListTask {
+    async fn run(mut self) {
+        loop {
+            let delayed = self.delayed.first_key_value().map(|((time, _), _)| *time);
+            let deadline = delayed.into_iter().chain(self.inventory.next_event()).min();
+            tokio::select! {
+                message = self.messages.recv() => match message {
+                    Some(message) => self.handle(message).await,
+                    None => break,
+                },
+                () = self.clock.sleep_until(deadline) => {}
+            }
+            self.run_delayed().await;
+            for name in self.inventory.advance(self.clock.now()) {
+                self.power_on(&name).await;
+            }
+        }
+    }
+
+    /// Acts on a message. An asker that is gone gets no reply.
+    async fn handle(&mut self, message: VmListMessage) {
+        let now = self.clock.now();
+        match message {
+            VmListMessage::Call(call) => {
+                let effect_at = now.plus(self.inventory.faults().delay_ms);
+                self.delayed.insert((effect_at, self.next_delayed), call);
+                self.next_delayed += 1;
+            }
+            VmListMessage::SetFaults(faults) => self.inventory.set_faults(faults),
+            VmListMessage::Add(vm) => self.inventory.add(now, vm),
+            VmListMessage::Run { spec, reply } => drop(reply.send(self.run_machine(spec).await)),
+            VmListMessage::Remove { vm } => {
+                self.power_off(&vm).await;
+                self.machines.remove(&vm);
+                self.inventory.remove(now, &vm);
+            }
+            VmListMessage::PowerOff { vm } => self.power_off(&vm).await,
+            VmListMessage::PowerOn { vm } => self.power_on(&vm).await,
+            VmListMessage::SetLeaving { vm, leaving } => {
+                self.inventory.set_leaving(now, &vm, leaving);
+            }
+            VmListMessage::Mailboxes { vm, reply } => {
+                drop(reply.send(self.machines.get(&vm).and_then(Machine::mailboxes)));
+            }
+            VmListMessage::Reboots(reply) => {
+                let _ = reply.send(self.inventory.reboots());
+            }
+            VmListMessage::PowerOffAll(reply) => {
+                for machine in self.machines.values_mut() {
+                    machine.power_off().await;
+                }
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    async fn run_machine(&mut self, spec: MachineSpec) -> Result<VmJoined, Error> {
+        let machine = Machine::start(spec, self.clock, self.recorder.clone()).await?;
+        let joined = machine.joined();
+        self.inventory.add(self.clock.now(), joined.clone());
+        self.machines.insert(joined.name.clone(), machine);
+        Ok(joined)
+    }
+
+    async fn power_on(&mut self, vm: &str) {
+        if let Some(machine) = self.machines.get_mut(vm) {
+            // A VM whose port was taken by another process stays away.
+            let _ = machine.power_on().await;
+        }
+    }
+
+    async fn power_off(&mut self, vm: &str) {
+        if let Some(machine) = self.machines.get_mut(vm) {
+            machine.power_off().await;
+        }
+    }
+
+    async fn run_delayed(&mut self) {
+        let now = self.clock.now();
+        while let Some(entry) = self.delayed.first_entry() {
+            if entry.key().0 > now {
+                break;
+            }
+            match entry.remove() {
+                VmListCall::List(reply) => {
+                    let down = self.inventory.faults().down;
+                    drop(reply.send(if down {
+                        Err(down_status())
+                    } else {
+                        Ok(self.inventory.list(now))
+                    }));
+                }
+                VmListCall::Reboot { vm, token, reply } => {
+                    let result = self.reboot(now, &vm, &token).await;
+                    let lost = result.is_ok() && self.inventory.loses_reboot_reply();
+                    drop(reply.send(if lost { Err(down_status()) } else { result }));
+                }
+            }
+        }
+    }
+
+    async fn reboot(&mut self, now: TimeMs, vm: &str, token: &str) -> Result<(), Status> {
+        if self.inventory.faults().down {
+            return Err(down_status());
+        }
+        match self.inventory.reboot(now, vm, token) {
+            Ok(RebootOutcome::Begun) => self.power_off(vm).await,
+            Ok(RebootOutcome::Repeated) => {}
+            Err(error @ RebootError::Missing(_)) => {
+                return Err(Status::not_found(error.to_string()));
+            }
+            Err(error @ RebootError::TokenOfAnother(_)) => {
+                return Err(Status::invalid_argument(error.to_string()));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn down_status() -> Status {
+    Status::unavailable("the VM list is down")
+}
