--- a/daemon/src/admin_server.rs
+++ b/daemon/src/admin_server.rs
@@ -6,6 +6,7 @@
 use cowslipport_lib::fold::VoidReason;
 use cowslipport_lib::ids::Offset;
 use cowslipport_lib::ids::Revision;
+use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::protos::peer as raw;
 use cowslipport_lib::protos::peer::CommitResult;
 use cowslipport_lib::protos::peer::admin_server::Admin;
@@ -22,6 +23,9 @@
 use crate::admin_status;
 use crate::control_task::AppendOutcome;
 use crate::control_task::ControlHandle;
+use crate::explain;
+use crate::journal_task::JournalHandle;
+use crate::peer_client::PeerClients;
 use crate::peer_server::stopping;
 use crate::peer_task::PeerMessage;
 
@@ -31,6 +35,14 @@
     pub(crate) peer: mpsc::Sender<PeerMessage>,
     /// Address of the control task.
     pub(crate) control: ControlHandle,
+    /// Address of the journal.
+    pub(crate) journal: JournalHandle,
+    /// Clients of the other processes.
+    pub(crate) clients: PeerClients,
+    /// The session of this process.
+    pub(crate) session: SessionId,
+    /// Name of this process.
+    pub(crate) name: String,
     /// The logger.
     pub(crate) logger: Logger,
 }
@@ -193,8 +205,14 @@
 
     async fn explain(
         &self,
-        _request: Request<raw::ExplainRequest>,
+        request: Request<raw::ExplainRequest>,
     ) -> Result<Response<raw::ExplainReply>, Status> {
-        Err(Status::unimplemented("explanations are not built yet"))
+        let request = request.into_inner();
+        let state = self.control.state().await.ok_or_else(stopping)?;
+        let mut lines = explain::own_lines(&request, &self.journal, &self.name).await?;
+        let clients = self.clients.clone();
+        lines.extend(explain::peer_lines(&request, &state, self.session, clients).await);
+        lines.sort_by_key(|line| std::cmp::Reverse(line.age_ms));
+        Ok(Response::new(raw::ExplainReply { lines }))
     }
 }
--- a/daemon/src/app.rs
+++ b/daemon/src/app.rs
@@ -31,10 +31,17 @@
 use crate::control_task::ControlTask;
 use crate::edges::LogService;
 use crate::edges::VmList;
+use crate::edges::WorkerConnector;
 use crate::fleet_task;
 use crate::fleet_task::FleetTask;
 use crate::health;
 use crate::health::HealthContext;
+use crate::jobs_task;
+use crate::jobs_task::JobsConfig;
+use crate::jobs_task::JobsMessage;
+use crate::jobs_task::JobsTask;
+use crate::journal_task;
+use crate::journal_task::JournalHandle;
 use crate::peer_client::BearerToken;
 use crate::peer_client::PeerClients;
 use crate::peer_server::PeerService;
@@ -42,7 +49,11 @@
 use crate::peer_task::PeerConfig;
 use crate::peer_task::PeerMessage;
 use crate::peer_task::PeerTask;
+use crate::placement_task;
+use crate::placement_task::PlacementConfig;
+use crate::placement_task::PlacementTask;
 use crate::router_task;
+use crate::router_task::RouterMessage;
 use crate::router_task::RouterTask;
 use crate::subscriber::Subscriber;
 use crate::token::TokenCheck;
@@ -74,6 +85,16 @@
     pub limits: Limits,
 }
 
+/// Clients of the platform.
+pub struct PlatformEdges<L, V, C> {
+    /// The log service.
+    pub log: L,
+    /// The VM list.
+    pub vm_list: V,
+    /// Connects to workers.
+    pub workers: C,
+}
+
 /// Why a process cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -116,16 +137,16 @@
 
 impl Daemon {
     /// Starts the tasks of a process on the current `actix-rt` runtime.
-    pub async fn start<L, V>(
+    pub async fn start<L, V, C>(
         config: DaemonConfig,
-        log: L,
-        vm_list: V,
+        platform: PlatformEdges<L, V, C>,
         metrics: Option<PrometheusHandle>,
         logger: Logger,
     ) -> Result<Self, StartError>
     where
         L: LogService,
         V: VmList,
+        C: WorkerConnector,
     {
         let callers_listener = listen("callers", config.callers).await?;
         let peers_listener = listen("peers", config.peers).await?;
@@ -139,17 +160,18 @@
         let (stop, stopping) = watch::channel(false);
         let (stop_listening, listening_stopped) = watch::channel(false);
         let (open_connections, connections) = mpsc::channel(1);
-        let tasks = spawn_tasks(&config, addresses.peers, log, vm_list, &logger)?;
+        let tasks = spawn_tasks(&config, addresses.peers, platform, &logger)?;
         actix_rt::spawn(callers::serve(
             callers_listener,
             CallerContext {
-                router: tasks.router,
+                router: tasks.router.clone(),
+                jobs: tasks.jobs.clone(),
                 logger: logger.new(o!("target" => "callers")),
                 connection: open_connections,
             },
             listening_stopped.clone(),
         ));
-        spawn_grpc(&config, peers_listener, &tasks.peer, &tasks.control, &logger);
+        spawn_grpc(&config, peers_listener, &tasks, &logger);
         let health = HealthContext { peer: tasks.peer.clone(), metrics, stopping };
         actix_rt::spawn(health::serve(health_listener, health));
         info!(logger, "process started"; "callers" => addresses.callers.to_string(),
@@ -190,71 +212,112 @@
 }
 
 struct Tasks {
+    session: SessionId,
+    clients: PeerClients,
     control: ControlHandle,
     peer: mpsc::Sender<PeerMessage>,
-    router: mpsc::Sender<router_task::RouterMessage>,
+    router: mpsc::Sender<RouterMessage>,
+    jobs: mpsc::Sender<JobsMessage>,
+    journal: JournalHandle,
 }
 
-fn spawn_tasks<L, V>(
+fn spawn_tasks<L, V, C>(
     config: &DaemonConfig,
     peer_address: SocketAddr,
-    log: L,
-    vm_list: V,
+    platform: PlatformEdges<L, V, C>,
     logger: &Logger,
 ) -> Result<Tasks, StartError>
 where
     L: LogService,
     V: VmList,
+    C: WorkerConnector,
 {
     let clock = Clock::start();
     let session = SessionId(rand::random::<u64>().max(1));
     let token = BearerToken::new(&config.peer_token).ok_or(StartError::Token)?;
+    let clients = PeerClients::new(token);
     let (control, control_receiver) = control_task::mailbox();
     let (peer, peer_receiver) = peer_task::mailbox();
     let (router, router_receiver) = router_task::mailbox();
     let (fleet, fleet_receiver) = fleet_task::mailbox();
+    let (placement, placement_receiver) = placement_task::mailbox();
+    let (jobs, jobs_receiver) = jobs_task::mailbox();
+    let journal = journal_task::spawn(clock);
     let target = |name: &'static str| logger.new(o!("target" => name));
     RouterTask::spawn(clock, target("router"), peer.clone(), router_receiver);
-    let open = SessionOpen {
-        session,
-        name: config.name.clone(),
-        data_centre: config.data_centre.clone(),
-        peer_address: peer_address.to_string(),
-        lease_ms: SESSION_LEASE_MS,
-    };
     let peer_config = PeerConfig {
-        keeper: SessionKeeper::new(open),
+        keeper: SessionKeeper::new(session_open(config, session, peer_address)),
         seeds: config.seeds.clone(),
-        clients: PeerClients::new(token),
+        clients: clients.clone(),
         control: control.clone(),
         router: router.clone(),
+        placement: placement.clone(),
+        jobs: jobs.clone(),
         clock,
         logger: target("peers"),
     };
     PeerTask::spawn(peer_config, (peer.clone(), peer_receiver));
     let fleet_mailbox = (fleet.clone(), fleet_receiver);
-    FleetTask::spawn(vm_list, session, control.clone(), target("fleet"), fleet_mailbox);
+    FleetTask::spawn(platform.vm_list, session, control.clone(), target("fleet"), fleet_mailbox);
+    let placement_config = PlacementConfig {
+        log: platform.log.clone(),
+        workers: platform.workers,
+        session,
+        clock,
+        control: control.clone(),
+        journal: journal.clone(),
+        logger: target("placement"),
+    };
+    PlacementTask::spawn(placement_config, (placement.clone(), placement_receiver));
+    let jobs_config = JobsConfig {
+        session,
+        clock,
+        clients: clients.clone(),
+        placement: placement.clone(),
+        logger: target("jobs"),
+    };
+    JobsTask::spawn(jobs_config, jobs_receiver);
     let subscribers = vec![
         Subscriber::Peer(peer.clone()),
         Subscriber::Router(router.clone()),
         Subscriber::Fleet(fleet),
+        Subscriber::Placement(placement),
+        Subscriber::Jobs(jobs.clone()),
     ];
-    let control_mailbox = (control.clone(), control_receiver);
-    ControlTask::spawn(log, session, clock, target("control"), control_mailbox, subscribers);
-    Ok(Tasks { control, peer, router })
+    let mailbox = (control.clone(), control_receiver);
+    ControlTask::spawn(platform.log, session, clock, target("control"), mailbox, subscribers);
+    Ok(Tasks { session, clients, control, peer, router, jobs, journal })
 }
 
-fn spawn_grpc(
+fn session_open(
     config: &DaemonConfig,
-    listener: TcpListener,
-    peer: &mpsc::Sender<PeerMessage>,
-    control: &ControlHandle,
-    logger: &Logger,
-) {
-    let peer_service = PeerService { peer: peer.clone(), control: control.clone() };
+    session: SessionId,
+    peer_address: SocketAddr,
+) -> SessionOpen {
+    SessionOpen {
+        session,
+        name: config.name.clone(),
+        data_centre: config.data_centre.clone(),
+        peer_address: peer_address.to_string(),
+        lease_ms: SESSION_LEASE_MS,
+    }
+}
+
+fn spawn_grpc(config: &DaemonConfig, listener: TcpListener, tasks: &Tasks, logger: &Logger) {
+    let peer_service = PeerService {
+        peer: tasks.peer.clone(),
+        control: tasks.control.clone(),
+        jobs: tasks.jobs.clone(),
+        journal: tasks.journal.clone(),
+        name: config.name.clone(),
+    };
     let admin_service = AdminService {
-        peer: peer.clone(),
-        control: control.clone(),
+        peer: tasks.peer.clone(),
+        control: tasks.control.clone(),
+        journal: tasks.journal.clone(),
+        clients: tasks.clients.clone(),
+        session: tasks.session,
+        name: config.name.clone(),
         logger: logger.new(o!("target" => "admin")),
     };
     let peer_check = TokenCheck::new(&config.peer_token);
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -23,6 +23,8 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::job_front;
+use crate::jobs_task::JobsMessage;
 use crate::router_task::RouteReply;
 use crate::router_task::RouteRequest;
 use crate::router_task::RouterMessage;
@@ -36,6 +38,8 @@
 pub(crate) struct CallerContext {
     /// Mailbox of the router task.
     pub(crate) router: mpsc::Sender<RouterMessage>,
+    /// Mailbox of the task for job calls.
+    pub(crate) jobs: mpsc::Sender<JobsMessage>,
     /// The logger.
     pub(crate) logger: Logger,
     /// Held by each open connection, so that a stop can wait for them.
@@ -85,9 +89,11 @@
     context: CallerContext,
     client: Rc<awc::Client>,
 ) -> Response<BoxBody> {
-    let Some((pool, path)) = split_path(request.uri().path()) else {
+    let is_job_call = is_job_path(request.uri().path());
+    let pool_path = split_path(request.uri().path());
+    if !is_job_call && pool_path.is_none() {
         return refusal(StatusCode::NOT_FOUND, "path_unknown");
-    };
+    }
     let Some(key) = bearer(&request) else {
         return refusal(StatusCode::UNAUTHORIZED, "key_missing");
     };
@@ -95,6 +101,10 @@
         Ok(body) => body,
         Err(response) => return response,
     };
+    let Some((pool, path)) = pool_path else {
+        let path = request.uri().path();
+        return job_front::answer(request.method(), path, key, &body, &context.jobs).await;
+    };
     match route(&context, RouteRequest { pool, key }).await {
         RouteReply::Send { vm, address } => {
             let response = forward(&request, &path, body, address, &client).await;
@@ -123,6 +133,10 @@
     answer.await.unwrap_or(RouteReply::ViewStale)
 }
 
+fn is_job_path(path: &str) -> bool {
+    path == "/jobs" || path.starts_with("/jobs/")
+}
+
 fn split_path(path: &str) -> Option<(String, String)> {
     let rest = path.strip_prefix("/pools/")?;
     let (pool, path) = rest.split_once('/').unwrap_or((rest, ""));
--- a/daemon/src/control_task.rs
+++ b/daemon/src/control_task.rs
@@ -235,13 +235,14 @@
 
     async fn apply_records(&mut self, records: Vec<(Offset, Vec<u8>)>) {
         let mut applied = Vec::new();
+        let mut answers = Vec::new();
         for (offset, bytes) in records {
             // Records may come from the log and from a peer.
             if offset != self.state.next_offset {
                 continue;
             }
             let record = ControlRecord::decode(&bytes).ok();
-            self.apply_one(offset, record.as_ref());
+            answers.extend(self.apply_one(offset, record.as_ref()));
             self.keep_recent(offset, bytes);
             applied.push((offset, record));
         }
@@ -251,18 +252,27 @@
         self.shared = None;
         self.records_since_snapshot += applied.len() as u64;
         self.send_feed(&ControlFeed::Records(Arc::new(applied))).await;
+        // Who asked for an append hears of it after the tasks that follow the
+        // state.
+        for (reply, outcome) in answers {
+            let _ = reply.send(outcome);
+        }
         self.write_snapshot_if_due();
     }
 
-    fn apply_one(&mut self, offset: Offset, record: Option<&ControlRecord>) {
+    fn apply_one(
+        &mut self,
+        offset: Offset,
+        record: Option<&ControlRecord>,
+    ) -> Option<(oneshot::Sender<AppendOutcome>, AppendOutcome)> {
         let Some(record) = record else {
             warn!(self.logger, "record does not decode"; "offset" => offset.0);
             self.state.skip(offset);
-            return;
+            return None;
         };
         let outcome = match self.state.apply(offset, record) {
             // A retry of our own append; the first one was answered.
-            Outcome::Void(VoidReason::Duplicate) => return,
+            Outcome::Void(VoidReason::Duplicate) => return None,
             Outcome::Applied(_) => AppendOutcome::Applied(offset),
             Outcome::Void(reason) => {
                 info!(self.logger, "record has no effect";
@@ -270,9 +280,8 @@
                 AppendOutcome::Void(reason)
             }
         };
-        if let Some(pending) = self.pending.remove(&record.id) {
-            let _ = pending.reply.send(outcome);
-        }
+        let pending = self.pending.remove(&record.id)?;
+        Some((pending.reply, outcome))
     }
 
     fn keep_recent(&mut self, offset: Offset, bytes: Vec<u8>) {
--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -3,8 +3,14 @@
 
 use std::future::Future;
 
+use cowslipport_lib::ids::Epoch;
 use cowslipport_lib::ids::Offset;
+use cowslipport_lib::job::TaskAction;
+use cowslipport_lib::job::TaskId;
 use cowslipport_lib::record::VmJoined;
+use cowslipport_lib::resources::Resources;
+use cowslipport_lib::scheduler_event::StartAnswer;
+use cowslipport_lib::scheduler_event::TaskReport;
 
 /// Records that a read of a stream returned.
 #[derive(Clone, Debug, Default)]
@@ -78,3 +84,79 @@
     /// Reboots a VM; a repeated token has no further effect.
     fn reboot(&self, vm: &str, token: &str) -> impl Future<Output = Result<(), VmListError>>;
 }
+
+/// Why a worker did not do what it was asked.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum WorkerError {
+    /// The call did not succeed; a start may have taken effect.
+    #[error("worker does not answer: {reason}")]
+    Unavailable {
+        /// What the client saw.
+        reason: String,
+    },
+    /// The worker has seen a higher epoch.
+    #[error("worker has seen epoch {highest_epoch}")]
+    Fenced {
+        /// The highest epoch that it has seen.
+        highest_epoch: u64,
+    },
+}
+
+/// A start of a task.
+#[derive(Clone, Debug)]
+pub struct TaskStart {
+    /// Fencing token of the owner.
+    pub epoch: Epoch,
+    /// Ticket of the worker.
+    pub ticket: u64,
+    /// The task.
+    pub task: TaskId,
+    /// Its declared size.
+    pub request: Resources,
+    /// What the worker receives.
+    pub payload: String,
+    /// Lease of the task.
+    pub lease_ms: u32,
+}
+
+/// What a poll returns.
+#[derive(Clone, Debug)]
+pub struct PollAnswer {
+    /// Number that the next start must name.
+    pub ticket: u64,
+    /// All tasks that the worker knows.
+    pub tasks: Vec<TaskReport>,
+}
+
+/// The agent that runs tasks on a VM.
+pub trait Worker: 'static {
+    /// Asks for all tasks, renews their leases by `renew_ms` and lets the
+    /// worker forget the tasks in `acknowledged`.
+    fn poll(
+        &mut self,
+        epoch: Epoch,
+        renew_ms: u32,
+        acknowledged: &[TaskId],
+    ) -> impl Future<Output = Result<PollAnswer, WorkerError>>;
+
+    /// Starts a task. The answer is [`StartAnswer::Unknown`] if it may have
+    /// started.
+    fn start(&mut self, start: &TaskStart) -> impl Future<Output = (StartAnswer, Option<u64>)>;
+
+    /// Acts on a task. A lost call is repeated after the next poll.
+    fn control(
+        &mut self,
+        epoch: Epoch,
+        task: &TaskId,
+        action: TaskAction,
+    ) -> impl Future<Output = Result<(), WorkerError>>;
+}
+
+/// Connects to workers.
+pub trait WorkerConnector: Clone + 'static {
+    /// Client of one worker.
+    type Client: Worker;
+
+    /// A client of the worker at `address`, or nothing if that is no address.
+    fn connect(&self, address: &str) -> Option<Self::Client>;
+}
--- /dev/null
+++ b/daemon/src/explain.rs
@@ -0,0 +1,65 @@
+//! Collects the recorded decisions about a job, a VM, a team or a wave from all
+//! processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::protos::peer as raw;
+use tonic::Status;
+
+use crate::journal_task::JournalHandle;
+use crate::journal_task::Subject;
+use crate::peer_client::PeerClients;
+
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The decisions that this process recorded, oldest first.
+pub(crate) async fn own_lines(
+    request: &raw::ExplainRequest,
+    journal: &JournalHandle,
+    process: &str,
+) -> Result<Vec<raw::ExplainLine>, Status> {
+    let notes = journal.explain(subject(request)?).await;
+    let line = |aged: crate::journal_task::AgedNote| raw::ExplainLine {
+        age_ms: aged.age_ms,
+        process: process.to_owned(),
+        decision: aged.note.decision,
+        reason: aged.note.reason,
+    };
+    Ok(notes.into_iter().map(line).collect())
+}
+
+/// The decisions that other processes recorded.
+pub(crate) async fn peer_lines(
+    request: &raw::ExplainRequest,
+    state: &ControlState,
+    me: SessionId,
+    mut clients: PeerClients,
+) -> Vec<raw::ExplainLine> {
+    let others = state.sessions.values().filter(|session| session.open.session != me);
+    let addresses: Vec<SocketAddr> =
+        others.filter_map(|session| session.open.peer_address.parse().ok()).collect();
+    let calls = addresses.into_iter().map(|address| {
+        let mut client = clients.get(address);
+        let request = request.clone();
+        async move { tokio::time::timeout(PEER_TIMEOUT, client.explain_here(request)).await }
+    });
+    let replies = futures_util::future::join_all(calls).await;
+    replies.into_iter().flatten().flatten().flat_map(|reply| reply.into_inner().lines).collect()
+}
+
+fn subject(request: &raw::ExplainRequest) -> Result<Subject, Status> {
+    let name = request.name.clone();
+    match request.kind.as_str() {
+        "job" => Ok(Subject::Job(name)),
+        "vm" => Ok(Subject::Vm(name)),
+        "team" => Ok(Subject::Team(name)),
+        "wave" => Ok(Subject::Wave(name)),
+        other => {
+            let message = format!("{other:?} is not one of \"job\", \"vm\", \"team\", \"wave\"");
+            Err(Status::invalid_argument(message))
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/jobs_task.rs
@@ -0,0 +1,435 @@
+//! The task that takes job calls of callers to the owner of their partition.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::freshness::ViewState;
+use cowslipport_lib::ids::PartitionId;
+use cowslipport_lib::ids::PoolId;
+use cowslipport_lib::ids::RegionId;
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::job::JobRef;
+use cowslipport_lib::job::JobSpec;
+use cowslipport_lib::protos::peer as raw;
+use cowslipport_lib::rendezvous;
+use cowslipport_lib::replica::ControlFeed;
+use cowslipport_lib::resources::Resources;
+use sha2::Digest;
+use sha2::Sha256;
+use slog::Logger;
+use slog::info;
+use subtle::ConstantTimeEq;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::authority::View;
+use crate::clock::Clock;
+use crate::job_stream::JobAnswer;
+use crate::job_wire;
+use crate::job_wire::JobSummary;
+use crate::peer_client::Client;
+use crate::peer_client::PeerClients;
+use crate::placement_task::PlacementMessage;
+
+const MAILBOX_MESSAGES: usize = 1024;
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Messages of the task.
+pub(crate) enum JobsMessage {
+    /// The control state changed.
+    Control(ControlFeed),
+    /// The state of the view.
+    View(View),
+    /// Submits a job.
+    Submit { key: String, job: NewJob, reply: oneshot::Sender<JobsAnswer> },
+    /// Cancels a job.
+    Cancel { key: String, name: String, reply: oneshot::Sender<JobsAnswer> },
+    /// Lists the jobs of a team.
+    List { key: String, reply: oneshot::Sender<Result<Vec<JobSummary>, JobsRefusal>> },
+    /// Lists the jobs of this process's partitions for another process.
+    ListOwn { team: String, reply: oneshot::Sender<Vec<JobSummary>> },
+    /// Submits a job that another process sent to the owner of its partition.
+    SubmitHere { job: JobSpec, region: RegionId, reply: oneshot::Sender<JobAnswer> },
+    /// Cancels a job that another process found here.
+    CancelHere { job: JobRef, partition: PartitionId, reply: oneshot::Sender<JobAnswer> },
+}
+
+/// A job as a caller describes it.
+#[derive(Clone, Debug)]
+pub(crate) struct NewJob {
+    /// Name that the submitter chose.
+    pub(crate) name: String,
+    /// Name of the pool.
+    pub(crate) pool: String,
+    /// Declared size.
+    pub(crate) request: Resources,
+    /// True if it goes before work that is not urgent.
+    pub(crate) urgent: bool,
+    /// Declared run time.
+    pub(crate) declared_run_ms: Option<u64>,
+    /// What the worker receives.
+    pub(crate) payload: String,
+    /// True if it may be started again.
+    pub(crate) repeatable: bool,
+    /// Time in which the submission must be answered.
+    pub(crate) deadline: Duration,
+}
+
+/// Why a call was refused; nothing was done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum JobsRefusal {
+    /// The key is not granted.
+    KeyNotGranted,
+    /// The pool does not exist.
+    PoolUnknown,
+    /// The view is stale.
+    ViewStale,
+    /// The partition has no owner that can be reached.
+    NoOwner,
+}
+
+/// Answer to a submission or a cancellation.
+#[derive(Clone, Debug)]
+pub(crate) enum JobsAnswer {
+    /// The call was refused.
+    Refused(JobsRefusal),
+    /// The owner answered for a job of this team.
+    Answered { team: String, answer: JobAnswer },
+}
+
+/// What the task needs to start.
+pub(crate) struct JobsConfig {
+    /// The session of this process.
+    pub(crate) session: SessionId,
+    /// The clock.
+    pub(crate) clock: Clock,
+    /// Clients of the other processes.
+    pub(crate) clients: PeerClients,
+    /// Mailbox of the placement task.
+    pub(crate) placement: mpsc::Sender<PlacementMessage>,
+    /// The logger.
+    pub(crate) logger: Logger,
+}
+
+/// The mailbox of a task that is about to start.
+pub(crate) fn mailbox() -> (mpsc::Sender<JobsMessage>, mpsc::Receiver<JobsMessage>) {
+    mpsc::channel(MAILBOX_MESSAGES)
+}
+
+/// Knows the owner of each partition.
+pub(crate) struct JobsTask {
+    config: JobsConfig,
+    state: ControlState,
+    view: View,
+}
+
+/// Where a partition is owned.
+enum Owner {
+    Here,
+    Elsewhere(Box<Client>),
+}
+
+impl JobsTask {
+    /// Starts the task. It ends when its mailbox is closed.
+    pub(crate) fn spawn(config: JobsConfig, mut receiver: mpsc::Receiver<JobsMessage>) {
+        let mut task = Self { config, state: ControlState::default(), view: View::STALE };
+        actix_rt::spawn(async move {
+            while let Some(message) = receiver.recv().await {
+                task.handle(message);
+            }
+        });
+    }
+
+    fn handle(&mut self, message: JobsMessage) {
+        match message {
+            JobsMessage::Control(feed) => {
+                self.state.follow(&feed);
+            }
+            JobsMessage::View(view) => self.view = view,
+            JobsMessage::Submit { key, job, reply } => {
+                if let Err((refusal, reply)) = self.submit(&key, job, reply) {
+                    let _ = reply.send(JobsAnswer::Refused(refusal));
+                }
+            }
+            JobsMessage::Cancel { key, name, reply } => self.cancel(&key, name, reply),
+            JobsMessage::List { key, reply } => self.list(&key, reply),
+            JobsMessage::ListOwn { team, reply } => {
+                let team = self.state.team_by_name(&team);
+                self.list_here(team, reply);
+            }
+            JobsMessage::SubmitHere { job, region, reply } => {
+                let partition = PartitionId { pool: job.pool, region };
+                self.submit_here(partition, job, reply);
+            }
+            JobsMessage::CancelHere { job, partition, reply } => {
+                let message = PlacementMessage::Cancel { partition, job, reply };
+                send(&self.config.placement, message);
+            }
+        }
+    }
+
+    fn team_and_key(&self, presented: &str) -> Result<(TeamId, String), JobsRefusal> {
+        if self.view.at(self.config.clock.now()) == ViewState::Stale {
+            return Err(JobsRefusal::ViewStale);
+        }
+        let digest = Sha256::digest(presented.as_bytes());
+        let mut found = None;
+        // Every key is compared, so that the time does not tell which matched.
+        for (id, team) in self.state.teams.iter().filter(|(_, team)| !team.removed) {
+            for key in &team.spec.keys {
+                if bool::from(key.sha256.as_slice().ct_eq(digest.as_slice())) {
+                    found = Some((id, key.name.clone()));
+                }
+            }
+        }
+        found.ok_or(JobsRefusal::KeyNotGranted)
+    }
+
+    fn submit(
+        &mut self,
+        key: &str,
+        new: NewJob,
+        reply: oneshot::Sender<JobsAnswer>,
+    ) -> Result<(), (JobsRefusal, oneshot::Sender<JobsAnswer>)> {
+        let (team, key) = match self.team_and_key(key) {
+            Ok(found) => found,
+            Err(refusal) => return Err((refusal, reply)),
+        };
+        let Some(pool) = self.state.pool_by_name(&new.pool) else {
+            return Err((JobsRefusal::PoolUnknown, reply));
+        };
+        let job = JobSpec {
+            job: JobRef { team, name: new.name },
+            key,
+            pool,
+            request: new.request,
+            urgent: new.urgent,
+            declared_run_ms: new.declared_run_ms,
+            payload: new.payload,
+            repeatable: new.repeatable,
+        };
+        let Some(region) = self.region_of(pool, &job.job) else {
+            return Err((JobsRefusal::NoOwner, reply));
+        };
+        let partition = PartitionId { pool, region };
+        let Some(owner) = self.owner(partition) else {
+            return Err((JobsRefusal::NoOwner, reply));
+        };
+        let team_name = self.state.teams.get(team).map(|team| team.spec.name.clone());
+        let team_name = team_name.unwrap_or_default();
+        info!(self.config.logger, "job sent to owner"; "subject" => job.job.to_string(),
+            "decision" => partition.to_string(), "reason" => "rendezvous",
+            "eligible" => self.state.regions.len());
+        let (answer_sender, answer) = oneshot::channel();
+        match owner {
+            Owner::Here => self.submit_here(partition, job, answer_sender),
+            Owner::Elsewhere(client) => {
+                submit_elsewhere(*client, job, region, new.deadline, answer_sender);
+            }
+        }
+        actix_rt::spawn(async move {
+            let answer = tokio::time::timeout(new.deadline, answer).await;
+            let answer = answer.ok().and_then(Result::ok).unwrap_or(JobAnswer::Unknown);
+            let _ = reply.send(JobsAnswer::Answered { team: team_name, answer });
+        });
+        Ok(())
+    }
+
+    /// The region of a job. All processes choose the same one, so that a
+    /// repeated submission meets the first.
+    fn region_of(&self, pool: PoolId, job: &JobRef) -> Option<RegionId> {
+        let mut regions: Vec<RegionId> = self
+            .state
+            .vms
+            .iter()
+            .filter(|(_, vm)| vm.pool == pool)
+            .filter_map(|(_, vm)| Some(self.state.partition_of(vm)?.region))
+            .collect();
+        regions.sort_unstable();
+        regions.dedup();
+        let digest = Sha256::digest(job.to_string().as_bytes());
+        let key = digest.iter().take(8).fold(0, |key, byte| (key << 8) | u64::from(*byte));
+        regions.into_iter().max_by_key(|region| rendezvous::score(key, u64::from(region.0)))
+    }
+
+    fn owner(&mut self, partition: PartitionId) -> Option<Owner> {
+        let owner = self.state.owners.get(&partition)?.owner?;
+        if owner == self.config.session {
+            return Some(Owner::Here);
+        }
+        let address: SocketAddr =
+            self.state.sessions.get(&owner)?.open.peer_address.parse().ok()?;
+        Some(Owner::Elsewhere(Box::new(self.config.clients.get(address))))
+    }
+
+    /// The owner checks the key again: the sender may not have applied its
+    /// withdrawal yet.
+    fn submit_here(&self, partition: PartitionId, job: JobSpec, reply: oneshot::Sender<JobAnswer>) {
+        let team = self.state.teams.get(job.job.team).filter(|team| !team.removed);
+        let granted = team.is_some_and(|team| team.spec.keys.iter().any(|key| key.name == job.key));
+        if !granted {
+            let _ = reply.send(JobAnswer::KeyWithdrawn);
+            return;
+        }
+        let message = PlacementMessage::Submit { partition, job, reply };
+        send(&self.config.placement, message);
+    }
+
+    fn cancel(&mut self, key: &str, name: String, reply: oneshot::Sender<JobsAnswer>) {
+        let team = match self.team_and_key(key) {
+            Ok((team, _)) => team,
+            Err(refusal) => {
+                let _ = reply.send(JobsAnswer::Refused(refusal));
+                return;
+            }
+        };
+        let job = JobRef { team, name };
+        let team_name = self.state.teams.get(team).map(|team| team.spec.name.clone());
+        let team_name = team_name.unwrap_or_default();
+        let summaries = self.gather(team, &team_name);
+        let partitions: BTreeMap<String, PoolId> =
+            self.state.pools.iter().map(|(id, pool)| (pool.spec.name.clone(), id)).collect();
+        let owners: BTreeMap<PartitionId, Option<Client>> = self
+            .state
+            .owners
+            .keys()
+            .copied()
+            .collect::<Vec<_>>()
+            .into_iter()
+            .filter_map(|partition| match self.owner(partition)? {
+                Owner::Here => Some((partition, None)),
+                Owner::Elsewhere(client) => Some((partition, Some(*client))),
+            })
+            .collect();
+        let placement = self.config.placement.clone();
+        actix_rt::spawn(async move {
+            let answer = cancel_where_found(job, summaries, &partitions, owners, placement).await;
+            let _ = reply.send(JobsAnswer::Answered { team: team_name, answer });
+        });
+    }
+
+    fn list(&mut self, key: &str, reply: oneshot::Sender<Result<Vec<JobSummary>, JobsRefusal>>) {
+        let team = match self.team_and_key(key) {
+            Ok((team, _)) => team,
+            Err(refusal) => {
+                let _ = reply.send(Err(refusal));
+                return;
+            }
+        };
+        let name = self.state.teams.get(team).map(|team| team.spec.name.clone());
+        let summaries = self.gather(team, &name.unwrap_or_default());
+        actix_rt::spawn(async move {
+            let _ = reply.send(Ok(summaries.await));
+        });
+    }
+
+    /// Asks all processes for the jobs of a team.
+    fn gather(
+        &mut self,
+        team: TeamId,
+        team_name: &str,
+    ) -> impl Future<Output = Vec<JobSummary>> + use<> {
+        let (reply, own) = oneshot::channel();
+        self.list_here(Some(team), reply);
+        let me = self.config.session;
+        let others = self.state.sessions.values().filter(|session| session.open.session != me);
+        let addresses: Vec<SocketAddr> =
+            others.filter_map(|session| session.open.peer_address.parse().ok()).collect();
+        let clients: Vec<Client> =
+            addresses.into_iter().map(|address| self.config.clients.get(address)).collect();
+        let request = raw::ListJobsRequest { team: team_name.to_owned() };
+        async move {
+            let calls = clients.into_iter().map(|mut client| {
+                let request = request.clone();
+                async move { tokio::time::timeout(LIST_TIMEOUT, client.list_jobs(request)).await }
+            });
+            let replies = futures_util::future::join_all(calls).await;
+            let mut jobs = own.await.unwrap_or_default();
+            for reply in replies.into_iter().flatten().flatten() {
+                jobs.extend(reply.into_inner().jobs.iter().map(JobSummary::from));
+            }
+            jobs.sort_by(|left, right| left.name.cmp(&right.name));
+            jobs
+        }
+    }
+
+    fn list_here(&self, team: Option<TeamId>, reply: oneshot::Sender<Vec<JobSummary>>) {
+        let (views_sender, views) = oneshot::channel();
+        let message = PlacementMessage::List { team, reply: views_sender };
+        send(&self.config.placement, message);
+        let state = self.state.clone();
+        actix_rt::spawn(async move {
+            let views = views.await.unwrap_or_default();
+            let summaries = views.iter().map(|view| job_wire::summary(&state, view));
+            let _ = reply.send(summaries.collect());
+        });
+    }
+}
+
+/// Sends without waiting, so that this task and the placement task cannot wait
+/// for each other. A full mailbox drops the reply, which the asker sees.
+fn send(placement: &mpsc::Sender<PlacementMessage>, message: PlacementMessage) {
+    let _ = placement.try_send(message);
+}
+
+fn submit_elsewhere(
+    mut client: Client,
+    job: JobSpec,
+    region: RegionId,
+    deadline: Duration,
+    reply: oneshot::Sender<JobAnswer>,
+) {
+    let request = raw::SubmitJobRequest {
+        job: Some((&job).into()),
+        region: region.0,
+        remaining_ms: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
+    };
+    actix_rt::spawn(async move {
+        let answer = match client.submit_job(request).await {
+            Ok(reply) => job_wire::submit_answer(reply.into_inner().result()),
+            Err(_) => JobAnswer::Unknown,
+        };
+        let _ = reply.send(answer);
+    });
+}
+
+async fn cancel_where_found<F>(
+    job: JobRef,
+    summaries: F,
+    pools: &BTreeMap<String, PoolId>,
+    owners: BTreeMap<PartitionId, Option<Client>>,
+    placement: mpsc::Sender<PlacementMessage>,
+) -> JobAnswer
+where
+    F: Future<Output = Vec<JobSummary>>,
+{
+    let found = summaries.await.into_iter().find(|summary| summary.name == job.name);
+    let partition = found.and_then(|summary| {
+        let pool = *pools.get(&summary.pool)?;
+        Some(PartitionId { pool, region: RegionId(summary.region) })
+    });
+    let Some(partition) = partition else { return JobAnswer::NotOpen };
+    match owners.get(&partition).cloned() {
+        None => JobAnswer::NotOwner,
+        Some(None) => {
+            let (reply, answer) = oneshot::channel();
+            send(&placement, PlacementMessage::Cancel { partition, job, reply });
+            answer.await.unwrap_or(JobAnswer::Unknown)
+        }
+        Some(Some(mut client)) => {
+            let request = raw::CancelJobRequest {
+                job: Some((&job).into()),
+                pool: partition.pool.0,
+                region: partition.region.0,
+            };
+            match client.cancel_job(request).await {
+                Ok(reply) if reply.get_ref().found => JobAnswer::Cancelled,
+                Ok(_) => JobAnswer::NotOpen,
+                Err(_) => JobAnswer::Unknown,
+            }
+        }
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -8,11 +8,13 @@
 use clap::Parser;
 use cowslipport_daemon::app::Daemon;
 use cowslipport_daemon::app::DaemonConfig;
+use cowslipport_daemon::app::PlatformEdges;
 use cowslipport_daemon::app::StartError;
 use cowslipport_daemon::credentials;
 use cowslipport_daemon::credentials::CredentialError;
 use cowslipport_daemon::platform_client::GrpcLog;
 use cowslipport_daemon::platform_client::GrpcVmList;
+use cowslipport_daemon::worker_client::GrpcWorkers;
 use cowslipport_lib::findings::Findings;
 use cowslipport_lib::settings::Settings;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -69,11 +71,14 @@
 async fn run(arguments: Arguments) -> Result<(), MainError> {
     let settings = read_settings(arguments.settings)?;
     let config = daemon_config(&settings)?;
-    let log = GrpcLog::new(settings.platform.log);
-    let vm_list = GrpcVmList::new(settings.platform.vm_list);
+    let platform = PlatformEdges {
+        log: GrpcLog::new(settings.platform.log),
+        vm_list: GrpcVmList::new(settings.platform.vm_list),
+        workers: GrpcWorkers,
+    };
     // Without a recorder the metrics endpoint answers 404.
     let metrics = PrometheusBuilder::new().install_recorder().ok();
-    let daemon = Daemon::start(config, log, vm_list, metrics, logger()).await?;
+    let daemon = Daemon::start(config, platform, metrics, logger()).await?;
     wait_for_signal().await.map_err(MainError::Signal)?;
     daemon.stop().await;
     Ok(())
--- /dev/null
+++ b/daemon/src/partition.rs
@@ -0,0 +1,369 @@
+//! One owned partition: its scheduler, its jobs stream and its workers.
+
+use std::collections::BTreeMap;
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::control::Team;
+use cowslipport_lib::control::Vm;
+use cowslipport_lib::fold::ControlChange;
+use cowslipport_lib::ids::Epoch;
+use cowslipport_lib::ids::PartitionId;
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::job::JobEnd;
+use cowslipport_lib::job::JobRef;
+use cowslipport_lib::job::JobSpec;
+use cowslipport_lib::placement::JobStatus;
+use cowslipport_lib::placement::Scheduler;
+use cowslipport_lib::record::GrantChange;
+use cowslipport_lib::record::GrantDirection;
+use cowslipport_lib::record::Health;
+use cowslipport_lib::resources::Resources;
+use cowslipport_lib::scheduler_decision::SchedulerDecision;
+use cowslipport_lib::scheduler_event::JobOrigin;
+use cowslipport_lib::scheduler_event::SchedulerEvent;
+use cowslipport_lib::scheduler_event::TASK_LEASE_MS;
+use cowslipport_lib::scheduler_event::TeamView;
+use cowslipport_lib::scheduler_event::WorkerService;
+use cowslipport_lib::scheduler_event::WorkerSpec;
+use cowslipport_lib::time::TimeMs;
+use slog::Logger;
+use slog::warn;
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use crate::edges::LogService;
+use crate::edges::TaskStart;
+use crate::edges::WorkerConnector;
+use crate::job_stream;
+use crate::job_stream::JobStreamConfig;
+use crate::job_stream::JobStreamMessage;
+use crate::journal_task::JournalHandle;
+use crate::placement_log;
+use crate::placement_task::PlacementMessage;
+use crate::worker_task;
+use crate::worker_task::WorkerMessage;
+use crate::worker_task::WorkerRole;
+
+/// An open job and what it does.
+#[derive(Clone, Debug)]
+pub(crate) struct JobView {
+    /// The job.
+    pub(crate) job: JobRef,
+    /// Its partition.
+    pub(crate) partition: PartitionId,
+    /// What it does.
+    pub(crate) status: JobStatus,
+}
+
+/// One owned partition.
+pub(crate) struct Partition {
+    id: PartitionId,
+    epoch: Epoch,
+    session: SessionId,
+    logger: Logger,
+    scheduler: Scheduler,
+    loaded: bool,
+    stream: mpsc::Sender<JobStreamMessage>,
+    workers: BTreeMap<VmId, mpsc::Sender<WorkerMessage>>,
+    reported_tasks: BTreeMap<VmId, u32>,
+}
+
+impl Partition {
+    /// Begins an ownership: the jobs stream is read first.
+    pub(crate) fn gain<L>(
+        id: PartitionId,
+        epoch: Epoch,
+        session: SessionId,
+        log: L,
+        placement: mpsc::WeakSender<PlacementMessage>,
+        logger: Logger,
+    ) -> Self
+    where
+        L: LogService,
+    {
+        let config = JobStreamConfig {
+            log,
+            session,
+            partition: id,
+            epoch,
+            placement,
+            logger: logger.clone(),
+        };
+        Self {
+            id,
+            epoch,
+            session,
+            logger,
+            scheduler: Scheduler::new(),
+            loaded: false,
+            stream: job_stream::spawn(config),
+            workers: BTreeMap::new(),
+            reported_tasks: BTreeMap::new(),
+        }
+    }
+
+    /// Fencing token of the ownership.
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Takes over the jobs of the stream; the scheduler owns the partition
+    /// from here on.
+    pub(crate) fn loaded(&mut self, now: TimeMs, state: &ControlState, jobs: Vec<JobSpec>) {
+        self.loaded = true;
+        self.put_all(now, state);
+        for job in jobs {
+            let origin = JobOrigin::Inherited;
+            self.scheduler.handle(now, SchedulerEvent::JobAccepted { job, origin });
+        }
+        self.scheduler.handle(now, SchedulerEvent::OwnershipGained { epoch: self.epoch });
+    }
+
+    /// Passes an event to the scheduler.
+    pub(crate) fn handle(&mut self, now: TimeMs, event: SchedulerEvent) {
+        if !self.loaded {
+            return;
+        }
+        if let SchedulerEvent::WorkerReport { vm, report } = &event {
+            let live = report.tasks.iter().filter(|task| task.state.is_live()).count();
+            self.reported_tasks.insert(*vm, u32::try_from(live).unwrap_or(u32::MAX));
+        }
+        if let SchedulerEvent::WorkerSilent { vm } = &event {
+            self.reported_tasks.remove(vm);
+        }
+        self.scheduler.handle(now, event);
+    }
+
+    /// Tells the scheduler everything that the fold says.
+    pub(crate) fn put_all(&mut self, now: TimeMs, state: &ControlState) {
+        if !self.loaded {
+            return;
+        }
+        for (id, team) in state.teams.iter() {
+            self.put_team(now, id, team);
+            self.put_grant(now, state, id);
+        }
+        self.put_workers(now, state);
+    }
+
+    /// Tells the scheduler what changed in the fold.
+    pub(crate) fn put_changes(
+        &mut self,
+        now: TimeMs,
+        state: &ControlState,
+        changes: &[ControlChange],
+    ) {
+        if !self.loaded {
+            return;
+        }
+        let mut workers_changed = false;
+        for change in changes {
+            match change {
+                ControlChange::Team(id) => {
+                    if let Some(team) = state.teams.get(*id) {
+                        self.put_team(now, *id, team);
+                        self.put_grant(now, state, *id);
+                    }
+                }
+                ControlChange::Grant(team, _) => self.put_grant(now, state, *team),
+                ControlChange::DataCentre(_) | ControlChange::Pool(_) | ControlChange::Vm(_) => {
+                    workers_changed = true;
+                }
+                ControlChange::Wave(_)
+                | ControlChange::Policy
+                | ControlChange::Session(_)
+                | ControlChange::Partition(_) => {}
+            }
+        }
+        if workers_changed {
+            self.put_workers(now, state);
+        }
+    }
+
+    fn put_team(&mut self, now: TimeMs, id: TeamId, team: &Team) {
+        let view = TeamView {
+            share_milli: team.spec.share_milli,
+            limit: if team.removed { Resources::ZERO } else { team.spec.limit },
+            keys: team.spec.keys.iter().map(|key| key.name.clone()).collect(),
+        };
+        self.scheduler.handle(now, SchedulerEvent::TeamChanged { team: id, view });
+    }
+
+    fn put_grant(&mut self, now: TimeMs, state: &ControlState, team: TeamId) {
+        let (amount, total) = (state.grant(team, self.id), state.granted(team));
+        self.scheduler.handle(now, SchedulerEvent::GrantChanged { team, amount, total });
+    }
+
+    fn put_workers(&mut self, now: TimeMs, state: &ControlState) {
+        let present: BTreeMap<VmId, WorkerSpec> = state
+            .vms_of(self.id)
+            .filter_map(|(id, vm)| Some((id, worker_spec(state, vm)?)))
+            .collect();
+        let left: Vec<VmId> =
+            self.workers.keys().filter(|vm| !present.contains_key(vm)).copied().collect();
+        for vm in left {
+            self.workers.remove(&vm);
+            self.reported_tasks.remove(&vm);
+            self.scheduler.handle(now, SchedulerEvent::WorkerLeft { vm });
+        }
+        for (vm, spec) in present {
+            self.scheduler.handle(now, SchedulerEvent::WorkerPut { vm, spec });
+        }
+    }
+
+    /// Starts a task for each worker that has none.
+    pub(crate) fn connect_workers<C>(
+        &mut self,
+        state: &ControlState,
+        connector: &C,
+        clock: Clock,
+        placement: &mpsc::WeakSender<PlacementMessage>,
+    ) where
+        C: WorkerConnector,
+    {
+        if !self.loaded {
+            return;
+        }
+        for (vm, entry) in state.vms_of(self.id) {
+            if self.workers.contains_key(&vm) {
+                continue;
+            }
+            let Some(client) = connector.connect(&entry.joined.worker_address) else { continue };
+            let role = WorkerRole { partition: self.id, epoch: self.epoch, vm };
+            let sender = worker_task::spawn(client, role, clock, placement.clone());
+            self.workers.insert(vm, sender);
+        }
+    }
+
+    /// Passes a message to the jobs stream; gives it back if the stream cannot
+    /// take it.
+    pub(crate) fn forward(&self, message: JobStreamMessage) -> Result<(), JobStreamMessage> {
+        self.stream.try_send(message).map_err(mpsc::error::TrySendError::into_inner)
+    }
+
+    /// Open jobs and what they do.
+    pub(crate) fn jobs(&self, now: TimeMs) -> Vec<JobView> {
+        let view = |(job, status): (&JobRef, JobStatus)| JobView {
+            job: job.clone(),
+            partition: self.id,
+            status,
+        };
+        self.scheduler.jobs(now).map(view).collect()
+    }
+
+    /// Tasks on each VM by its last report; nothing for one that is silent.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = (VmId, Option<u32>)> {
+        self.workers.keys().map(|vm| (*vm, self.reported_tasks.get(vm).copied()))
+    }
+
+    /// Carries out what the scheduler decides. Returns the grant changes that
+    /// are to be appended.
+    pub(crate) fn decide(
+        &mut self,
+        now: TimeMs,
+        state: &ControlState,
+        journal: &JournalHandle,
+    ) -> Vec<GrantChange> {
+        if !self.loaded {
+            return Vec::new();
+        }
+        let mut grants = Vec::new();
+        for decision in self.scheduler.decide(now) {
+            placement_log::log(&self.logger, state, &decision, journal);
+            self.carry_out(now, decision, &mut grants);
+        }
+        for vm in self.scheduler.urgent_polls() {
+            // A full mailbox means that the worker is busy with calls.
+            if let Some(worker) = self.workers.get(&vm) {
+                let _ = worker.try_send(WorkerMessage::Hurry);
+            }
+        }
+        grants
+    }
+
+    fn carry_out(
+        &mut self,
+        now: TimeMs,
+        decision: SchedulerDecision,
+        grants: &mut Vec<GrantChange>,
+    ) {
+        match decision {
+            SchedulerDecision::Start { task, vm, epoch, ticket, request, payload, .. } => {
+                let lease_ms = u32::try_from(TASK_LEASE_MS).unwrap_or(u32::MAX);
+                let start = TaskStart { epoch, ticket, task, request, payload, lease_ms };
+                self.start(now, vm, start);
+            }
+            SchedulerDecision::Control { task, vm, action, .. } => {
+                self.tell_worker(vm, WorkerMessage::Control { task, action });
+            }
+            SchedulerDecision::Acknowledge { task, vm } => {
+                self.tell_worker(vm, WorkerMessage::Acknowledge(task));
+            }
+            SchedulerDecision::TakeGrant { team, amount, .. } => {
+                grants.push(self.grant_change(team, GrantDirection::Take, amount));
+            }
+            SchedulerDecision::ReturnGrant { team, amount, .. } => {
+                grants.push(self.grant_change(team, GrantDirection::Return, amount));
+            }
+            SchedulerDecision::EndJob { job, outcome, .. } => {
+                let end = JobStreamMessage::End(JobEnd { job, outcome });
+                if self.forward(end).is_err() {
+                    warn!(self.logger, "end of a job waits for its worker to report it again");
+                }
+            }
+            SchedulerDecision::Quarantine { .. }
+            | SchedulerDecision::Release { .. }
+            | SchedulerDecision::Refused(_) => {}
+        }
+    }
+
+    fn start(&mut self, now: TimeMs, vm: VmId, start: TaskStart) {
+        let task = start.task.clone();
+        let sent = self
+            .workers
+            .get(&vm)
+            .is_some_and(|worker| worker.try_send(WorkerMessage::Start(start)).is_ok());
+        if !sent {
+            // Nothing left this process, so the answer is known.
+            let answer = cowslipport_lib::scheduler_event::StartAnswer::OldTicket;
+            let event = SchedulerEvent::StartAnswered { vm, task, answer, ticket: None };
+            self.scheduler.handle(now, event);
+        }
+    }
+
+    fn tell_worker(&self, vm: VmId, message: WorkerMessage) {
+        let sent = self.workers.get(&vm).is_some_and(|worker| worker.try_send(message).is_ok());
+        if !sent {
+            warn!(self.logger, "worker cannot be told now; it is told again"; "vm" => vm.0);
+        }
+    }
+
+    fn grant_change(
+        &self,
+        team: TeamId,
+        direction: GrantDirection,
+        amount: Resources,
+    ) -> GrantChange {
+        GrantChange { team, partition: self.id, owner: self.session, direction, amount }
+    }
+}
+
+fn worker_spec(state: &ControlState, vm: &Vm) -> Option<WorkerSpec> {
+    let pool = state.pools.get(vm.pool)?;
+    let service = match vm.health {
+        _ if vm.operation.is_some() => WorkerService::Draining,
+        Health::Up => WorkerService::Open,
+        Health::Leaving => WorkerService::Draining,
+        Health::Down | Health::Unknown => WorkerService::Closed,
+    };
+    Some(WorkerSpec {
+        capacity: vm.joined.capacity,
+        data_centre: vm.data_centre,
+        rack: vm.rack,
+        service,
+        data_centre_in_service: state.data_centre_in_service(vm),
+        on_data_centre_out: pool.spec.on_data_centre_out,
+    })
+}
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -1,6 +1,10 @@
 //! The gRPC service for other entry processes.
 
 use cowslipport_lib::ids::Offset;
+use cowslipport_lib::ids::PartitionId;
+use cowslipport_lib::ids::PoolId;
+use cowslipport_lib::ids::RegionId;
+use cowslipport_lib::job::JobSpec;
 use cowslipport_lib::protos::peer as raw;
 use cowslipport_lib::protos::peer::peer_server::Peer;
 use tokio::sync::mpsc;
@@ -10,6 +14,11 @@
 use tonic::Status;
 
 use crate::control_task::ControlHandle;
+use crate::explain;
+use crate::job_stream::JobAnswer;
+use crate::job_wire;
+use crate::jobs_task::JobsMessage;
+use crate::journal_task::JournalHandle;
 use crate::peer_task::PeerMessage;
 
 const MAX_FETCHED_RECORDS: usize = 1024;
@@ -20,6 +29,18 @@
     pub(crate) peer: mpsc::Sender<PeerMessage>,
     /// Address of the control task.
     pub(crate) control: ControlHandle,
+    /// Mailbox of the task for job calls.
+    pub(crate) jobs: mpsc::Sender<JobsMessage>,
+    /// Address of the journal.
+    pub(crate) journal: JournalHandle,
+    /// Name of this process.
+    pub(crate) name: String,
+}
+
+impl PeerService {
+    async fn tell_jobs(&self, message: JobsMessage) -> Result<(), Status> {
+        self.jobs.send(message).await.map_err(|_| stopping())
+    }
 }
 
 pub(crate) fn stopping() -> Status {
@@ -82,22 +103,65 @@
 
     async fn submit_job(
         &self,
-        _request: Request<raw::SubmitJobRequest>,
+        request: Request<raw::SubmitJobRequest>,
     ) -> Result<Response<raw::SubmitJobReply>, Status> {
-        Err(Status::unimplemented("jobs are not built yet"))
+        let request = request.into_inner();
+        let job = request.job.as_ref().ok_or_else(|| invalid("job"))?;
+        let job = JobSpec::try_from(job).map_err(|findings| invalid(&findings.to_string()))?;
+        let (reply, answer) = oneshot::channel();
+        let region = RegionId(request.region);
+        self.tell_jobs(JobsMessage::SubmitHere { job, region, reply }).await?;
+        let answer = answer.await.map_err(|_| stopping())?;
+        let result = job_wire::submit_result(&answer).into();
+        Ok(Response::new(raw::SubmitJobReply { result }))
     }
 
     async fn cancel_job(
         &self,
-        _request: Request<raw::CancelJobRequest>,
+        request: Request<raw::CancelJobRequest>,
     ) -> Result<Response<raw::CancelJobReply>, Status> {
-        Err(Status::unimplemented("jobs are not built yet"))
+        let request = request.into_inner();
+        let job = request.job.as_ref().ok_or_else(|| invalid("job"))?.into();
+        let partition =
+            PartitionId { pool: PoolId(request.pool), region: RegionId(request.region) };
+        let (reply, answer) = oneshot::channel();
+        self.tell_jobs(JobsMessage::CancelHere { job, partition, reply }).await?;
+        match answer.await.map_err(|_| stopping())? {
+            JobAnswer::Cancelled => Ok(Response::new(raw::CancelJobReply { found: true })),
+            JobAnswer::NotOpen => Ok(Response::new(raw::CancelJobReply { found: false })),
+            JobAnswer::Accepted
+            | JobAnswer::Known
+            | JobAnswer::EndedBefore
+            | JobAnswer::Conflict
+            | JobAnswer::NotOwner
+            | JobAnswer::LogUnavailable
+            | JobAnswer::Unknown
+            | JobAnswer::KeyWithdrawn => {
+                Err(Status::unavailable("the cancellation is not recorded"))
+            }
+        }
     }
 
     async fn list_jobs(
         &self,
-        _request: Request<raw::ListJobsRequest>,
+        request: Request<raw::ListJobsRequest>,
     ) -> Result<Response<raw::ListJobsReply>, Status> {
-        Err(Status::unimplemented("jobs are not built yet"))
+        let (reply, answer) = oneshot::channel();
+        let team = request.into_inner().team;
+        self.tell_jobs(JobsMessage::ListOwn { team, reply }).await?;
+        let summaries = answer.await.map_err(|_| stopping())?;
+        Ok(Response::new(raw::ListJobsReply { jobs: summaries.iter().map(Into::into).collect() }))
+    }
+
+    async fn explain_here(
+        &self,
+        request: Request<raw::ExplainRequest>,
+    ) -> Result<Response<raw::ExplainReply>, Status> {
+        let lines = explain::own_lines(&request.into_inner(), &self.journal, &self.name).await?;
+        Ok(Response::new(raw::ExplainReply { lines }))
     }
 }
+
+fn invalid(what: &str) -> Status {
+    Status::invalid_argument(format!("{what} is missing or not valid"))
+}
--- a/daemon/src/peer_task.rs
+++ b/daemon/src/peer_task.rs
@@ -30,10 +30,12 @@
 use crate::authority::View;
 use crate::clock::Clock;
 use crate::control_task::ControlHandle;
+use crate::jobs_task::JobsMessage;
 use crate::peer_client;
 use crate::peer_client::ExchangeError;
 use crate::peer_client::PeerClients;
 use crate::peer_wire::MemberEntry;
+use crate::placement_task::PlacementMessage;
 use crate::router_task::RouterMessage;
 use crate::subscriber::LogContact;
 
@@ -114,6 +116,10 @@
     pub(crate) control: ControlHandle,
     /// Mailbox of the router task.
     pub(crate) router: mpsc::Sender<RouterMessage>,
+    /// Mailbox of the placement task.
+    pub(crate) placement: mpsc::Sender<PlacementMessage>,
+    /// Mailbox of the task for job calls.
+    pub(crate) jobs: mpsc::Sender<JobsMessage>,
     /// The clock.
     pub(crate) clock: Clock,
     /// The logger.
@@ -367,7 +373,10 @@
     fn publish(&mut self) {
         let now = self.config.clock.now();
         let judged = self.freshness.view(now, self.me, &self.state);
-        let state = if self.diverged { ViewState::Stale } else { judged };
+        // A process that is no member is not asked what it has in flight, so a
+        // drain would not wait for its requests.
+        let is_member = self.state.sessions.contains_key(&self.me);
+        let state = if self.diverged || !is_member { ViewState::Stale } else { judged };
         if state != self.view {
             info!(self.config.logger, "view changed";
                 "from" => format!("{:?}", self.view), "to" => format!("{state:?}"),
@@ -378,10 +387,13 @@
         let view = View { state, valid_until };
         // A full mailbox only makes the receiver treat its view as stale.
         let _ = self.config.router.try_send(RouterMessage::View(view));
+        let _ = self.config.jobs.try_send(JobsMessage::View(view));
+        let authority = PlacementMessage::Authority(self.authority(now));
+        let _ = self.config.placement.try_send(authority);
     }
 
     /// Partitions that this session owns and whether it may start work there.
-    pub(crate) fn authority(&self, now: TimeMs) -> Authority {
+    fn authority(&self, now: TimeMs) -> Authority {
         let keeper = &self.config.keeper;
         let owned = self.state.owners.iter().filter(|(_, entry)| entry.owner == Some(self.me));
         let partitions = owned
--- /dev/null
+++ b/daemon/src/placement_log.rs
@@ -0,0 +1,131 @@
+//! One log line and one journal note for each placement decision.
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::job::JobRef;
+use cowslipport_lib::scheduler_decision::SchedulerDecision;
+use metrics::counter;
+use slog::Logger;
+use slog::error;
+use slog::info;
+
+use crate::journal_task::JournalHandle;
+use crate::journal_task::Note;
+use crate::journal_task::Subject;
+
+struct Line {
+    subjects: Vec<Subject>,
+    decision: &'static str,
+    choice: String,
+    reason: String,
+    eligible: u32,
+}
+
+/// Logs a decision and keeps it for explanations.
+pub(crate) fn log(
+    logger: &Logger,
+    state: &ControlState,
+    decision: &SchedulerDecision,
+    journal: &JournalHandle,
+) {
+    if let SchedulerDecision::Refused(violation) = decision {
+        counter!("cowslipport_invariant_violations_total",
+            "invariant" => violation.invariant.name())
+        .increment(1);
+        error!(logger, "action refused"; "invariant" => violation.invariant.name(),
+            "detail" => &violation.detail);
+        return;
+    }
+    let Some(line) = line(state, decision) else { return };
+    counter!("cowslipport_placement_decisions_total", "decision" => line.decision).increment(1);
+    let subject = line.subjects.first().map(name).unwrap_or_default();
+    info!(logger, "placement"; "subject" => subject, "decision" => line.decision,
+        "choice" => &line.choice, "reason" => &line.reason, "eligible" => line.eligible);
+    let decision = format!("{} {}", line.decision, line.choice);
+    let decision = decision.trim_end().to_owned();
+    journal.note(Note { subjects: line.subjects, decision, reason: line.reason });
+}
+
+fn name(subject: &Subject) -> String {
+    match subject {
+        Subject::Job(name) | Subject::Vm(name) | Subject::Team(name) | Subject::Wave(name) => {
+            name.clone()
+        }
+    }
+}
+
+fn line(state: &ControlState, decision: &SchedulerDecision) -> Option<Line> {
+    Some(match decision {
+        SchedulerDecision::Start { task, vm, reason, candidates, .. } => Line {
+            subjects: vec![job_subject(state, &task.job), vm_subject(state, *vm)],
+            decision: "start",
+            choice: vm_name(state, *vm),
+            reason: format!("{reason:?}"),
+            eligible: *candidates,
+        },
+        SchedulerDecision::Control { task, vm, action, reason, candidates } => Line {
+            subjects: vec![job_subject(state, &task.job), vm_subject(state, *vm)],
+            decision: "control",
+            choice: format!("{action:?}"),
+            reason: format!("{reason:?}"),
+            eligible: *candidates,
+        },
+        SchedulerDecision::TakeGrant { team, amount, reason } => Line {
+            subjects: vec![Subject::Team(team_name(state, *team))],
+            decision: "take_grant",
+            choice: amount.to_string(),
+            reason: format!("{reason:?}"),
+            eligible: 0,
+        },
+        SchedulerDecision::ReturnGrant { team, amount, reason } => Line {
+            subjects: vec![Subject::Team(team_name(state, *team))],
+            decision: "return_grant",
+            choice: amount.to_string(),
+            reason: format!("{reason:?}"),
+            eligible: 0,
+        },
+        SchedulerDecision::Quarantine { vm, reason, failed_jobs, duration_ms } => Line {
+            subjects: vec![vm_subject(state, *vm)],
+            decision: "quarantine",
+            choice: format!("{duration_ms} ms"),
+            reason: format!("{reason:?}, {failed_jobs} failed jobs"),
+            eligible: 0,
+        },
+        SchedulerDecision::Release { vm, reason } => Line {
+            subjects: vec![vm_subject(state, *vm)],
+            decision: "release",
+            choice: String::new(),
+            reason: format!("{reason:?}"),
+            eligible: 0,
+        },
+        SchedulerDecision::EndJob { job, outcome, reason, vm } => Line {
+            subjects: std::iter::once(job_subject(state, job))
+                .chain(vm.map(|vm| vm_subject(state, vm)))
+                .collect(),
+            decision: "end_job",
+            choice: format!("{outcome:?}"),
+            reason: format!("{reason:?}"),
+            eligible: 0,
+        },
+        SchedulerDecision::Acknowledge { .. } | SchedulerDecision::Refused(_) => return None,
+    })
+}
+
+fn job_subject(state: &ControlState, job: &JobRef) -> Subject {
+    Subject::Job(format!("{}/{}", team_name(state, job.team), job.name))
+}
+
+fn vm_subject(state: &ControlState, vm: VmId) -> Subject {
+    Subject::Vm(vm_name(state, vm))
+}
+
+/// Name of a VM, or its number once it has left.
+pub(crate) fn vm_name(state: &ControlState, vm: VmId) -> String {
+    state.vms.get(vm).map_or_else(|| vm.to_string(), |vm| vm.joined.name.clone())
+}
+
+/// Name of a team, or its number if it is not known.
+pub(crate) fn team_name(state: &ControlState, team: TeamId) -> String {
+    state.teams.get(team).map_or_else(|| team.to_string(), |team| team.spec.name.clone())
+}
--- /dev/null
+++ b/daemon/src/placement_task.rs
@@ -0,0 +1,305 @@
+//! The task that places jobs in the partitions that this process owns.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::ids::Epoch;
+use cowslipport_lib::ids::PartitionId;
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::job::JobRef;
+use cowslipport_lib::job::JobSpec;
+use cowslipport_lib::record::GrantDirection;
+use cowslipport_lib::replica::ControlFeed;
+use cowslipport_lib::replica::ReplicaChange;
+use cowslipport_lib::scheduler_event::SchedulerEvent;
+use cowslipport_lib::session::StartAuthority;
+use slog::Logger;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
+
+use crate::authority::Authority;
+use crate::clock::Clock;
+use crate::control_task::AppendOutcome;
+use crate::control_task::ControlHandle;
+use crate::edges::LogService;
+use crate::edges::WorkerConnector;
+use crate::job_stream::JobAnswer;
+use crate::job_stream::JobStreamMessage;
+use crate::journal_task::JournalHandle;
+use crate::partition::JobView;
+use crate::partition::Partition;
+
+const TICK: Duration = Duration::from_millis(100);
+const MAILBOX_MESSAGES: usize = 4096;
+
+/// Messages of the placement task.
+pub(crate) enum PlacementMessage {
+    /// The control state changed.
+    Control(ControlFeed),
+    /// Where this process may start work.
+    Authority(Authority),
+    /// The jobs stream of a partition was read.
+    Loaded { partition: PartitionId, epoch: Epoch, jobs: Vec<JobSpec> },
+    /// An event for the scheduler of a partition.
+    Scheduler { partition: PartitionId, epoch: Epoch, event: SchedulerEvent },
+    /// The append of grant changes ended.
+    GrantsAnswered {
+        partition: PartitionId,
+        epoch: Epoch,
+        changes: Vec<(TeamId, GrantDirection)>,
+        outcome: AppendOutcome,
+    },
+    /// Submits a job to a partition of this process.
+    Submit { partition: PartitionId, job: JobSpec, reply: oneshot::Sender<JobAnswer> },
+    /// Cancels a job in a partition of this process.
+    Cancel { partition: PartitionId, job: JobRef, reply: oneshot::Sender<JobAnswer> },
+    /// Asks for the open jobs of a team, or of all.
+    List { team: Option<TeamId>, reply: oneshot::Sender<Vec<JobView>> },
+    /// Asks for the tasks that run on each VM of this process's partitions.
+    Tasks(oneshot::Sender<BTreeMap<VmId, Option<u32>>>),
+}
+
+/// What the placement task needs to start.
+pub(crate) struct PlacementConfig<L, C> {
+    /// The log.
+    pub(crate) log: L,
+    /// Connects to workers.
+    pub(crate) workers: C,
+    /// The session of this process.
+    pub(crate) session: SessionId,
+    /// The clock.
+    pub(crate) clock: Clock,
+    /// Address of the control task.
+    pub(crate) control: ControlHandle,
+    /// Address of the journal.
+    pub(crate) journal: JournalHandle,
+    /// The logger.
+    pub(crate) logger: Logger,
+}
+
+/// The mailbox of a placement task that is about to start.
+pub(crate) fn mailbox() -> (mpsc::Sender<PlacementMessage>, mpsc::Receiver<PlacementMessage>) {
+    mpsc::channel(MAILBOX_MESSAGES)
+}
+
+/// Owner of the partitions of this process.
+pub(crate) struct PlacementTask<L, C> {
+    config: PlacementConfig<L, C>,
+    sender: mpsc::WeakSender<PlacementMessage>,
+    state: ControlState,
+    authority: Authority,
+    partitions: BTreeMap<PartitionId, Partition>,
+}
+
+impl<L, C> PlacementTask<L, C>
+where
+    L: LogService,
+    C: WorkerConnector,
+{
+    /// Starts the task. It ends when its mailbox is closed.
+    pub(crate) fn spawn(
+        config: PlacementConfig<L, C>,
+        (sender, receiver): (mpsc::Sender<PlacementMessage>, mpsc::Receiver<PlacementMessage>),
+    ) {
+        let task = Self {
+            config,
+            sender: sender.downgrade(),
+            state: ControlState::default(),
+            authority: Authority::default(),
+            partitions: BTreeMap::new(),
+        };
+        actix_rt::spawn(task.run(receiver));
+    }
+
+    async fn run(mut self, mut receiver: mpsc::Receiver<PlacementMessage>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = receiver.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = ticks.tick() => {}
+            }
+            // Messages that are there already are taken before deciding.
+            while let Ok(message) = receiver.try_recv() {
+                self.handle(message);
+            }
+            self.decide();
+        }
+    }
+
+    fn handle(&mut self, message: PlacementMessage) {
+        match message {
+            PlacementMessage::Control(feed) => self.follow(&feed),
+            PlacementMessage::Authority(authority) => self.authority = authority,
+            PlacementMessage::Loaded { partition, epoch, jobs } => {
+                self.loaded(partition, epoch, jobs);
+            }
+            PlacementMessage::Scheduler { partition, epoch, event } => {
+                let now = self.config.clock.now();
+                if let Some(partition) = self.partition(partition, epoch) {
+                    partition.handle(now, event);
+                }
+            }
+            PlacementMessage::GrantsAnswered { partition, epoch, changes, outcome } => {
+                self.grants_answered(partition, epoch, changes, &outcome);
+            }
+            PlacementMessage::Submit { partition, job, reply } => {
+                self.forward(partition, JobStreamMessage::Submit { job, reply });
+            }
+            PlacementMessage::Cancel { partition, job, reply } => {
+                self.forward(partition, JobStreamMessage::Cancel { job, reply });
+            }
+            PlacementMessage::List { team, reply } => {
+                let _ = reply.send(self.jobs(team));
+            }
+            PlacementMessage::Tasks(reply) => {
+                let tasks = self.partitions.values().flat_map(Partition::tasks).collect();
+                let _ = reply.send(tasks);
+            }
+        }
+    }
+
+    fn partition(&mut self, id: PartitionId, epoch: Epoch) -> Option<&mut Partition> {
+        self.partitions.get_mut(&id).filter(|partition| partition.epoch() == epoch)
+    }
+
+    fn follow(&mut self, feed: &ControlFeed) {
+        let change = self.state.follow(feed);
+        self.follow_ownership();
+        let now = self.config.clock.now();
+        for partition in self.partitions.values_mut() {
+            match &change {
+                ReplicaChange::All => partition.put_all(now, &self.state),
+                ReplicaChange::Some(changes) => partition.put_changes(now, &self.state, changes),
+            }
+        }
+        self.connect_workers();
+    }
+
+    fn follow_ownership(&mut self) {
+        let me = Some(self.config.session);
+        let owned: BTreeMap<PartitionId, Epoch> = self
+            .state
+            .owners
+            .iter()
+            .filter(|(_, ownership)| ownership.owner == me)
+            .map(|(id, ownership)| (*id, ownership.epoch))
+            .collect();
+        let logger = &self.config.logger;
+        self.partitions.retain(|id, partition| {
+            let kept = owned.get(id) == Some(&partition.epoch());
+            if !kept {
+                info!(logger, "partition is no longer owned"; "partition" => id.to_string());
+            }
+            kept
+        });
+        for (id, epoch) in owned {
+            if self.partitions.contains_key(&id) {
+                continue;
+            }
+            info!(self.config.logger, "partition is owned"; "partition" => id.to_string(),
+                "epoch" => epoch.0);
+            let log = self.config.log.clone();
+            let session = self.config.session;
+            let logger = self.config.logger.clone();
+            let partition = Partition::gain(id, epoch, session, log, self.sender.clone(), logger);
+            self.partitions.insert(id, partition);
+        }
+    }
+
+    fn connect_workers(&mut self) {
+        let clock = self.config.clock;
+        for partition in self.partitions.values_mut() {
+            partition.connect_workers(&self.state, &self.config.workers, clock, &self.sender);
+        }
+    }
+
+    fn loaded(&mut self, id: PartitionId, epoch: Epoch, jobs: Vec<JobSpec>) {
+        let now = self.config.clock.now();
+        if let Some(partition) = self.partitions.get_mut(&id).filter(|entry| entry.epoch() == epoch)
+        {
+            partition.loaded(now, &self.state, jobs);
+        }
+        self.connect_workers();
+    }
+
+    fn grants_answered(
+        &mut self,
+        id: PartitionId,
+        epoch: Epoch,
+        changes: Vec<(TeamId, GrantDirection)>,
+        outcome: &AppendOutcome,
+    ) {
+        match outcome {
+            AppendOutcome::Applied(_) => {}
+            AppendOutcome::Void(_) | AppendOutcome::Unavailable(_) | AppendOutcome::Unknown(_) => {
+                info!(self.config.logger, "grant is not changed"; "partition" => id.to_string(),
+                    "reason" => format!("{outcome:?}"));
+            }
+        }
+        let now = self.config.clock.now();
+        if let Some(partition) = self.partition(id, epoch) {
+            for (team, direction) in changes {
+                partition.handle(now, SchedulerEvent::GrantAnswered { team, direction });
+            }
+        }
+    }
+
+    fn forward(&mut self, id: PartitionId, message: JobStreamMessage) {
+        let reply = match self.partitions.get(&id) {
+            Some(partition) => match partition.forward(message) {
+                Ok(()) => return,
+                Err(message) => message,
+            },
+            None => message,
+        };
+        let (JobStreamMessage::Submit { reply, .. } | JobStreamMessage::Cancel { reply, .. }) =
+            reply
+        else {
+            return;
+        };
+        let _ = reply.send(JobAnswer::NotOwner);
+    }
+
+    fn jobs(&self, team: Option<TeamId>) -> Vec<JobView> {
+        let now = self.config.clock.now();
+        let views = self.partitions.values().flat_map(|partition| partition.jobs(now));
+        views.filter(|view| team.is_none_or(|team| view.job.team == team)).collect()
+    }
+
+    fn decide(&mut self) {
+        let now = self.config.clock.now();
+        for (id, partition) in &mut self.partitions {
+            let allowed = self.authority.at(now, *id) == StartAuthority::Granted;
+            partition.handle(now, SchedulerEvent::StartsAllowed(allowed));
+            let changes = partition.decide(now, &self.state, &self.config.journal);
+            if changes.is_empty() {
+                continue;
+            }
+            let (id, epoch, sender) = (*id, partition.epoch(), self.sender.clone());
+            let answered = changes.iter().map(|change| (change.team, change.direction)).collect();
+            let control = self.config.control.clone();
+            actix_rt::spawn(async move {
+                let body = cowslipport_lib::record::RecordBody::GrantBatch(changes);
+                let outcome = control.append(body).await;
+                let message = PlacementMessage::GrantsAnswered {
+                    partition: id,
+                    epoch,
+                    changes: answered,
+                    outcome,
+                };
+                if let Some(sender) = sender.upgrade() {
+                    let _ = sender.send(message).await;
+                }
+            });
+        }
+    }
+}
--- a/daemon/src/subscriber.rs
+++ b/daemon/src/subscriber.rs
@@ -6,7 +6,9 @@
 use tokio::sync::mpsc;
 
 use crate::fleet_task::FleetMessage;
+use crate::jobs_task::JobsMessage;
 use crate::peer_task::PeerMessage;
+use crate::placement_task::PlacementMessage;
 use crate::router_task::RouterMessage;
 
 /// What a read of the log told about the log.
@@ -34,6 +36,10 @@
     Router(mpsc::Sender<RouterMessage>),
     /// The fleet task.
     Fleet(mpsc::Sender<FleetMessage>),
+    /// The placement task.
+    Placement(mpsc::Sender<PlacementMessage>),
+    /// The task for job calls.
+    Jobs(mpsc::Sender<JobsMessage>),
 }
 
 impl Subscriber {
@@ -44,6 +50,8 @@
             Self::Peer(sender) => sender.send(PeerMessage::Control(feed)).await.is_ok(),
             Self::Router(sender) => sender.send(RouterMessage::Control(feed)).await.is_ok(),
             Self::Fleet(sender) => sender.send(FleetMessage::Control(feed)).await.is_ok(),
+            Self::Placement(sender) => sender.send(PlacementMessage::Control(feed)).await.is_ok(),
+            Self::Jobs(sender) => sender.send(JobsMessage::Control(feed)).await.is_ok(),
         };
     }
 
@@ -53,7 +61,7 @@
             Self::Peer(sender) => {
                 let _ = sender.send(PeerMessage::LogContact(contact.clone())).await;
             }
-            Self::Router(_) | Self::Fleet(_) => {}
+            Self::Router(_) | Self::Fleet(_) | Self::Placement(_) | Self::Jobs(_) => {}
         }
     }
 }
--- /dev/null
+++ b/daemon/tests/support/mod.rs
@@ -0,0 +1,202 @@
+//! Processes and a platform on loopback, for tests of the whole path.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::Method;
+use cowslipport_daemon::app::Daemon;
+use cowslipport_daemon::app::DaemonConfig;
+use cowslipport_daemon::app::PlatformEdges;
+use cowslipport_daemon::platform_client::GrpcLog;
+use cowslipport_daemon::platform_client::GrpcVmList;
+use cowslipport_daemon::worker_client::GrpcWorkers;
+use cowslipport_lib::config::Manifest;
+use cowslipport_lib::protos::config as raw_config;
+use cowslipport_lib::protos::peer as raw;
+use cowslipport_lib::protos::peer::CommitResult;
+use cowslipport_lib::protos::peer::admin_client::AdminClient;
+use cowslipport_lib::settings::Limits;
+use cowslipport_standin::fleet;
+use cowslipport_standin::fleet::Fleet;
+use cowslipport_standin::fleet::FleetSpec;
+use cowslipport_standin::fleet::RackSpec;
+use cowslipport_standin::upstream_model::UpstreamSettings;
+use cowslipport_standin::vm_inventory::InventorySettings;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use tonic::Request;
+use tonic::transport::Channel;
+
+/// Key of team `web` in [`MANIFEST`].
+pub(crate) const KEY: &str = "secret";
+
+/// Two data centres, a pool, and a team that holds [`KEY`].
+pub(crate) const MANIFEST: &str = r#"
+[[data_centre]]
+name = "dc1"
+region = "south"
+
+[[data_centre]]
+name = "dc2"
+region = "south"
+
+[[pool]]
+name = "booking"
+slots_per_vm = 8
+max_vms = 10
+drain_timeout_ms = 2000
+
+[[budget]]
+pool = "booking"
+max_unavailable = 1
+
+[[team]]
+name = "web"
+share_milli = 1000
+limit_cpu_milli = 64000
+limit_memory_bytes = 64000000000
+
+[[team.key]]
+name = "k1"
+# SHA-256 of "secret".
+sha256 = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+"#;
+
+/// A platform with two VMs of pool `booking` in each of two data centres.
+pub(crate) async fn start_fleet() -> Fleet {
+    let rack = |data_centre: &str| RackSpec {
+        data_centre: data_centre.to_owned(),
+        rack: "r1".to_owned(),
+        pool: "booking".to_owned(),
+        vms: 2,
+    };
+    let spec = FleetSpec {
+        inventory: InventorySettings { lag_ms: 200, reboot_ms: 1000, lists_rebooting: true },
+        upstream: Some(UpstreamSettings::default()),
+        racks: vec![rack("dc1"), rack("dc2")],
+        ..FleetSpec::default()
+    };
+    fleet::start(spec).await.expect("the platform starts")
+}
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("the address is valid")
+}
+
+/// A process on the platform.
+pub(crate) async fn start_daemon(name: &str, fleet: &Fleet) -> Daemon {
+    let config = DaemonConfig {
+        name: name.to_owned(),
+        data_centre: "dc1".to_owned(),
+        callers: loopback(),
+        peers: loopback(),
+        health: loopback(),
+        seeds: Vec::new(),
+        peer_token: "peer".to_owned(),
+        operator_token: "operator".to_owned(),
+        limits: Limits { shutdown_timeout_ms: 3_000, ..Limits::default() },
+    };
+    let platform = PlatformEdges {
+        log: GrpcLog::new(fleet.log.address()),
+        vm_list: GrpcVmList::new(fleet.vm_list.address()),
+        workers: GrpcWorkers,
+    };
+    Daemon::start(config, platform, None, Logger::root(Discard, o!()))
+        .await
+        .expect("the process starts")
+}
+
+/// Three processes on the platform with [`MANIFEST`] in force.
+pub(crate) async fn start_three(fleet: &Fleet) -> Vec<Daemon> {
+    let mut daemons = Vec::new();
+    for name in ["entry-1", "entry-2", "entry-3"] {
+        daemons.push(start_daemon(name, fleet).await);
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let reply = commit(&daemons[0], 0, MANIFEST).await;
+    assert_eq!(reply.result(), CommitResult::Recorded, "{reply:?}");
+    daemons
+}
+
+/// Client for operators' calls.
+pub(crate) async fn admin(daemon: &Daemon) -> AdminClient<Channel> {
+    let address = format!("http://{}", daemon.addresses().peers);
+    AdminClient::connect(address).await.expect("the process listens")
+}
+
+/// Adds the token of operators.
+pub(crate) fn authorized<T>(message: T) -> Request<T> {
+    let mut request = Request::new(message);
+    request.metadata_mut().insert("authorization", "Bearer operator".parse().expect("valid"));
+    request
+}
+
+/// Commits a manifest through a process.
+pub(crate) async fn commit(
+    daemon: &Daemon,
+    expected_revision: u64,
+    manifest: &str,
+) -> raw::CommitReply {
+    let manifest = Manifest::from_toml(manifest).expect("the manifest is valid");
+    let request = raw::CommitRequest {
+        expected_revision,
+        author: "ana".to_owned(),
+        manifest: Some(raw_config::Manifest::from(&manifest)),
+        dry_run: false,
+    };
+    let reply = admin(daemon).await.commit(authorized(request)).await;
+    reply.expect("the call is accepted").into_inner()
+}
+
+/// Takes a data centre out of service or brings it back.
+pub(crate) async fn set_data_centre(
+    daemon: &Daemon,
+    name: &str,
+    in_service: bool,
+) -> raw::CommitReply {
+    let request = raw::SetDataCentreRequest {
+        data_centre: name.to_owned(),
+        in_service,
+        author: "ana".to_owned(),
+    };
+    let reply = admin(daemon).await.set_data_centre(authorized(request)).await;
+    reply.expect("the call is accepted").into_inner()
+}
+
+/// Status of the fleet by one process.
+pub(crate) async fn status(daemon: &Daemon) -> raw::StatusReply {
+    let reply = admin(daemon).await.status(authorized(raw::StatusRequest {})).await;
+    reply.expect("the call is accepted").into_inner()
+}
+
+/// Sends a caller's request; returns status and body.
+pub(crate) async fn call(
+    daemon: &Daemon,
+    method: Method,
+    path: &str,
+    key: &str,
+    body: &str,
+) -> (u16, String) {
+    let url = format!("http://{}{path}", daemon.addresses().callers);
+    let client = awc::Client::default();
+    let request = client.request(method, url).bearer_auth(key);
+    let mut response = request.send_body(body.to_owned()).await.expect("the front end answers");
+    let body = response.body().await.expect("the answer is whole");
+    (response.status().as_u16(), String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Waits until `condition` holds, at most for `limit`.
+pub(crate) async fn wait_until<F, R>(limit: Duration, what: &str, mut condition: F)
+where
+    F: FnMut() -> R,
+    R: Future<Output = bool>,
+{
+    let deadline = tokio::time::Instant::now() + limit;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < deadline, "{what} within {limit:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/daemon/tests/test_path.rs
+++ b/daemon/tests/test_path.rs
@@ -5,10 +5,12 @@
 
 use cowslipport_daemon::app::Daemon;
 use cowslipport_daemon::app::DaemonConfig;
+use cowslipport_daemon::app::PlatformEdges;
 use cowslipport_daemon::edges::ListedVm;
 use cowslipport_daemon::edges::VmList;
 use cowslipport_daemon::edges::VmListError;
 use cowslipport_daemon::platform_client::GrpcLog;
+use cowslipport_daemon::worker_client::GrpcWorkers;
 use cowslipport_lib::config::Manifest;
 use cowslipport_lib::protos::config as raw_config;
 use cowslipport_lib::protos::peer as raw;
@@ -88,9 +90,13 @@
         operator_token: "operator".to_owned(),
         limits: Limits { shutdown_timeout_ms: 500, ..Limits::default() },
     };
-    let list = FixedList { upstream: upstream.to_owned() };
+    let platform = PlatformEdges {
+        log: GrpcLog::new(log),
+        vm_list: FixedList { upstream: upstream.to_owned() },
+        workers: GrpcWorkers,
+    };
     let logger = Logger::root(Discard, o!());
-    Daemon::start(config, GrpcLog::new(log), list, None, logger).await.expect("the daemon starts")
+    Daemon::start(config, platform, None, logger).await.expect("the daemon starts")
 }
 
 async fn admin(daemon: &Daemon) -> AdminClient<Channel> {
--- a/lib/src/protos/cowslipport.peer.rs
+++ b/lib/src/protos/cowslipport.peer.rs
@@ -194,6 +194,9 @@
     /// Time in milliseconds since the state was entered.
     #[prost(uint64, tag = "7")]
     pub age_ms: u64,
+    /// Number of the region of the job's partition.
+    #[prost(uint32, tag = "8")]
+    pub region: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CommitRequest {
@@ -479,6 +482,8 @@
     QueueFull = 5,
     Conflict = 6,
     KeyWithdrawn = 7,
+    /// A job of the name ended a short time ago.
+    EndedBefore = 8,
 }
 impl SubmitResult {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -495,6 +500,7 @@
             Self::QueueFull => "SUBMIT_RESULT_QUEUE_FULL",
             Self::Conflict => "SUBMIT_RESULT_CONFLICT",
             Self::KeyWithdrawn => "SUBMIT_RESULT_KEY_WITHDRAWN",
+            Self::EndedBefore => "SUBMIT_RESULT_ENDED_BEFORE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -508,6 +514,7 @@
             "SUBMIT_RESULT_QUEUE_FULL" => Some(Self::QueueFull),
             "SUBMIT_RESULT_CONFLICT" => Some(Self::Conflict),
             "SUBMIT_RESULT_KEY_WITHDRAWN" => Some(Self::KeyWithdrawn),
+            "SUBMIT_RESULT_ENDED_BEFORE" => Some(Self::EndedBefore),
             _ => None,
         }
     }
@@ -852,6 +859,27 @@
                 .insert(GrpcMethod::new("cowslipport.peer.Peer", "ListJobs"));
             self.inner.unary(req, path, codec).await
         }
+        pub async fn explain_here(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ExplainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ExplainReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/cowslipport.peer.Peer/ExplainHere",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("cowslipport.peer.Peer", "ExplainHere"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -918,6 +946,10 @@
             &self,
             request: tonic::Request<super::ListJobsRequest>,
         ) -> std::result::Result<tonic::Response<super::ListJobsReply>, tonic::Status>;
+        async fn explain_here(
+            &self,
+            request: tonic::Request<super::ExplainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ExplainReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -1388,6 +1420,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/cowslipport.peer.Peer/ExplainHere" => {
+                    #[allow(non_camel_case_types)]
+                    struct ExplainHereSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::ExplainRequest>
+                    for ExplainHereSvc<T> {
+                        type Response = super::ExplainReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ExplainRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::explain_here(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ExplainHereSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
