--- /dev/null
+++ b/bench/src/move_bound.rs
@@ -0,0 +1,149 @@
+//! Bounds for buffer and moves of policies that know the demand trace.
+//!
+//! In each burst there is a moment at which a pool has the VMs that the burst
+//! needs and the reserve that its budget may take away: with fewer, some work
+//! would wait too long. In the gap after the burst such a VM either stays, or
+//! leaves, for which it drains `move_ms` in its pool. At most the length of
+//! the burst of that is not part of the gap, so the VM is held for at least
+//! the shorter of the gap and the rest of the move.
+
+use cowslipport_lib::buffer::WAIT_SAMPLES;
+use cowslipport_lib::buffer::vms_for;
+
+use crate::profile::Profile;
+use crate::trace::SECONDS;
+use crate::trace::Trace;
+
+/// VMs that a pool needs in one burst.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    vms: usize,
+    /// VM-seconds of work in the burst.
+    work: f64,
+    /// First second and first second after the time in which the work of the
+    /// burst has to be done.
+    start: f64,
+    end: f64,
+}
+
+/// What the bounds are computed from.
+pub(crate) struct Bound {
+    needs: Vec<Vec<Need>>,
+    reserve: usize,
+    move_seconds: f64,
+    /// VMs of a pool in the beginning.
+    first: usize,
+    /// VM-seconds in which VMs work.
+    pub(crate) used_vm_seconds: f64,
+}
+
+impl Bound {
+    pub(crate) fn new(profile: &Profile, trace: &Trace) -> Self {
+        let slots = f64::from(profile.slots_per_vm);
+        let services = 0..profile.services as usize;
+        let used = services
+            .clone()
+            .flat_map(|service| trace.offered(service))
+            .map(|offered| f64::from(offered) / slots)
+            .sum();
+        let need = |burst: &crate::trace::Burst| {
+            let samples = vec![burst.slots; (burst.end - burst.start) as usize];
+            Need {
+                vms: vms_for(&samples, profile.slots_per_vm) as usize,
+                work: samples.iter().map(|sample| f64::from(*sample) / slots).sum(),
+                start: f64::from(burst.start),
+                end: f64::from(burst.end) + WAIT_SAMPLES as f64,
+            }
+        };
+        Self {
+            needs: services.map(|id| trace.bursts[id].iter().map(need).collect()).collect(),
+            reserve: profile.pool_budget as usize,
+            move_seconds: profile.move_ms as f64 / 1000.0,
+            first: (profile.vms / (profile.services + 1)) as usize,
+            used_vm_seconds: used,
+        }
+    }
+
+    /// VM-seconds of a fixed split in which each pool has what it ever needs.
+    pub(crate) fn fixed_split_vm_seconds(&self) -> f64 {
+        let most = |needs: &Vec<Need>| needs.iter().map(|need| need.vms).max().unwrap_or_default();
+        let vms: usize = self.needs.iter().map(|needs| most(needs) + self.reserve).sum();
+        vms as f64 * f64::from(SECONDS)
+    }
+
+    /// VM-seconds that pools hold at least.
+    pub(crate) fn held_vm_seconds(&self) -> f64 {
+        let pool = |needs: &Vec<Need>| {
+            let gaps = gaps(needs).map(|(need, gap)| need.vms as f64 * self.shortest(need, gap));
+            self.certain(needs) + gaps.sum::<f64>()
+        };
+        self.needs.iter().map(pool).sum()
+    }
+
+    /// Seconds of a gap for which a VM that its burst needs is held at least.
+    fn shortest(&self, need: &Need, gap: f64) -> f64 {
+        gap.min(self.move_seconds - (need.end - need.start)).max(0.0)
+    }
+
+    /// Reserve at all times and the work of each burst.
+    fn certain(&self, needs: &[Need]) -> f64 {
+        let work: f64 = needs.iter().map(|need| need.work).sum();
+        self.reserve as f64 * f64::from(SECONDS) + work
+    }
+
+    /// The fewest moves of any policy that holds at most `held` VM-seconds.
+    ///
+    /// For each price of a VM-second, the cheapest policy costs
+    /// `min(moves + price * held)`; a policy within `held` then makes at least
+    /// that less `price * held` moves. The best price gives the bound. Only
+    /// moves into pools of services are counted.
+    pub(crate) fn fewest_moves(&self, held: f64) -> f64 {
+        let at_price = |price: f64| -> f64 {
+            let cost: f64 = self.needs.iter().map(|needs| self.cheapest(needs, price)).sum();
+            cost - price * held
+        };
+        // From a move for 10 VM-seconds to a move for 28 VM-hours.
+        (0..40).map(|step| at_price(0.1 / 1.35_f64.powi(step))).fold(0.0, f64::max)
+    }
+
+    /// The least cost of one pool by dynamic programming over its bursts.
+    fn cheapest(&self, needs: &[Need], price: f64) -> f64 {
+        let most = needs.iter().map(|need| need.vms).max().unwrap_or_default();
+        let largest = (most + self.reserve).max(self.first);
+        let mut costs = vec![f64::INFINITY; largest + 1];
+        costs[self.first] = 0.0;
+        let mut before: Option<(&Need, f64)> = None;
+        for (need, gap) in gaps(needs) {
+            costs = (0..=largest)
+                .map(|to| {
+                    if to < need.vms + self.reserve {
+                        return f64::INFINITY;
+                    }
+                    (0..=largest)
+                        .map(|from| costs[from] + self.gap_cost(from, to, before, price))
+                        .fold(f64::INFINITY, f64::min)
+                })
+                .collect();
+            before = Some((need, gap));
+        }
+        costs.into_iter().fold(f64::INFINITY, f64::min) + price * self.certain(needs)
+    }
+
+    /// Cost of a gap: VMs that stay are held, or leave and return with one
+    /// move; VMs that leave are held while they drain. The reserve is counted
+    /// apart.
+    fn gap_cost(&self, from: usize, to: usize, before: Option<(&Need, f64)>, price: f64) -> f64 {
+        let (gap, shortest) =
+            before.map_or((0.0, 0.0), |(need, gap)| (gap, self.shortest(need, gap)));
+        let stay = from.min(to).saturating_sub(self.reserve) as f64;
+        let leave = from.saturating_sub(to.max(self.reserve)) as f64;
+        let arrive = to.saturating_sub(from) as f64;
+        stay * (price * gap).min(price * shortest + 1.0) + leave * price * shortest + arrive
+    }
+}
+
+/// Each burst with the seconds until the next one begins.
+fn gaps(needs: &[Need]) -> impl Iterator<Item = (&Need, f64)> {
+    let next = needs.iter().skip(1).map(|need| need.start).chain([f64::from(SECONDS)]);
+    needs.iter().zip(next).map(|(need, start)| (need, (start - need.end).max(0.0)))
+}
--- /dev/null
+++ b/bench/src/roll_out_bound.rs
@@ -0,0 +1,102 @@
+//! The shortest time in which any policy can maintain all VMs.
+//!
+//! A policy may know all durations. It still has at most `max_unavailable`
+//! VMs of a domain out of service, and at most as many VMs unproven as the
+//! width. The width doubles when as many VMs as it allows have come back and
+//! stayed healthy; the earliest that this can happen is when the shortest
+//! ones went first and no place was ever empty.
+
+use std::collections::BTreeMap;
+
+use cowslipport_lib::budget::Domain;
+
+use crate::fleet::Fleet;
+use crate::profile::Profile;
+use crate::trace::Trace;
+
+/// Time for which maintenance takes a VM out of service.
+pub(crate) fn out_of_service_ms(profile: &Profile, trace: &Trace, vm: u32) -> u64 {
+    let maintenance = trace.maintenance[vm as usize];
+    maintenance.drain_ms + maintenance.reboot_ms.unwrap_or(profile.reboot_timeout_ms)
+}
+
+/// The bound in milliseconds.
+pub(crate) fn bound_ms(profile: &Profile, trace: &Trace) -> f64 {
+    let durations: Vec<f64> =
+        (0..profile.vms).map(|vm| out_of_service_ms(profile, trace, vm) as f64).collect();
+    let steps = earliest_steps(profile, &durations);
+    let soak = profile.soak_ms as f64;
+    // The VMs that are under way at the end need not be proven.
+    let unproven = f64::from(profile.max_width) * soak;
+    let all = durations.iter().map(|duration| duration + soak).sum::<f64>() - unproven;
+    let fleet = time_for(&steps, f64::from(profile.max_width), all);
+    let longest = durations.iter().copied().fold(0.0, f64::max);
+    domain_work(profile, trace)
+        .into_iter()
+        .map(|(capacity, work)| time_for(&steps, capacity, work))
+        .fold(fleet.max(longest), f64::max)
+}
+
+/// Width and duration of each step at its earliest; the last has no end.
+fn earliest_steps(profile: &Profile, durations: &[f64]) -> Vec<(f64, f64)> {
+    let mut sorted = durations.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let mut steps = Vec::new();
+    let mut width = profile.initial_width as usize;
+    let mut begun = 0;
+    while width < profile.max_width as usize && begun + width <= sorted.len() {
+        let step = &sorted[begun..begun + width];
+        let proven = step.iter().map(|duration| duration + profile.soak_ms as f64);
+        steps.push((width as f64, proven.sum::<f64>() / width as f64));
+        begun += width;
+        width = (width * 2).min(profile.max_width as usize);
+    }
+    steps.push((width as f64, f64::INFINITY));
+    steps
+}
+
+/// Time until `work` is done by as many VMs at a time as the width and
+/// `capacity` allow.
+fn time_for(steps: &[(f64, f64)], capacity: f64, work: f64) -> f64 {
+    let mut left = work;
+    let mut time = 0.0;
+    for (width, duration) in steps {
+        let rate = width.min(capacity);
+        if left <= rate * duration {
+            return time + left.max(0.0) / rate;
+        }
+        left -= rate * duration;
+        time += duration;
+    }
+    time
+}
+
+/// Budget of each domain and the time that its VMs are out of service. The
+/// repair of VMs that do not come back uses up the budget too, except for as
+/// many as the budget allows, which can be the last ones.
+fn domain_work(profile: &Profile, trace: &Trace) -> Vec<(f64, f64)> {
+    let fleet = Fleet::new(profile);
+    let mut members: BTreeMap<_, (u32, Vec<u32>)> = BTreeMap::new();
+    for (id, vm) in fleet.state.vms.iter() {
+        let pool = fleet.state.pools.get(vm.pool).expect("every VM has a pool");
+        for budget in &pool.budgets {
+            let domain = (vm.pool, Domain::of(vm, budget.scope));
+            members.entry(domain).or_insert((budget.max_unavailable, Vec::new())).1.push(id.0);
+        }
+    }
+    members
+        .into_values()
+        .map(|(max_unavailable, vms)| {
+            let out: u64 = vms.iter().map(|vm| out_of_service_ms(profile, trace, *vm)).sum();
+            let mut repairs: Vec<u64> = vms
+                .iter()
+                .map(|vm| trace.maintenance[*vm as usize])
+                .filter(|maintenance| maintenance.reboot_ms.is_none())
+                .map(|maintenance| maintenance.repair_ms)
+                .collect();
+            repairs.sort_unstable_by(|left, right| right.cmp(left));
+            let repairs: u64 = repairs.iter().skip(max_unavailable as usize).sum();
+            (f64::from(max_unavailable), (out + repairs) as f64)
+        })
+        .collect()
+}
