buffer: VMs that fail are covered by the reserve

Cause: each VM that failed was replaced at once and its replacement given back after the repair, two moves for a loss that the reserve is there to cover.

Change: VMs that are out of service count as held up to the reserve.

--- a/lib/src/buffer.rs
+++ b/lib/src/buffer.rs
@@ -144,8 +144,9 @@
     /// VMs held free on top, so that the loss of a rack or the VMs that a
     /// budget allows to be unavailable leave the need.
     pub reserve: u32,
-    /// VMs that can serve, with those on their way to the pool and without
-    /// those on their way out.
+    /// VMs that can serve, and those that are down as far as the reserve
+    /// covers them, with those on their way to the pool and without those on
+    /// their way out.
     pub have: u32,
     /// Low mark: with fewer VMs the pool takes one.
     pub low_mark: u32,
@@ -165,24 +166,39 @@
     }
 }
 
+/// VMs of a pool once all moves are done.
+#[derive(Clone, Copy, Debug, Default)]
+struct Members {
+    serving: u32,
+    out_of_service: u32,
+}
+
 /// What each pool has and should have. A spare pool needs nothing.
 pub fn buffers(state: &ControlState, demand: &Demand) -> BTreeMap<PoolId, PoolBuffer> {
-    let mut have: BTreeMap<PoolId, u32> = BTreeMap::new();
+    let mut members: BTreeMap<PoolId, Members> = BTreeMap::new();
     let mut racks: BTreeMap<(PoolId, RackId), u32> = BTreeMap::new();
-    for (_, vm) in state.vms.iter().filter(|(_, vm)| serves(state, vm)) {
+    for (_, vm) in state.vms.iter().filter(|(_, vm)| vm.health != Health::Leaving) {
         let pool = vm.pool_after_move();
-        *have.entry(pool).or_default() += 1;
+        let count = members.entry(pool).or_default();
+        if serves(state, vm) {
+            count.serving += 1;
+        } else {
+            count.out_of_service += 1;
+        }
         *racks.entry((pool, vm.rack)).or_default() += 1;
     }
     let mut buffers = BTreeMap::new();
     for (id, pool) in state.pools.iter() {
-        let have = have.get(&id).copied().unwrap_or_default();
+        let members = members.get(&id).copied().unwrap_or_default();
         let in_rack = |((rack_pool, _), count): (&(PoolId, RackId), &u32)| {
             if *rack_pool == id { *count } else { 0 }
         };
         let largest_rack = racks.iter().map(in_rack).max().unwrap_or_default();
         let need = demand.pools.get(&id).and_then(DemandTracker::need);
         let reserve = if pool.spec.spare { 0 } else { pool_reserve(state, id).max(largest_rack) };
+        // The reserve is there for VMs that fail; they are replaced only when
+        // more of them are out than the reserve covers.
+        let have = members.serving + members.out_of_service.min(reserve);
         let want = match (pool.spec.spare, need) {
             (true, _) => 0,
             (false, Some(need)) => need + reserve,
