buffer, moves: a drop of demand is seen at once and lent directly

Cause: the demand of a pool that fell was noticed nine chunks after that of another rose, so VMs came from the spare pool and went back there later.

Change: the need drops when two chunks are below 700 permille of it, and a pool lends its surplus without delay.

--- a/lib/src/buffer.rs
+++ b/lib/src/buffer.rs
@@ -32,6 +32,14 @@
 /// With 1, a single unusual burst moves no VM.
 pub const NEED_RANK: usize = 1;
 
+/// Chunks that all have to be far below the usual need for the need to drop
+/// at once, so that VMs can go directly to a pool whose demand rises.
+pub const DROP_CHUNKS: usize = 2;
+
+/// How far below, in thousandths of the usual need. Bursts of usual demand
+/// differ by about a fifth.
+pub const DROP_PERMILLE: u64 = 700;
+
 /// Time that a request may wait for a slot, in samples.
 pub const WAIT_SAMPLES: u64 = 10;
 
@@ -69,7 +77,10 @@
         }
         let mut needs: Vec<u32> = self.needs.iter().copied().collect();
         needs.sort_unstable_by(|left, right| right.cmp(left));
-        needs.get(NEED_RANK).copied()
+        let usual = *needs.get(NEED_RANK)?;
+        let recent = self.needs.iter().rev().take(DROP_CHUNKS).copied().max()?;
+        let dropped = u64::from(recent) * 1000 < u64::from(usual) * DROP_PERMILLE;
+        Some(if dropped { recent } else { usual })
     }
 
     /// Part of the high samples of this pool, in thousandths, at which the
--- a/lib/src/moves.rs
+++ b/lib/src/moves.rs
@@ -44,7 +44,7 @@
 
 /// Time for which a VM must have been more than a pool needs before the pool
 /// lends it.
-pub const LEND_AFTER_MS: u64 = 120_000;
+pub const LEND_AFTER_MS: u64 = 0;
 
 /// Time that a VM gets to come back when it is rebooted during a move and no
 /// wave says otherwise.
