--- /dev/null
+++ b/lib/tests/test_decoders.rs
@@ -0,0 +1,167 @@
+//! No input makes a decoder panic: not a file of an operator, and not a record
+//! that another version or a faulty disk left in the log.
+
+use cowslipport_lib::config::Manifest;
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::file_kind::FileKind;
+use cowslipport_lib::ids::RecordId;
+use cowslipport_lib::ids::Revision;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::record::ControlRecord;
+use cowslipport_lib::record::Health;
+use cowslipport_lib::record::RecordBody;
+use cowslipport_lib::record::VmObservation;
+use cowslipport_lib::settings::Settings;
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+const MANIFEST: &str = include_str!("../../examples/demo.toml");
+const SETTINGS: &str = include_str!("../../examples/prairie/settings.toml");
+
+fn config() -> ProptestConfig {
+    let failure_persistence = None;
+    ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence,
+        ..<_>::default()
+    }
+}
+
+/// Cuts out a part of `bytes` and puts `insert` there.
+fn splice(bytes: &[u8], at: prop::sample::Index, cut: usize, insert: &[u8]) -> Vec<u8> {
+    let at = at.index(bytes.len() + 1);
+    let end = (at + cut).min(bytes.len());
+    [&bytes[..at], insert, &bytes[end..]].concat()
+}
+
+/// A valid file with a part replaced.
+fn damaged(text: &'static str) -> impl Strategy<Value = String> {
+    let pieces = ["[[", "]]", "=", "\"", "\n[[pool]]\n", "\n[a.b]\n", "{", "1e400", "\u{0}", "é"];
+    let insert =
+        prop_oneof![prop::sample::select(pieces.to_vec()).prop_map(str::to_owned), ".{0,8}"];
+    (any::<prop::sample::Index>(), 0..40_usize, insert).prop_map(move |(at, cut, insert)| {
+        let bytes = splice(text.as_bytes(), at, cut, insert.as_bytes());
+        String::from_utf8_lossy(&bytes).into_owned()
+    })
+}
+
+/// Lines that look like TOML and put any value under any key.
+fn lines() -> impl Strategy<Value = String> {
+    let key = prop::sample::select(vec![
+        "name",
+        "pool",
+        "team",
+        "key",
+        "wave",
+        "pools",
+        "budget",
+        "policy",
+        "limits",
+        "listen",
+        "peers",
+        "logging",
+        "target_levels",
+        "max_vms",
+        "a.b",
+        "\"\"",
+    ]);
+    let value = prop::sample::select(vec![
+        "1",
+        "-1",
+        "99999999999999999999",
+        "1.5",
+        "true",
+        "\"x\"",
+        "[]",
+        "[1, \"a\", {}]",
+        "{}",
+        "{ a = 1 }",
+        "1979-05-27",
+        "nan",
+        "'''\n'''",
+    ]);
+    let line = prop_oneof![
+        (key.clone(), value).prop_map(|(key, value)| format!("{key} = {value}\n")),
+        key.clone().prop_map(|key| format!("[{key}]\n")),
+        key.prop_map(|key| format!("[[{key}]]\n")),
+    ];
+    vec(line, 0..12).prop_map(|lines| lines.concat())
+}
+
+fn text() -> impl Strategy<Value = String> {
+    prop_oneof![".{0,60}", lines(), damaged(MANIFEST), damaged(SETTINGS)]
+}
+
+fn sample_records() -> Vec<Vec<u8>> {
+    let manifest = Manifest::from_toml(MANIFEST).expect("the example is valid");
+    let changes = Manifest::default().changes_to(&manifest);
+    let commit = cowslipport_lib::config::ConfigCommit {
+        expected_revision: Revision(0),
+        author: "ana".to_owned(),
+        changes,
+    };
+    let health = VmObservation::Health { vm: VmId(u32::MAX), health: Health::Up };
+    let bodies = [RecordBody::ConfigCommit(commit), RecordBody::VmBatch(vec![health])];
+    let id = RecordId { writer: 1, sequence: 1 };
+    bodies.into_iter().map(|body| ControlRecord { id, body }.encode()).collect()
+}
+
+/// The state after the sample records.
+fn sample_snapshot() -> Vec<u8> {
+    let mut state = ControlState::default();
+    for bytes in sample_records() {
+        let record = ControlRecord::decode(&bytes).expect("the sample is valid");
+        state.apply(state.next_offset, &record);
+    }
+    state.encode()
+}
+
+fn bytes_like(samples: Vec<Vec<u8>>) -> impl Strategy<Value = Vec<u8>> {
+    let damaged = (
+        prop::sample::select(samples),
+        any::<prop::sample::Index>(),
+        0..8_usize,
+        vec(any::<u8>(), 0..8),
+    )
+        .prop_map(|(bytes, at, cut, insert)| splice(&bytes, at, cut, &insert));
+    prop_oneof![vec(any::<u8>(), 0..200), damaged, Just(Vec::new())]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_text_is_read_or_has_findings_with_lines(text in text()) {
+        FileKind::detect(&text);
+        let lines = text.matches('\n').count() + 1;
+        let findings = [Manifest::from_toml(&text).err(), Settings::from_toml(&text).err()];
+        for finding in findings.into_iter().flatten().flat_map(|findings| findings.list) {
+            assert!((1..=lines).contains(&finding.place.line), "{finding}");
+        }
+    }
+
+    #[test]
+    fn any_record_is_decoded_or_refused(bytes in bytes_like(sample_records())) {
+        if let Ok(record) = ControlRecord::decode(&bytes) {
+            let mut state = ControlState::default();
+            state.apply(state.next_offset, &record);
+            assert_eq!(ControlRecord::decode(&record.encode()), Ok(record));
+        }
+    }
+
+    #[test]
+    fn any_snapshot_is_decoded_or_refused(bytes in bytes_like(vec![sample_snapshot()])) {
+        if let Ok(state) = ControlState::decode(&bytes) {
+            let again = ControlState::decode(&state.encode()).expect("it was encoded here");
+            assert_eq!(again.digest(), state.digest());
+        }
+    }
+}
