daemon: log from settings, with a bounded mailbox and sampled floods

The log had one form, one level and an async drain that blocks when its channel is full (slog-async's default). Loggers now hand records to one thread through a bounded mailbox; a full one drops and counts. Levels hold for each target. More than 200 lines of one place in a second are sampled and reported.

Before: fixed JSON at level info.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,6 +13,8 @@
 mod fleet_task;
 mod health;
 mod log_reader;
+mod log_sampling;
+pub mod logging;
 mod peer_client;
 mod peer_server;
 mod peer_task;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,14 +11,13 @@
 use cowslipport_daemon::app::StartError;
 use cowslipport_daemon::credentials;
 use cowslipport_daemon::credentials::CredentialError;
+use cowslipport_daemon::logging;
+use cowslipport_daemon::logging::Destination;
 use cowslipport_daemon::platform_client::GrpcLog;
 use cowslipport_daemon::platform_client::GrpcVmList;
 use cowslipport_lib::findings::Findings;
 use cowslipport_lib::settings::Settings;
 use metrics_exporter_prometheus::PrometheusBuilder;
-use slog::Drain;
-use slog::Logger;
-use slog::o;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -45,6 +44,8 @@
     Start(#[from] StartError),
     #[error("cannot listen for signals: {0}")]
     Signal(io::Error),
+    #[error("cannot start the log thread: {0}")]
+    Log(io::Error),
 }
 
 /// Exit status for invalid settings or credentials.
@@ -60,7 +61,7 @@
                 MainError::Read { .. } | MainError::Settings { .. } | MainError::Credential(_) => {
                     ExitCode::from(EXIT_INVALID)
                 }
-                MainError::Start(_) | MainError::Signal(_) => ExitCode::FAILURE,
+                MainError::Start(_) | MainError::Signal(_) | MainError::Log(_) => ExitCode::FAILURE,
             }
         }
     }
@@ -73,9 +74,12 @@
     let vm_list = GrpcVmList::new(settings.platform.vm_list);
     // Without a recorder the metrics endpoint answers 404.
     let metrics = PrometheusBuilder::new().install_recorder().ok();
-    let daemon = Daemon::start(config, log, vm_list, metrics, logger()).await?;
+    let (logger, log_thread) =
+        logging::start(&settings.logging, Destination::Stderr).map_err(MainError::Log)?;
+    let daemon = Daemon::start(config, log, vm_list, metrics, logger).await?;
     wait_for_signal().await.map_err(MainError::Signal)?;
     daemon.stop().await;
+    log_thread.finish();
     Ok(())
 }
 
@@ -101,11 +105,6 @@
     })
 }
 
-fn logger() -> Logger {
-    let drain = slog_json::Json::default(io::stderr()).fuse();
-    Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
-}
-
 async fn wait_for_signal() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/daemon/tests/test_logging.rs
@@ -0,0 +1,150 @@
+//! The log has the settings' form and levels, never blocks a task, and reports
+//! what it leaves out.
+
+use std::io;
+use std::io::Write;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use cowslipport_daemon::logging;
+use cowslipport_daemon::logging::Destination;
+use cowslipport_daemon::logging::LogThread;
+use cowslipport_lib::settings::LogFormat;
+use cowslipport_lib::settings::LogLevel;
+use cowslipport_lib::settings::Logging;
+use slog::Logger;
+use slog::debug;
+use slog::info;
+use slog::warn;
+
+/// Takes no byte until its gate opens, and tells of the first attempt.
+struct GatedWriter {
+    attempted: Sender<()>,
+    gate: Receiver<()>,
+    is_open: bool,
+    written: Sender<Vec<u8>>,
+}
+
+impl Write for GatedWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if !self.is_open {
+            self.attempted.send(()).expect("the test waits");
+            self.gate.recv().expect("the test opens the gate");
+            self.is_open = true;
+        }
+        self.written.send(bytes.to_vec()).expect("the test reads");
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Log {
+    logger: Logger,
+    thread: LogThread,
+    attempted: Receiver<()>,
+    gate: Sender<()>,
+    written: Receiver<Vec<u8>>,
+}
+
+impl Log {
+    fn start(settings: &Logging) -> Self {
+        let (attempted_sender, attempted) = channel();
+        let (gate, gate_receiver) = channel();
+        let (written_sender, written) = channel();
+        let writer = GatedWriter {
+            attempted: attempted_sender,
+            gate: gate_receiver,
+            is_open: false,
+            written: written_sender,
+        };
+        let (logger, thread) = logging::start(settings, Destination::Writer(Box::new(writer)))
+            .expect("the thread starts");
+        Self { logger, thread, attempted, gate, written }
+    }
+
+    /// Opens the gate and returns all lines without their time.
+    fn lines(self) -> Vec<String> {
+        self.gate.send(()).expect("the writer waits");
+        self.thread.finish();
+        let bytes: Vec<u8> = self.written.try_iter().flatten().collect();
+        let text = String::from_utf8(bytes).expect("lines are text");
+        text.lines().map(without_time).collect()
+    }
+}
+
+fn without_time(line: &str) -> String {
+    let Ok(mut value) = serde_json::from_str::<serde_json::Value>(line) else {
+        return line.split_once(" INFO ").map_or(line, |(_, rest)| rest).to_owned();
+    };
+    value.as_object_mut().expect("a line is an object").remove("ts").expect("a line has a time");
+    value.to_string()
+}
+
+/// Guards against a line without its target, and a target whose level is not
+/// the one of the settings.
+#[test]
+fn levels_hold_for_each_target() {
+    let target_levels =
+        [("router".to_owned(), LogLevel::Debug), ("test_logging".to_owned(), LogLevel::Warning)];
+    let settings = Logging { target_levels: target_levels.into(), ..Logging::default() };
+    let log = Log::start(&settings);
+    info!(log.logger, "module has level warning");
+    warn!(log.logger, "by module"; "subject" => "vm-1", "eligible" => 3);
+    debug!(log.logger, # "router", "by tag"; "reason" => "free slot");
+    debug!(log.logger, # "exchange", "default level is info");
+    insta::assert_snapshot!(log.lines().join("\n"), @r#"
+{"eligible":3,"level":"WARN","msg":"by module","subject":"vm-1","target":"test_logging"}
+{"level":"DEBG","msg":"by tag","reason":"free slot","target":"router"}
+"#);
+}
+
+/// Guards against colours in a file.
+#[test]
+fn terminal_form_is_plain_text_for_a_writer() {
+    let log = Log::start(&Logging { format: LogFormat::Terminal, ..Logging::default() });
+    info!(log.logger, "request routed"; "subject" => "web", "reason" => "least loaded");
+    insta::assert_snapshot!(log.lines().join("\n"), @r#"request routed, reason: least loaded, subject: web"#);
+}
+
+/// Guards against a task that waits for a destination which takes no lines,
+/// and against lost lines that nobody hears of.
+#[test]
+fn a_stuck_destination_does_not_block_and_drops_are_counted() {
+    let log = Log::start(&Logging::default());
+    info!(log.logger, "first");
+    log.attempted.recv().expect("the thread writes the first line");
+    // The mailbox holds 8,192 records, and the thread one more.
+    for _ in 0..8_192 + 10 {
+        info!(log.logger, "flood");
+    }
+    let lines = log.lines();
+    let dropped = lines.iter().find(|line| line.contains("log lines dropped"));
+    insta::assert_snapshot!(dropped.map_or("", String::as_str), @r#"{"level":"WARN","lines":10,"msg":"log lines dropped","reason":"the destination is too slow","target":"logging"}"#);
+}
+
+/// Guards against a flood that hides other lines, and against suppressed lines
+/// that are not counted.
+#[actix_rt::test]
+async fn a_flood_is_sampled_and_reported() {
+    tokio::time::pause();
+    let log = Log::start(&Logging::default());
+    for number in 0..500 {
+        info!(log.logger, "flood"; "number" => number);
+    }
+    info!(log.logger, "other line");
+    tokio::time::advance(Duration::from_secs(1)).await;
+    info!(log.logger, "next second");
+    let lines = log.lines();
+    // 200 lines, then one in 100 of the other 300.
+    assert_eq!(lines.iter().filter(|line| line.contains(r#""msg":"flood""#)).count(), 203);
+    insta::assert_snapshot!(lines[203..].join("\n"), @r#"
+{"level":"INFO","msg":"other line","target":"test_logging"}
+{"file":"daemon/tests/test_logging.rs","level":"WARN","line":137,"lines":297,"msg":"log lines suppressed","reason":"too many of this line in a second","subject":"flood","target":"logging"}
+{"level":"INFO","msg":"next second","target":"test_logging"}
+"#);
+}
