--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -19,6 +19,8 @@
 mod jobs_task;
 mod journal_task;
 mod log_reader;
+mod log_sampling;
+pub mod logging;
 mod partition;
 mod peer_client;
 mod peer_server;
