--- /dev/null
+++ b/bench/src/bin/capacity/fold_cost.rs
@@ -0,0 +1,162 @@
+//! Processor time that the fold takes for each kind of record.
+
+use cowslipport_lib::fold::Outcome;
+use cowslipport_lib::ids::OperationId;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::ids::WaveId;
+use cowslipport_lib::record::ControlRecord;
+use cowslipport_lib::record::DrainPurpose;
+use cowslipport_lib::record::Health;
+use cowslipport_lib::record::RecordBody;
+use cowslipport_lib::record::VmObservation;
+use cowslipport_lib::record::VmStep;
+use serde::Serialize;
+
+use crate::cost::as_f64;
+use crate::cost::time_each;
+use crate::model;
+use crate::model::FleetSize;
+use crate::model::Model;
+use crate::model::number;
+
+/// Records of one kind that are applied in a row.
+const RECORDS: usize = 60;
+
+/// Cost of one kind of record.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct RecordCost {
+    /// Kind of the record.
+    pub(crate) kind: &'static str,
+    /// Mean size in bytes.
+    pub(crate) bytes: f64,
+    /// Processor time of decoding, in nanoseconds.
+    pub(crate) decode_ns: f64,
+    /// Processor time of applying, in nanoseconds.
+    pub(crate) apply_ns: f64,
+}
+
+/// A state to start from and records that take effect on it in a row.
+struct Case {
+    kind: &'static str,
+    model: Model,
+    records: Vec<ControlRecord>,
+}
+
+/// Costs of all kinds of records on a state of this size.
+pub(crate) fn measure(model: &Model, size: FleetSize) -> Vec<RecordCost> {
+    let mut cases = vec![
+        case("session renew", model, &|_, index| RecordBody::SessionRenew {
+            session: model::session_id(index % size.sessions),
+            renewal: 10 + index as u64,
+        }),
+        case("commit of one team", model, &|model, index| {
+            model.commit(vec![model::team(index % size.teams, 2000 + number(index))])
+        }),
+        case("commit of one pool", model, &|model, index| {
+            model.commit(vec![model::pool(index % size.pools, 9 + number(index))])
+        }),
+        case("commit of one pool's budgets", model, &|model, index| {
+            model.commit(vec![model::budgets(index % size.pools, 5 + number(index))])
+        }),
+        case("data centre set", model, &|_, index| RecordBody::DataCentreSet {
+            data_centre: model::data_centre_name(3),
+            in_service: index % 2 == 1,
+            author: "operator@predah".to_owned(),
+        }),
+        case("health of one VM", model, &|_, index| {
+            let vm = VmId(number(index));
+            RecordBody::VmBatch(vec![VmObservation::Health { vm, health: Health::Unknown }])
+        }),
+        case("join of one VM", model, &|_, index| {
+            RecordBody::VmBatch(vec![model::join(size.workers + index, size.pools)])
+        }),
+        case("leave of one VM", model, &|_, index| {
+            RecordBody::VmBatch(vec![VmObservation::Left { vm: VmId(number(index)) }])
+        }),
+        case("ten grants of one team", model, &|model, index| {
+            RecordBody::GrantBatch(model.grants(index % size.teams, size.pools))
+        }),
+    ];
+    cases.extend(operations(model));
+    cases.extend(memberships(model, size));
+    cases.iter().map(cost).collect()
+}
+
+/// Records that `body` makes, each on the state that the ones before it lead
+/// to.
+fn case<F>(kind: &'static str, model: &Model, body: &F) -> Case
+where
+    F: Fn(&Model, usize) -> RecordBody,
+{
+    let start = model.clone();
+    let mut model = model.clone();
+    let mut records = Vec::new();
+    for index in 0..RECORDS {
+        let body = body(&model, index);
+        let record = model.record(body);
+        let outcome = model.state.apply(model.state.next_offset, &record);
+        assert!(matches!(outcome, Outcome::Applied(_)), "{kind}: {outcome:?}");
+        records.push(record);
+    }
+    Case { kind, model: start, records }
+}
+
+/// Drains of VMs with their next steps. Consecutive VMs are in different
+/// pools, so no budget stands in the way.
+fn operations(model: &Model) -> Vec<Case> {
+    let purpose = DrainPurpose::Wave(WaveId(0));
+    let vm = |index: usize| VmId(number(index));
+    let begun =
+        case("drain begin", model, &|_, index| RecordBody::DrainBegin { vm: vm(index), purpose });
+    let step = |kind, model: &Model, step| {
+        case(kind, model, &|model, index| {
+            let operation = model.state.vms.get(vm(index)).and_then(|vm| vm.operation);
+            let operation = operation.map_or(OperationId(model.state.next_offset), |op| op.id);
+            RecordBody::VmOperation { vm: vm(index), operation, step }
+        })
+    };
+    let rebooting = step("VM reboots", &after(&begun), VmStep::Reboot);
+    let done = step("VM is back", &after(&rebooting), VmStep::Done);
+    vec![begun, rebooting, done]
+}
+
+/// Processes that join and leave again.
+fn memberships(model: &Model, size: FleetSize) -> Vec<Case> {
+    let opened = case("session open", model, &|_, index| {
+        RecordBody::SessionOpen(model::session(size.sessions + index))
+    });
+    let closed = case("session close", &after(&opened), &|_, index| RecordBody::SessionClose {
+        session: model::session_id(size.sessions + index),
+    });
+    vec![opened, closed]
+}
+
+/// The state to which the records of a case lead.
+fn after(case: &Case) -> Model {
+    let mut model = case.model.clone();
+    for record in &case.records {
+        model.apply(record.body.clone());
+    }
+    model
+}
+
+fn cost(case: &Case) -> RecordCost {
+    let encoded: Vec<Vec<u8>> = case.records.iter().map(ControlRecord::encode).collect();
+    let bytes: usize = encoded.iter().map(Vec::len).sum();
+    let decode_ns = time_each(
+        RECORDS,
+        || (),
+        |()| encoded.iter().map(|bytes| ControlRecord::decode(bytes)).collect::<Vec<_>>(),
+    );
+    let apply_ns = time_each(
+        RECORDS,
+        || case.model.state.clone(),
+        |mut state| {
+            for record in &case.records {
+                state.apply(state.next_offset, record);
+            }
+            state
+        },
+    );
+    RecordCost { kind: case.kind, bytes: as_f64(bytes) / as_f64(RECORDS), decode_ns, apply_ns }
+}
--- /dev/null
+++ b/bench/src/bin/capacity/main.rs
@@ -0,0 +1,54 @@
+//! Measures what the roles of the daemon cost at several sizes of a fleet, for
+//! `docs/CAPACITY.md`.
+
+use std::alloc::System;
+use std::io::Write;
+
+use clap::Parser;
+use clap::ValueEnum;
+use stats_alloc::INSTRUMENTED_SYSTEM;
+use stats_alloc::StatsAlloc;
+
+mod cost;
+mod fold_cost;
+mod model;
+mod report;
+mod state_cost;
+
+#[global_allocator]
+static GLOBAL: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
+
+/// Measures costs at several sizes of a fleet, with slopes between them.
+#[derive(Debug, Parser)]
+#[command(name = "cowslipport-capacity", version)]
+struct Arguments {
+    /// Form of the report.
+    #[arg(long, value_enum, default_value = "text")]
+    format: Format,
+}
+
+/// Why no report is printed.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("cannot write the report: {0}")]
+    Write(#[from] std::io::Error),
+    #[error("cannot encode the report: {0}")]
+    Encode(#[from] serde_json::Error),
+}
+
+fn main() -> Result<(), Error> {
+    let arguments = Arguments::parse();
+    let report = report::measure();
+    let text = match arguments.format {
+        Format::Text => report.to_string(),
+        Format::Json => serde_json::to_string_pretty(&report)?,
+    };
+    writeln!(std::io::stdout(), "{text}")?;
+    Ok(())
+}
--- /dev/null
+++ b/bench/src/bin/capacity/report.rs
@@ -0,0 +1,178 @@
+//! The report: costs at each size, and slopes over each dimension.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::cost::Fit;
+use crate::cost::as_f64;
+use crate::fold_cost;
+use crate::fold_cost::RecordCost;
+use crate::model::FULL;
+use crate::model::FleetSize;
+use crate::model::Model;
+use crate::state_cost;
+use crate::state_cost::StateCost;
+
+/// Configuration changes a second, on an ordinary day and in a burst.
+const COMMITS_PER_SECOND: [f64; 2] = [0.6, 60.0];
+
+/// Costs at one size.
+#[derive(Debug, Serialize)]
+pub(crate) struct SizeCost {
+    size: FleetSize,
+    state: StateCost,
+    records: Vec<RecordCost>,
+}
+
+/// A line over one dimension, the others as in design 1.6.
+#[derive(Debug, Serialize)]
+pub(crate) struct Line {
+    what: String,
+    unit: &'static str,
+    dimension: &'static str,
+    fit: Fit,
+}
+
+/// Share of one core that commits of one team take in one copy of the state.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct CommitLoad {
+    size: FleetSize,
+    commits_per_second: f64,
+    core_permille: f64,
+}
+
+/// The whole report.
+#[derive(Debug, Serialize)]
+pub(crate) struct Report {
+    sizes: Vec<SizeCost>,
+    lines: Vec<Line>,
+    commit_loads: Vec<CommitLoad>,
+}
+
+/// Measures everything.
+pub(crate) fn measure() -> Report {
+    let workers = [1000, 5000, 20_000].map(|workers| FleetSize { workers, ..FULL });
+    let teams = FleetSize { teams: 72, ..FULL };
+    let pools = FleetSize { pools: 15, ..FULL };
+    let sessions = FleetSize { sessions: 8, ..FULL };
+    let sizes: Vec<SizeCost> =
+        workers.into_iter().chain([teams, pools, sessions]).map(measure_size).collect();
+    let mut lines = Vec::new();
+    let [small, middle, full, few_teams, few_pools, few_sessions] = &sizes[..] else {
+        return Report { sizes, lines, commit_loads: Vec::new() };
+    };
+    lines.extend(fit("workers", &[small, middle, full], |size| size.workers));
+    lines.extend(fit("teams", &[few_teams, full], |size| size.teams));
+    lines.extend(fit("pools", &[few_pools, full], |size| size.pools));
+    lines.extend(fit("sessions", &[few_sessions, full], |size| size.sessions));
+    let commit_loads = sizes.iter().flat_map(commit_loads).collect();
+    Report { sizes, lines, commit_loads }
+}
+
+fn measure_size(size: FleetSize) -> SizeCost {
+    let model = Model::new(size);
+    let records = fold_cost::measure(&model, size);
+    SizeCost { size, state: state_cost::measure(&model.state), records }
+}
+
+fn commit_loads(cost: &SizeCost) -> Vec<CommitLoad> {
+    let commit = cost.records.iter().find(|record| record.kind == "commit of one team");
+    let Some(commit) = commit else { return Vec::new() };
+    let load = |commits_per_second: f64| CommitLoad {
+        size: cost.size,
+        commits_per_second,
+        core_permille: commits_per_second * (commit.decode_ns + commit.apply_ns) / 1e6,
+    };
+    COMMITS_PER_SECOND.map(load).to_vec()
+}
+
+fn fit<F>(dimension: &'static str, sizes: &[&SizeCost], entities: F) -> Vec<Line>
+where
+    F: Fn(&FleetSize) -> usize,
+{
+    let line = |what: String, unit, value: &dyn Fn(&SizeCost) -> f64| {
+        let points: Vec<(f64, f64)> =
+            sizes.iter().map(|cost| (as_f64(entities(&cost.size)), value(cost))).collect();
+        Line { what, unit, dimension, fit: Fit::through(&points) }
+    };
+    let state = |what: &str, unit, value: fn(&StateCost) -> f64| {
+        line(what.to_owned(), unit, &|cost| value(&cost.state))
+    };
+    let mut lines = vec![
+        state("state on the heap", "B", |state| as_f64(state.heap_bytes)),
+        state("snapshot", "B", |state| as_f64(state.snapshot_bytes)),
+        state("copy of the state", "ns", |state| state.clone_ns),
+        state("snapshot encode", "ns", |state| state.encode_ns),
+        state("snapshot decode", "ns", |state| state.decode_ns),
+        state("digest", "ns", |state| state.digest_ns),
+    ];
+    for (index, record) in sizes[0].records.iter().enumerate() {
+        let what = format!("apply {}", record.kind);
+        lines.push(line(what, "ns", &|cost| cost.records[index].apply_ns));
+    }
+    lines
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for cost in &self.sizes {
+            write_size(f, cost)?;
+        }
+        writeln!(f, "\nlines, the other dimensions as in design 1.6")?;
+        writeln!(
+            f,
+            "  {:<10} {:<36} {:>14} {:>14} {:>6}",
+            "over", "cost", "at zero", "for each", "R²"
+        )?;
+        for line in &self.lines {
+            let Fit { intercept, slope, r_squared } = line.fit;
+            writeln!(
+                f,
+                "  {:<10} {:<36} {intercept:>11.0} {:<2} {slope:>11.2} {:<2} {r_squared:>6.3}",
+                line.dimension, line.what, line.unit, line.unit
+            )?;
+        }
+        writeln!(f, "\ncommits of one team, in each copy of the state")?;
+        for load in &self.commit_loads {
+            let FleetSize { workers, teams, pools, sessions } = load.size;
+            writeln!(
+                f,
+                "  {workers} workers, {teams} teams, {pools} pools, {sessions} sessions, \
+                 {:>4} a second: {:.3} permille of a core",
+                load.commits_per_second, load.core_permille
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn write_size(f: &mut fmt::Formatter<'_>, cost: &SizeCost) -> fmt::Result {
+    let FleetSize { workers, teams, pools, sessions } = cost.size;
+    writeln!(f, "\n{workers} workers, {teams} teams, {pools} pools, {sessions} sessions")?;
+    let state = &cost.state;
+    writeln!(
+        f,
+        "  state {} B in {} allocations, copy {:.1} ms",
+        state.heap_bytes,
+        state.allocations,
+        state.clone_ns / 1e6
+    )?;
+    writeln!(
+        f,
+        "  snapshot {} B, encode {:.1} ms, decode {:.1} ms, digest {:.1} ms",
+        state.snapshot_bytes,
+        state.encode_ns / 1e6,
+        state.decode_ns / 1e6,
+        state.digest_ns / 1e6
+    )?;
+    writeln!(f, "  {:<30} {:>8} {:>12} {:>12}", "record", "bytes", "decode ns", "apply ns")?;
+    for record in &cost.records {
+        writeln!(
+            f,
+            "  {:<30} {:>8.0} {:>12.0} {:>12.0}",
+            record.kind, record.bytes, record.decode_ns, record.apply_ns
+        )?;
+    }
+    Ok(())
+}
