daemon: waves over sockets, health of VMs, decisions kept for explain

Cause: maintenance was planned in lib and had no process around it, and a VM whose worker fell silent did not count against its budgets.

Change: the member with the lowest id that answers plans waves and moves; members say in exchanges what is in flight and what the workers of drained VMs do; owners record workers that fall silent. Requests still go to a VM whose worker alone is silent. Workers tell their restarts by an incarnation number.

--- a/daemon/src/admin_status.rs
+++ b/daemon/src/admin_status.rs
@@ -130,7 +130,13 @@
     match peers.view {
         ViewState::Confirmed => {}
         ViewState::Outage => lines.push("no member can reach the log service".to_owned()),
-        ViewState::Stale => lines.push("the view is stale; new work is refused".to_owned()),
+        ViewState::Stale => {
+            let age = peers.confirmed_age_ms.map_or_else(
+                || "never confirmed".to_owned(),
+                |age_ms| format!("confirmed {age_ms} ms ago"),
+            );
+            lines.push(format!("the view is stale ({age}); new work is refused"));
+        }
     }
     for (_, data_centre) in state.data_centres.iter().filter(|(_, entry)| !entry.in_service) {
         lines.push(format!("data centre {} is out of service", data_centre.spec.name));
--- a/daemon/src/app.rs
+++ b/daemon/src/app.rs
@@ -42,6 +42,9 @@
 use crate::jobs_task::JobsTask;
 use crate::journal_task;
 use crate::journal_task::JournalHandle;
+use crate::maintenance_task;
+use crate::maintenance_task::MaintenanceConfig;
+use crate::maintenance_task::MaintenanceTask;
 use crate::peer_client::BearerToken;
 use crate::peer_client::PeerClients;
 use crate::peer_server::PeerService;
@@ -51,6 +54,7 @@
 use crate::peer_task::PeerTask;
 use crate::placement_task;
 use crate::placement_task::PlacementConfig;
+use crate::placement_task::PlacementMessage;
 use crate::placement_task::PlacementTask;
 use crate::router_task;
 use crate::router_task::RouterMessage;
@@ -240,6 +244,7 @@
     let (peer, peer_receiver) = peer_task::mailbox();
     let (router, router_receiver) = router_task::mailbox();
     let (fleet, fleet_receiver) = fleet_task::mailbox();
+    let (maintenance, maintenance_receiver) = maintenance_task::mailbox();
     let (placement, placement_receiver) = placement_task::mailbox();
     let (jobs, jobs_receiver) = jobs_task::mailbox();
     let journal = journal_task::spawn(clock);
@@ -251,6 +256,8 @@
         clients: clients.clone(),
         control: control.clone(),
         router: router.clone(),
+        fleet: fleet.clone(),
+        maintenance: maintenance.clone(),
         placement: placement.clone(),
         jobs: jobs.clone(),
         clock,
@@ -258,29 +265,26 @@
     };
     PeerTask::spawn(peer_config, (peer.clone(), peer_receiver));
     let fleet_mailbox = (fleet.clone(), fleet_receiver);
-    FleetTask::spawn(platform.vm_list, session, control.clone(), target("fleet"), fleet_mailbox);
-    let placement_config = PlacementConfig {
-        log: platform.log.clone(),
-        workers: platform.workers,
-        session,
+    let list = platform.vm_list.clone();
+    FleetTask::spawn(list, control.clone(), target("fleet"), fleet_mailbox);
+    let maintenance_config = MaintenanceConfig {
+        list: platform.vm_list,
         clock,
         control: control.clone(),
         journal: journal.clone(),
-        logger: target("placement"),
+        logger: target("maintenance"),
     };
-    PlacementTask::spawn(placement_config, (placement.clone(), placement_receiver));
-    let jobs_config = JobsConfig {
-        session,
-        clock,
-        clients: clients.clone(),
-        placement: placement.clone(),
-        logger: target("jobs"),
-    };
-    JobsTask::spawn(jobs_config, jobs_receiver);
+    MaintenanceTask::spawn(maintenance_config, maintenance_receiver);
+    let job_mailboxes =
+        JobMailboxes { placement: (placement.clone(), placement_receiver), jobs: jobs_receiver };
+    let common = Common { session, clock, control: control.clone(), journal: journal.clone() };
+    let (log, workers) = (platform.log.clone(), platform.workers);
+    spawn_job_tasks(log, workers, &common, job_mailboxes, (clients.clone(), peer.clone()), logger);
     let subscribers = vec![
         Subscriber::Peer(peer.clone()),
         Subscriber::Router(router.clone()),
         Subscriber::Fleet(fleet),
+        Subscriber::Maintenance(maintenance),
         Subscriber::Placement(placement),
         Subscriber::Jobs(jobs.clone()),
     ];
@@ -289,6 +293,51 @@
     Ok(Tasks { session, clients, control, peer, router, jobs, journal })
 }
 
+/// What several tasks share.
+struct Common {
+    session: SessionId,
+    clock: Clock,
+    control: ControlHandle,
+    journal: JournalHandle,
+}
+
+struct JobMailboxes {
+    placement: (mpsc::Sender<PlacementMessage>, mpsc::Receiver<PlacementMessage>),
+    jobs: mpsc::Receiver<JobsMessage>,
+}
+
+fn spawn_job_tasks<L, C>(
+    log: L,
+    workers: C,
+    common: &Common,
+    mailboxes: JobMailboxes,
+    (clients, peer): (PeerClients, mpsc::Sender<PeerMessage>),
+    logger: &Logger,
+) where
+    L: LogService,
+    C: WorkerConnector,
+{
+    let jobs_config = JobsConfig {
+        session: common.session,
+        clock: common.clock,
+        clients,
+        placement: mailboxes.placement.0.clone(),
+        logger: logger.new(o!("target" => "jobs")),
+    };
+    JobsTask::spawn(jobs_config, mailboxes.jobs);
+    let placement_config = PlacementConfig {
+        log,
+        workers,
+        session: common.session,
+        clock: common.clock,
+        control: common.control.clone(),
+        journal: common.journal.clone(),
+        peer,
+        logger: logger.new(o!("target" => "placement")),
+    };
+    PlacementTask::spawn(placement_config, mailboxes.placement);
+}
+
 fn session_open(
     config: &DaemonConfig,
     session: SessionId,
--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -126,6 +126,8 @@
     pub ticket: u64,
     /// All tasks that the worker knows.
     pub tasks: Vec<TaskReport>,
+    /// Differs after each restart of the worker.
+    pub incarnation: u64,
 }
 
 /// The agent that runs tasks on a VM.
--- a/daemon/src/fleet_task.rs
+++ b/daemon/src/fleet_task.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use cowslipport_lib::control::ControlState;
-use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::record::Health;
 use cowslipport_lib::record::RecordBody;
 use cowslipport_lib::record::VmObservation;
@@ -29,6 +28,8 @@
 pub(crate) enum FleetMessage {
     /// The control state changed.
     Control(ControlFeed),
+    /// Whether this process watches the VM list.
+    Watch(bool),
     /// A read of the VM list ended.
     Listed(Result<Vec<ListedVm>, VmListError>),
     /// An append of observations ended.
@@ -43,11 +44,11 @@
 /// Owner of the comparison between the VM list and the fold.
 pub(crate) struct FleetTask<V> {
     list: V,
-    session: SessionId,
     control: ControlHandle,
     logger: Logger,
     sender: mpsc::WeakSender<FleetMessage>,
     state: ControlState,
+    watches: bool,
     listing: bool,
     recording: bool,
 }
@@ -59,18 +60,17 @@
     /// Starts the task. It ends when its mailbox is closed.
     pub(crate) fn spawn(
         list: V,
-        session: SessionId,
         control: ControlHandle,
         logger: Logger,
         (sender, receiver): (mpsc::Sender<FleetMessage>, mpsc::Receiver<FleetMessage>),
     ) {
         let task = Self {
             list,
-            session,
             control,
             logger,
             sender: sender.downgrade(),
             state: ControlState::default(),
+            watches: false,
             listing: false,
             recording: false,
         };
@@ -96,6 +96,7 @@
             FleetMessage::Control(feed) => {
                 self.state.follow(&feed);
             }
+            FleetMessage::Watch(watches) => self.watches = watches,
             FleetMessage::Listed(result) => {
                 self.listing = false;
                 self.listed(result);
@@ -110,11 +111,11 @@
         }
     }
 
-    /// The session with the lowest id watches the list. Two that do so at the
-    /// same time write the same observations, of which the second are void.
+    /// Two processes that watch the list at the same time write the same
+    /// observations, of which the second are void.
     fn list(&mut self) {
-        let watches = self.state.sessions.keys().next() == Some(&self.session);
-        let (false, true, Some(sender)) = (self.listing, watches, self.sender.upgrade()) else {
+        let (false, true, Some(sender)) = (self.listing, self.watches, self.sender.upgrade())
+        else {
             return;
         };
         self.listing = true;
--- a/daemon/src/journal_task.rs
+++ b/daemon/src/journal_task.rs
@@ -27,6 +27,15 @@
     Wave(String),
 }
 
+impl Subject {
+    /// Name of the subject.
+    pub(crate) fn name(&self) -> &str {
+        match self {
+            Self::Job(name) | Self::Vm(name) | Self::Team(name) | Self::Wave(name) => name,
+        }
+    }
+}
+
 /// One decision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Note {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -21,6 +21,8 @@
 mod log_reader;
 mod log_sampling;
 pub mod logging;
+mod maintenance_log;
+mod maintenance_task;
 mod partition;
 mod peer_client;
 mod peer_server;
--- a/daemon/src/partition.rs
+++ b/daemon/src/partition.rs
@@ -1,8 +1,10 @@
 //! One owned partition: its scheduler, its jobs stream and its workers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use cowslipport_lib::control::ControlState;
+use cowslipport_lib::control::OperationPhase;
 use cowslipport_lib::control::Team;
 use cowslipport_lib::control::Vm;
 use cowslipport_lib::fold::ControlChange;
@@ -19,12 +21,14 @@
 use cowslipport_lib::record::GrantChange;
 use cowslipport_lib::record::GrantDirection;
 use cowslipport_lib::record::Health;
+use cowslipport_lib::record::VmObservation;
 use cowslipport_lib::resources::Resources;
 use cowslipport_lib::scheduler_decision::SchedulerDecision;
 use cowslipport_lib::scheduler_event::JobOrigin;
 use cowslipport_lib::scheduler_event::SchedulerEvent;
 use cowslipport_lib::scheduler_event::TASK_LEASE_MS;
 use cowslipport_lib::scheduler_event::TeamView;
+use cowslipport_lib::scheduler_event::WorkerReport;
 use cowslipport_lib::scheduler_event::WorkerService;
 use cowslipport_lib::scheduler_event::WorkerSpec;
 use cowslipport_lib::time::TimeMs;
@@ -40,6 +44,7 @@
 use crate::job_stream::JobStreamConfig;
 use crate::job_stream::JobStreamMessage;
 use crate::journal_task::JournalHandle;
+use crate::peer_wire::WorkerEntry;
 use crate::placement_log;
 use crate::placement_task::PlacementMessage;
 use crate::worker_task;
@@ -67,7 +72,16 @@
     loaded: bool,
     stream: mpsc::Sender<JobStreamMessage>,
     workers: BTreeMap<VmId, mpsc::Sender<WorkerMessage>>,
-    reported_tasks: BTreeMap<VmId, u32>,
+    answering: BTreeMap<VmId, Answering>,
+    silent: BTreeSet<VmId>,
+}
+
+/// A worker that answers polls.
+#[derive(Clone, Copy, Debug)]
+struct Answering {
+    incarnation: u64,
+    since: TimeMs,
+    live_tasks: u32,
 }
 
 impl Partition {
@@ -100,7 +114,8 @@
             loaded: false,
             stream: job_stream::spawn(config),
             workers: BTreeMap::new(),
-            reported_tasks: BTreeMap::new(),
+            answering: BTreeMap::new(),
+            silent: BTreeSet::new(),
         }
     }
 
@@ -126,16 +141,55 @@
         if !self.loaded {
             return;
         }
-        if let SchedulerEvent::WorkerReport { vm, report } = &event {
-            let live = report.tasks.iter().filter(|task| task.state.is_live()).count();
-            self.reported_tasks.insert(*vm, u32::try_from(live).unwrap_or(u32::MAX));
-        }
         if let SchedulerEvent::WorkerSilent { vm } = &event {
-            self.reported_tasks.remove(vm);
+            self.answering.remove(vm);
+            self.silent.insert(*vm);
         }
         self.scheduler.handle(now, event);
     }
 
+    /// Takes over the answer of a worker to a poll.
+    pub(crate) fn polled(&mut self, now: TimeMs, vm: VmId, incarnation: u64, report: WorkerReport) {
+        let live = report.tasks.iter().filter(|task| task.state.is_live()).count();
+        let live_tasks = u32::try_from(live).unwrap_or(u32::MAX);
+        let since = match self.answering.get(&vm) {
+            Some(known) if known.incarnation == incarnation => known.since,
+            Some(_) | None => now,
+        };
+        self.answering.insert(vm, Answering { incarnation, since, live_tasks });
+        self.silent.remove(&vm);
+        self.handle(now, SchedulerEvent::WorkerReport { vm, report });
+    }
+
+    /// Observations of workers that fell silent or answer again.
+    pub(crate) fn health_changes(&self, state: &ControlState) -> Vec<VmObservation> {
+        let mut observations = Vec::new();
+        for (vm, entry) in state.vms_of(self.id) {
+            let health = match entry.health {
+                Health::Up if self.silent.contains(&vm) && !is_rebooting(entry) => Health::Unknown,
+                Health::Down | Health::Unknown if self.answering.contains_key(&vm) => Health::Up,
+                Health::Up | Health::Down | Health::Unknown | Health::Leaving => continue,
+            };
+            observations.push(VmObservation::Health { vm, health });
+        }
+        observations
+    }
+
+    /// Workers of VMs that have an operation.
+    pub(crate) fn operated_workers(&self, now: TimeMs, state: &ControlState) -> Vec<WorkerEntry> {
+        let operated = state.vms_of(self.id).filter(|(_, vm)| vm.operation.is_some());
+        operated
+            .map(|(vm, _)| {
+                let answering = self.answering.get(&vm);
+                WorkerEntry {
+                    vm,
+                    tasks: answering.map(|worker| worker.live_tasks),
+                    answering_ms: answering.map_or(0, |worker| now.since(worker.since)),
+                }
+            })
+            .collect()
+    }
+
     /// Tells the scheduler everything that the fold says.
     pub(crate) fn put_all(&mut self, now: TimeMs, state: &ControlState) {
         if !self.loaded {
@@ -205,7 +259,8 @@
             self.workers.keys().filter(|vm| !present.contains_key(vm)).copied().collect();
         for vm in left {
             self.workers.remove(&vm);
-            self.reported_tasks.remove(&vm);
+            self.answering.remove(&vm);
+            self.silent.remove(&vm);
             self.scheduler.handle(now, SchedulerEvent::WorkerLeft { vm });
         }
         for (vm, spec) in present {
@@ -253,11 +308,6 @@
         self.scheduler.jobs(now).map(view).collect()
     }
 
-    /// Tasks on each VM by its last report; nothing for one that is silent.
-    pub(crate) fn tasks(&self) -> impl Iterator<Item = (VmId, Option<u32>)> {
-        self.workers.keys().map(|vm| (*vm, self.reported_tasks.get(vm).copied()))
-    }
-
     /// Carries out what the scheduler decides. Returns the grant changes that
     /// are to be appended.
     pub(crate) fn decide(
@@ -350,6 +400,13 @@
     }
 }
 
+fn is_rebooting(vm: &Vm) -> bool {
+    match vm.operation.map(|operation| operation.phase) {
+        Some(OperationPhase::Rebooting) => true,
+        Some(OperationPhase::Draining | OperationPhase::Moved) | None => false,
+    }
+}
+
 fn worker_spec(state: &ControlState, vm: &Vm) -> Option<WorkerSpec> {
     let pool = state.pools.get(vm.pool)?;
     let service = match vm.health {
--- a/daemon/src/peer_task.rs
+++ b/daemon/src/peer_task.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cowslipport_lib::control::ControlState;
+use cowslipport_lib::freshness::EVIDENCE_MAX_AGE_MS;
 use cowslipport_lib::freshness::FreshnessTracker;
 use cowslipport_lib::freshness::MemberReport;
 use cowslipport_lib::freshness::ViewState;
@@ -30,11 +31,14 @@
 use crate::authority::View;
 use crate::clock::Clock;
 use crate::control_task::ControlHandle;
+use crate::fleet_task::FleetMessage;
 use crate::jobs_task::JobsMessage;
+use crate::maintenance_task::MaintenanceMessage;
 use crate::peer_client;
 use crate::peer_client::ExchangeError;
 use crate::peer_client::PeerClients;
 use crate::peer_wire::MemberEntry;
+use crate::peer_wire::WorkerEntry;
 use crate::placement_task::PlacementMessage;
 use crate::router_task::RouterMessage;
 use crate::subscriber::LogContact;
@@ -60,6 +64,8 @@
     Exchange(oneshot::Sender<Vec<MemberEntry>>),
     /// Requests in flight from this process to each VM.
     InFlight(BTreeMap<VmId, u32>),
+    /// Workers of VMs that have an operation, in partitions of this process.
+    Workers(Vec<WorkerEntry>),
     /// Asks which members have applied an offset.
     Progress { offset: Offset, reply: oneshot::Sender<Progress> },
     /// Asks for the state of the view and of the members.
@@ -68,6 +74,19 @@
     Close(oneshot::Sender<()>),
 }
 
+/// What a member said of its requests and workers.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberLoad {
+    /// When it said so, on this process's clock and not later than in truth.
+    pub(crate) said_at: TimeMs,
+    /// Offset of the next record that it will apply.
+    pub(crate) next_offset: Offset,
+    /// Requests in flight from the member to each VM.
+    pub(crate) in_flight: BTreeMap<VmId, u32>,
+    /// Workers of VMs that have an operation.
+    pub(crate) workers: Vec<WorkerEntry>,
+}
+
 /// Which members have applied an offset.
 pub(crate) struct Progress {
     /// True if a majority has.
@@ -116,6 +135,10 @@
     pub(crate) control: ControlHandle,
     /// Mailbox of the router task.
     pub(crate) router: mpsc::Sender<RouterMessage>,
+    /// Mailbox of the fleet task.
+    pub(crate) fleet: mpsc::Sender<FleetMessage>,
+    /// Mailbox of the maintenance task.
+    pub(crate) maintenance: mpsc::Sender<MaintenanceMessage>,
     /// Mailbox of the placement task.
     pub(crate) placement: mpsc::Sender<PlacementMessage>,
     /// Mailbox of the task for job calls.
@@ -140,6 +163,8 @@
     freshness: FreshnessTracker,
     view: ViewState,
     in_flight: BTreeMap<VmId, u32>,
+    workers: Vec<WorkerEntry>,
+    others: BTreeMap<SessionId, MemberLoad>,
     digest: Option<(Offset, StateDigest)>,
     diverged: bool,
     exchanged_at: Option<TimeMs>,
@@ -161,6 +186,8 @@
             freshness: FreshnessTracker::default(),
             view: ViewState::Stale,
             in_flight: BTreeMap::new(),
+            workers: Vec::new(),
+            others: BTreeMap::new(),
             digest: None,
             diverged: false,
             exchanged_at: None,
@@ -195,6 +222,7 @@
                 let _ = reply.send(self.entries());
             }
             PeerMessage::InFlight(in_flight) => self.in_flight = in_flight,
+            PeerMessage::Workers(workers) => self.workers = workers,
             PeerMessage::Progress { offset, reply } => {
                 let _ = reply.send(self.progress(offset));
             }
@@ -266,6 +294,7 @@
         if self.exchanged_at.is_none_or(|at| now.since(at) >= EXCHANGE_INTERVAL_MS) {
             self.exchanged_at = Some(now);
             self.exchange(now);
+            self.tell_maintenance();
         }
         self.fetch_if_behind(now);
     }
@@ -308,7 +337,6 @@
     fn exchange_done(&mut self, sent_at: TimeMs, result: Result<Vec<MemberEntry>, ExchangeError>) {
         let Ok(entries) = result else { return };
         let applied = self.state.next_offset;
-        let mut in_flight = BTreeMap::new();
         for entry in entries.into_iter().filter(|entry| entry.session != self.me) {
             let report = MemberReport {
                 next_offset: entry.next_offset,
@@ -322,15 +350,55 @@
             };
             self.freshness.member_said(entry.session, report, applied);
             if entry.age_ms == 0 {
-                in_flight.insert(entry.session, entry.in_flight);
+                let (session, in_flight) = (entry.session, entry.in_flight);
+                let load = MemberLoad {
+                    said_at: sent_at,
+                    next_offset: entry.next_offset,
+                    in_flight: in_flight.clone(),
+                    workers: entry.workers,
+                };
+                self.others.insert(session, load);
+                let message = RouterMessage::PeerInFlight { session, in_flight };
+                // The next exchange carries newer counts.
+                let _ = self.config.router.try_send(message);
             }
         }
         self.freshness.retain_members(&self.state);
-        for (session, in_flight) in in_flight {
-            let message = RouterMessage::PeerInFlight { session, in_flight };
-            // The next exchange carries newer counts.
-            let _ = self.config.router.try_send(message);
-        }
+        let sessions = &self.state.sessions;
+        self.others.retain(|session, _| sessions.contains_key(session));
+        self.tell_maintenance();
+    }
+
+    /// The member with the lowest id that answers plans maintenance and
+    /// watches the VM list. Two that do so for a moment are settled by the
+    /// fold.
+    fn is_planner(&self, now: TimeMs) -> bool {
+        let answers = |session: &SessionId| {
+            *session == self.me
+                || self
+                    .others
+                    .get(session)
+                    .is_some_and(|load| now.since(load.said_at) <= EVIDENCE_MAX_AGE_MS)
+        };
+        let lowest = self.state.sessions.keys().find(|session| answers(session));
+        self.view == ViewState::Confirmed && lowest == Some(&self.me)
+    }
+
+    fn tell_maintenance(&self) {
+        let now = self.config.clock.now();
+        let is_planner = self.is_planner(now);
+        let _ = self.config.fleet.try_send(FleetMessage::Watch(is_planner));
+        let mut members = self.others.clone();
+        let own = MemberLoad {
+            said_at: now,
+            next_offset: self.state.next_offset,
+            in_flight: self.in_flight.clone(),
+            workers: self.workers.clone(),
+        };
+        members.insert(self.me, own);
+        let message = MaintenanceMessage::Members { is_planner, members };
+        // The next exchange brings newer states.
+        let _ = self.config.maintenance.try_send(message);
     }
 
     /// What this process says of itself. Others are not relayed while all
@@ -345,6 +413,7 @@
             age_ms: 0,
             digest: self.digest,
             in_flight: self.in_flight.clone(),
+            workers: self.workers.clone(),
         }]
     }
 
--- a/daemon/src/peer_wire.rs
+++ b/daemon/src/peer_wire.rs
@@ -28,12 +28,30 @@
     pub(crate) digest: Option<(Offset, StateDigest)>,
     /// Requests in flight from the member to each VM.
     pub(crate) in_flight: BTreeMap<VmId, u32>,
+    /// Workers of VMs that have an operation, in partitions of the member.
+    pub(crate) workers: Vec<WorkerEntry>,
+}
+
+/// A worker whose VM has an operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WorkerEntry {
+    /// The VM.
+    pub(crate) vm: VmId,
+    /// Tasks in the last answer; nothing if the worker does not answer.
+    pub(crate) tasks: Option<u32>,
+    /// Time for which it has answered since its last restart.
+    pub(crate) answering_ms: u64,
 }
 
 impl From<&MemberEntry> for raw::MemberView {
     fn from(entry: &MemberEntry) -> Self {
         let in_flight =
             |(vm, requests): (&VmId, &u32)| raw::VmInFlight { vm: vm.0, requests: *requests };
+        let worker = |worker: &WorkerEntry| raw::WorkerView {
+            vm: worker.vm.0,
+            tasks: worker.tasks,
+            answering_ms: worker.answering_ms,
+        };
         Self {
             session: entry.session.0,
             next_offset: entry.next_offset.0,
@@ -43,6 +61,7 @@
             digest: entry.digest.map(|(_, digest)| digest.to_vec()).unwrap_or_default(),
             digest_offset: entry.digest.map_or(0, |(offset, _)| offset.0),
             in_flight: entry.in_flight.iter().map(in_flight).collect(),
+            workers: entry.workers.iter().map(worker).collect(),
         }
     }
 }
@@ -59,6 +78,15 @@
             age_ms: raw.age_ms,
             digest: digest.map(|digest| (Offset(raw.digest_offset), digest)),
             in_flight: raw.in_flight.iter().map(|entry| (VmId(entry.vm), entry.requests)).collect(),
+            workers: raw
+                .workers
+                .iter()
+                .map(|worker| WorkerEntry {
+                    vm: VmId(worker.vm),
+                    tasks: worker.tasks,
+                    answering_ms: worker.answering_ms,
+                })
+                .collect(),
         }
     }
 }
--- a/daemon/src/placement_log.rs
+++ b/daemon/src/placement_log.rs
@@ -39,7 +39,7 @@
     }
     let Some(line) = line(state, decision) else { return };
     counter!("cowslipport_placement_decisions_total", "decision" => line.decision).increment(1);
-    let subject = line.subjects.first().map(name).unwrap_or_default();
+    let subject = line.subjects.first().map(Subject::name).unwrap_or_default().to_owned();
     info!(logger, "placement"; "subject" => subject, "decision" => line.decision,
         "choice" => &line.choice, "reason" => &line.reason, "eligible" => line.eligible);
     let decision = format!("{} {}", line.decision, line.choice);
@@ -47,14 +47,6 @@
     journal.note(Note { subjects: line.subjects, decision, reason: line.reason });
 }
 
-fn name(subject: &Subject) -> String {
-    match subject {
-        Subject::Job(name) | Subject::Vm(name) | Subject::Team(name) | Subject::Wave(name) => {
-            name.clone()
-        }
-    }
-}
-
 fn line(state: &ControlState, decision: &SchedulerDecision) -> Option<Line> {
     Some(match decision {
         SchedulerDecision::Start { task, vm, reason, candidates, .. } => Line {
--- a/daemon/src/placement_task.rs
+++ b/daemon/src/placement_task.rs
@@ -12,10 +12,14 @@
 use cowslipport_lib::job::JobRef;
 use cowslipport_lib::job::JobSpec;
 use cowslipport_lib::record::GrantDirection;
+use cowslipport_lib::record::RecordBody;
+use cowslipport_lib::record::VmObservation;
 use cowslipport_lib::replica::ControlFeed;
 use cowslipport_lib::replica::ReplicaChange;
 use cowslipport_lib::scheduler_event::SchedulerEvent;
+use cowslipport_lib::scheduler_event::WorkerReport;
 use cowslipport_lib::session::StartAuthority;
+use cowslipport_lib::time::TimeMs;
 use slog::Logger;
 use slog::info;
 use tokio::sync::mpsc;
@@ -33,8 +37,11 @@
 use crate::journal_task::JournalHandle;
 use crate::partition::JobView;
 use crate::partition::Partition;
+use crate::peer_task::PeerMessage;
+use crate::peer_wire::WorkerEntry;
 
 const TICK: Duration = Duration::from_millis(100);
+const TELL_WORKERS_MS: u64 = 250;
 const MAILBOX_MESSAGES: usize = 4096;
 
 /// Messages of the placement task.
@@ -45,6 +52,14 @@
     Authority(Authority),
     /// The jobs stream of a partition was read.
     Loaded { partition: PartitionId, epoch: Epoch, jobs: Vec<JobSpec> },
+    /// A worker answered a poll.
+    Polled {
+        partition: PartitionId,
+        epoch: Epoch,
+        vm: VmId,
+        incarnation: u64,
+        report: WorkerReport,
+    },
     /// An event for the scheduler of a partition.
     Scheduler { partition: PartitionId, epoch: Epoch, event: SchedulerEvent },
     /// The append of grant changes ended.
@@ -60,8 +75,8 @@
     Cancel { partition: PartitionId, job: JobRef, reply: oneshot::Sender<JobAnswer> },
     /// Asks for the open jobs of a team, or of all.
     List { team: Option<TeamId>, reply: oneshot::Sender<Vec<JobView>> },
-    /// Asks for the tasks that run on each VM of this process's partitions.
-    Tasks(oneshot::Sender<BTreeMap<VmId, Option<u32>>>),
+    /// The append of health observations ended.
+    HealthRecorded,
 }
 
 /// What the placement task needs to start.
@@ -78,6 +93,8 @@
     pub(crate) control: ControlHandle,
     /// Address of the journal.
     pub(crate) journal: JournalHandle,
+    /// Mailbox of the peer task.
+    pub(crate) peer: mpsc::Sender<PeerMessage>,
     /// The logger.
     pub(crate) logger: Logger,
 }
@@ -93,6 +110,8 @@
     sender: mpsc::WeakSender<PlacementMessage>,
     state: ControlState,
     authority: Authority,
+    recording_health: bool,
+    workers_told_at: TimeMs,
     partitions: BTreeMap<PartitionId, Partition>,
 }
 
@@ -111,6 +130,8 @@
             sender: sender.downgrade(),
             state: ControlState::default(),
             authority: Authority::default(),
+            recording_health: false,
+            workers_told_at: TimeMs(0),
             partitions: BTreeMap::new(),
         };
         actix_rt::spawn(task.run(receiver));
@@ -132,7 +153,59 @@
                 self.handle(message);
             }
             self.decide();
+            self.record_health();
+            self.tell_workers();
+        }
+    }
+
+    /// Records workers that fell silent or answer again. The next round
+    /// repeats what the log did not take.
+    fn record_health(&mut self) {
+        let now = self.config.clock.now();
+        if self.recording_health {
+            return;
+        }
+        let state = &self.state;
+        let allowed = |id: &PartitionId| match self.authority.at(now, *id) {
+            StartAuthority::Granted => true,
+            StartAuthority::NotOwner
+            | StartAuthority::StaleView
+            | StartAuthority::LeaseEnded
+            | StartAuthority::TakeoverWait => false,
+        };
+        let owned = self.partitions.iter().filter(|(id, _)| allowed(id));
+        let observations: Vec<VmObservation> =
+            owned.flat_map(|(_, partition)| partition.health_changes(state)).collect();
+        if observations.is_empty() {
+            return;
         }
+        info!(self.config.logger, "health of VMs changed"; "vms" => observations.len());
+        self.recording_health = true;
+        let (control, sender) = (self.config.control.clone(), self.sender.clone());
+        actix_rt::spawn(async move {
+            control.append(RecordBody::VmBatch(observations)).await;
+            if let Some(sender) = sender.upgrade() {
+                let _ = sender.send(PlacementMessage::HealthRecorded).await;
+            }
+        });
+    }
+
+    /// Tells the peer task of workers whose VMs have an operation, for the
+    /// process that plans it.
+    fn tell_workers(&mut self) {
+        let now = self.config.clock.now();
+        if now.since(self.workers_told_at) < TELL_WORKERS_MS {
+            return;
+        }
+        self.workers_told_at = now;
+        let state = &self.state;
+        let workers: Vec<WorkerEntry> = self
+            .partitions
+            .values()
+            .flat_map(|partition| partition.operated_workers(now, state))
+            .collect();
+        // The next message carries newer states.
+        let _ = self.config.peer.try_send(PeerMessage::Workers(workers));
     }
 
     fn handle(&mut self, message: PlacementMessage) {
@@ -160,10 +233,13 @@
             PlacementMessage::List { team, reply } => {
                 let _ = reply.send(self.jobs(team));
             }
-            PlacementMessage::Tasks(reply) => {
-                let tasks = self.partitions.values().flat_map(Partition::tasks).collect();
-                let _ = reply.send(tasks);
+            PlacementMessage::Polled { partition, epoch, vm, incarnation, report } => {
+                let now = self.config.clock.now();
+                if let Some(partition) = self.partition(partition, epoch) {
+                    partition.polled(now, vm, incarnation, report);
+                }
             }
+            PlacementMessage::HealthRecorded => self.recording_health = false,
         }
     }
 
@@ -288,8 +364,7 @@
             let answered = changes.iter().map(|change| (change.team, change.direction)).collect();
             let control = self.config.control.clone();
             actix_rt::spawn(async move {
-                let body = cowslipport_lib::record::RecordBody::GrantBatch(changes);
-                let outcome = control.append(body).await;
+                let outcome = control.append(RecordBody::GrantBatch(changes)).await;
                 let message = PlacementMessage::GrantsAnswered {
                     partition: id,
                     epoch,
--- a/daemon/src/router_task.rs
+++ b/daemon/src/router_task.rs
@@ -159,7 +159,7 @@
         };
         let mut eligible: Vec<(u32, VmId, SocketAddr)> = Vec::new();
         for (id, vm) in self.state.vms.iter().filter(|(_, vm)| vm.pool == pool) {
-            if self.state.is_in_service(vm)
+            if self.state.is_routable(vm)
                 && let Ok(address) = vm.joined.upstream_address.parse()
             {
                 eligible.push((self.known_in_flight(id), id, address));
--- a/daemon/src/subscriber.rs
+++ b/daemon/src/subscriber.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet_task::FleetMessage;
 use crate::jobs_task::JobsMessage;
+use crate::maintenance_task::MaintenanceMessage;
 use crate::peer_task::PeerMessage;
 use crate::placement_task::PlacementMessage;
 use crate::router_task::RouterMessage;
@@ -36,6 +37,8 @@
     Router(mpsc::Sender<RouterMessage>),
     /// The fleet task.
     Fleet(mpsc::Sender<FleetMessage>),
+    /// The maintenance task.
+    Maintenance(mpsc::Sender<MaintenanceMessage>),
     /// The placement task.
     Placement(mpsc::Sender<PlacementMessage>),
     /// The task for job calls.
@@ -50,6 +53,9 @@
             Self::Peer(sender) => sender.send(PeerMessage::Control(feed)).await.is_ok(),
             Self::Router(sender) => sender.send(RouterMessage::Control(feed)).await.is_ok(),
             Self::Fleet(sender) => sender.send(FleetMessage::Control(feed)).await.is_ok(),
+            Self::Maintenance(sender) => {
+                sender.send(MaintenanceMessage::Control(feed)).await.is_ok()
+            }
             Self::Placement(sender) => sender.send(PlacementMessage::Control(feed)).await.is_ok(),
             Self::Jobs(sender) => sender.send(JobsMessage::Control(feed)).await.is_ok(),
         };
@@ -61,7 +67,11 @@
             Self::Peer(sender) => {
                 let _ = sender.send(PeerMessage::LogContact(contact.clone())).await;
             }
-            Self::Router(_) | Self::Fleet(_) | Self::Placement(_) | Self::Jobs(_) => {}
+            Self::Router(_)
+            | Self::Fleet(_)
+            | Self::Maintenance(_)
+            | Self::Placement(_)
+            | Self::Jobs(_) => {}
         }
     }
 }
--- a/daemon/src/worker_client.rs
+++ b/daemon/src/worker_client.rs
@@ -57,7 +57,8 @@
         }
         // A task of a name that is not ours was not started by this system.
         let tasks = reply.tasks.iter().filter_map(|task| TaskReport::try_from(task).ok());
-        Ok(PollAnswer { ticket: reply.ticket, tasks: tasks.collect() })
+        let (ticket, incarnation) = (reply.ticket, reply.incarnation);
+        Ok(PollAnswer { ticket, tasks: tasks.collect(), incarnation })
     }
 
     async fn start(&mut self, start: &TaskStart) -> (StartAnswer, Option<u64>) {
--- a/daemon/src/worker_task.rs
+++ b/daemon/src/worker_task.rs
@@ -141,7 +141,11 @@
                 self.missed = 0;
                 self.acknowledged.clear();
                 let report = WorkerReport { polled_at, ticket: answer.ticket, tasks: answer.tasks };
-                self.tell(SchedulerEvent::WorkerReport { vm: self.role.vm, report }).await;
+                let WorkerRole { partition, epoch, vm } = self.role;
+                let incarnation = answer.incarnation;
+                let message =
+                    PlacementMessage::Polled { partition, epoch, vm, incarnation, report };
+                self.send(message).await;
             }
             Err(_) => {
                 self.missed += 1;
@@ -157,9 +161,12 @@
     }
 
     async fn tell(&self, event: SchedulerEvent) {
-        let Some(placement) = self.placement.upgrade() else { return };
         let WorkerRole { partition, epoch, vm: _ } = self.role;
-        let message = PlacementMessage::Scheduler { partition, epoch, event };
+        self.send(PlacementMessage::Scheduler { partition, epoch, event }).await;
+    }
+
+    async fn send(&self, message: PlacementMessage) {
+        let Some(placement) = self.placement.upgrade() else { return };
         // A closed mailbox means that the process is stopping.
         let _ = placement.send(message).await;
     }
--- /dev/null
+++ b/daemon/tests/test_waves.rs
@@ -0,0 +1,55 @@
+//! A maintenance wave over sockets, with requests in flight all the while.
+
+mod support;
+
+use std::time::Duration;
+
+use awc::http::Method;
+use support::KEY;
+use support::MANIFEST;
+use support::call;
+use support::commit;
+use support::start_fleet;
+use support::start_three;
+use support::status;
+use support::wait_until;
+
+const WAVE: &str = r#"
+[[wave]]
+name = "kernel"
+pools = ["booking"]
+initial_width = 1
+max_width = 2
+max_failed = 1
+soak_ms = 500
+reboot_timeout_ms = 20000
+"#;
+
+/// Guards against a wave that breaks the budget of one VM, cuts a request, or
+/// does not come to its end.
+#[actix_rt::test]
+async fn wave_reboots_every_vm_within_the_budget_and_cuts_no_request() {
+    let fleet = start_fleet().await;
+    let daemons = start_three(&fleet).await;
+    wait_until(Duration::from_secs(15), "requests are served", || async {
+        call(&daemons[0], Method::GET, "/pools/booking/slots", KEY, "").await.0 == 200
+    })
+    .await;
+    let reply = commit(&daemons[1], 1, &format!("{MANIFEST}{WAVE}")).await;
+    assert_eq!(reply.revision, 2, "{reply:?}");
+    let (mut served, mut most_unavailable) = (0, 0);
+    wait_until(Duration::from_secs(90), "the wave finishes", || async {
+        for daemon in &daemons {
+            let (code, body) = call(daemon, Method::GET, "/pools/booking/slots", KEY, "").await;
+            assert_eq!(code, 200, "{body}");
+        }
+        status(&daemons[0]).await.waves.iter().all(|wave| wave.phase == "finished")
+    })
+    .await;
+    let report = status(&daemons[2]).await;
+    served += report.waves[0].done;
+    most_unavailable = most_unavailable.max(report.pools[0].unavailable);
+    assert_eq!((served, most_unavailable), (4, 0), "{report:?}");
+    let summary = fleet.summary().await;
+    assert_eq!((summary.interrupted_requests, summary.interrupted_tasks), (0, 0), "{summary:?}");
+}
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -247,6 +247,17 @@
         vm.health == Health::Up && vm.operation.is_none() && self.data_centre_in_service(vm)
     }
 
+    /// True if new requests may be sent to the VM's upstream instance. A VM
+    /// whose worker does not answer may still serve requests; failures of the
+    /// requests themselves take it out of routing.
+    pub fn is_routable(&self, vm: &Vm) -> bool {
+        let may_serve = match vm.health {
+            Health::Up | Health::Unknown => true,
+            Health::Down | Health::Leaving => false,
+        };
+        may_serve && vm.operation.is_none() && self.data_centre_in_service(vm)
+    }
+
     /// True if the data centre of the VM is in service.
     pub fn data_centre_in_service(&self, vm: &Vm) -> bool {
         self.data_centres.get(vm.data_centre).is_some_and(|data_centre| data_centre.in_service)
--- a/lib/src/moves.rs
+++ b/lib/src/moves.rs
@@ -42,10 +42,6 @@
 /// A move takes a VM out of service for about a minute and disturbs tasks.
 pub const MOVE_COST_MS: u64 = 900_000;
 
-/// Time for which a VM must have been more than a pool needs before the pool
-/// lends it.
-pub const LEND_AFTER_MS: u64 = 0;
-
 /// Time that a VM gets to come back when it is rebooted during a move and no
 /// wave says otherwise.
 const DEFAULT_REBOOT_TIMEOUT_MS: u64 = 1_800_000;
@@ -206,14 +202,9 @@
         let mut donors = Vec::new();
         for (pool, buffer) in buffers.iter().filter(|(pool, _)| **pool != taker) {
             let Some(entry) = view.state.pools.get(*pool) else { continue };
-            let longest = self.surplus.get(pool).and_then(|since| since.first());
-            let held_ms = longest.map_or(0, |since| view.now.since(*since));
             if buffer.surplus() == 0 || buffer.have <= entry.spec.min_vms {
                 continue;
             }
-            if !entry.spec.spare && held_ms < LEND_AFTER_MS {
-                continue;
-            }
             let coincidence = view.demand.coincidence_permille(taker, *pool);
             donors.push((entry.spec.spare, coincidence, *pool));
         }
--- a/lib/src/protos/cowslipport.peer.rs
+++ b/lib/src/protos/cowslipport.peer.rs
@@ -35,6 +35,20 @@
     /// Requests in flight from the member to each VM.
     #[prost(message, repeated, tag = "8")]
     pub in_flight: ::prost::alloc::vec::Vec<VmInFlight>,
+    /// Workers of VMs that have an operation, at the owner of their partition.
+    #[prost(message, repeated, tag = "9")]
+    pub workers: ::prost::alloc::vec::Vec<WorkerView>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WorkerView {
+    #[prost(uint32, tag = "1")]
+    pub vm: u32,
+    /// Tasks in the last answer; absent if the worker does not answer.
+    #[prost(uint32, optional, tag = "2")]
+    pub tasks: ::core::option::Option<u32>,
+    /// Time in milliseconds for which it has answered since its last restart.
+    #[prost(uint64, tag = "3")]
+    pub answering_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct VmInFlight {
--- a/lib/src/protos/cowslipport.platform.rs
+++ b/lib/src/protos/cowslipport.platform.rs
@@ -88,6 +88,9 @@
     pub ticket: u64,
     #[prost(message, repeated, tag = "4")]
     pub tasks: ::prost::alloc::vec::Vec<TaskReport>,
+    /// Differs after each restart of the worker.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskReport {
--- a/lib/src/route_refresh.rs
+++ b/lib/src/route_refresh.rs
@@ -106,7 +106,7 @@
             self.forget_if_gone(id);
             return;
         };
-        let in_service = state.is_in_service(vm);
+        let in_service = state.is_routable(vm);
         let slots = pool.spec.slots_per_vm;
         let homes = slots::homes(id, slots, &self.members);
         let old = self.instances.get(&id);
--- a/standin/src/worker_server.rs
+++ b/standin/src/worker_server.rs
@@ -71,6 +71,7 @@
     let (stop, stopped) = oneshot::channel::<()>();
     let task = WorkerTask {
         agent: WorkerAgent::new(settings, first_ticket),
+        incarnation: first_ticket,
         clock,
         reporter,
         reported: 0,
@@ -126,6 +127,7 @@
 /// Owns a worker and the calls that are held back.
 struct WorkerTask {
     agent: WorkerAgent,
+    incarnation: u64,
     clock: Clock,
     reporter: Reporter,
     /// Number of samples of the history that the recorder has.
@@ -216,6 +218,7 @@
                 highest_epoch,
                 ticket: answer.ticket,
                 tasks: answer.tasks.into_iter().map(report_to_raw).collect(),
+                incarnation: self.incarnation,
             },
             None => raw::PollReply { highest_epoch, ..raw::PollReply::default() },
         }
