placement: scenarios against a fleet, cheaper decisions

Cause: a worker in quarantine was quarantined again at each decision and never came to its probe; the new scenario quarantine_ends_with_a_probe found it. A decision looked at every waiting job several times.

Change: scenarios for shares, starvation, urgent work, limits, keys, jobs that cannot run, wrong sizes, bad workers and jobs, faulty networks, paused owners, data centres and drains. Waiting jobs are looked at in order and 64 a team, tasks and jobs are connected again only after a change.

--- a/lib/src/job_queue.rs
+++ b/lib/src/job_queue.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Bound;
 
 use crate::arena::Arena;
 use crate::ids::JobId;
@@ -18,6 +19,9 @@
 use crate::scheduler_event::JobOrigin;
 use crate::time::TimeMs;
 
+/// Waiting jobs of a team that one decision looks at.
+pub(crate) const LOOK_AHEAD: usize = 64;
+
 /// An open job.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -48,12 +52,29 @@
     }
 }
 
+/// Place of a waiting job: the order in which jobs were accepted.
+pub(crate) type QueueKey = (u64, JobId);
+
+/// Waiting jobs of one team.
+#[derive(Clone, Debug, Default)]
+struct TeamQueue {
+    urgent: BTreeSet<QueueKey>,
+    normal: BTreeSet<QueueKey>,
+}
+
+impl TeamQueue {
+    fn part(&mut self, urgent: bool) -> &mut BTreeSet<QueueKey> {
+        if urgent { &mut self.urgent } else { &mut self.normal }
+    }
+}
+
 /// The open jobs, with those that wait ordered by team.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct JobQueue {
     jobs: Arena<JobId, Job>,
     by_ref: BTreeMap<JobRef, JobId>,
-    queued: BTreeMap<TeamId, BTreeSet<(u64, JobId)>>,
+    queued: BTreeMap<TeamId, TeamQueue>,
+    ending: BTreeSet<JobId>,
     free: Vec<JobId>,
     next_order: u64,
 }
@@ -66,7 +87,7 @@
         }
         let order = self.next_order;
         self.next_order += 1;
-        let name = spec.job.clone();
+        let (name, urgent) = (spec.job.clone(), spec.urgent);
         let job = Job {
             class: JobClass::from(&spec.job),
             spec,
@@ -91,7 +112,7 @@
             }
             None => self.jobs.insert(job),
         };
-        self.queued.entry(name.team).or_default().insert((order, id));
+        self.queued.entry(name.team).or_default().part(urgent).insert((order, id));
         self.by_ref.insert(name, id);
     }
 
@@ -99,7 +120,8 @@
     pub(crate) fn remove(&mut self, name: &JobRef) -> Option<Job> {
         let id = self.by_ref.remove(name)?;
         let job = self.jobs.remove(id)?;
-        self.unqueue(name.team, job.order, id);
+        self.unqueue(name.team, job.spec.urgent, (job.order, id));
+        self.ending.remove(&id);
         self.free.push(id);
         Some(job)
     }
@@ -112,20 +134,24 @@
         }
         job.state = state;
         job.since = now;
-        let (team, order) = (job.spec.job.team, job.order);
+        let (team, urgent, key) = (job.spec.job.team, job.spec.urgent, (job.order, id));
         match state {
             JobState::Queued => {
                 job.wait = WaitReason::New;
-                self.queued.entry(team).or_default().insert((order, id));
+                self.queued.entry(team).or_default().part(urgent).insert(key);
+            }
+            JobState::Active { .. } => self.unqueue(team, urgent, key),
+            JobState::Ending { .. } => {
+                self.unqueue(team, urgent, key);
+                self.ending.insert(id);
             }
-            JobState::Active { .. } | JobState::Ending { .. } => self.unqueue(team, order, id),
         }
     }
 
-    fn unqueue(&mut self, team: TeamId, order: u64, id: JobId) {
-        if let Some(jobs) = self.queued.get_mut(&team) {
-            jobs.remove(&(order, id));
-            if jobs.is_empty() {
+    fn unqueue(&mut self, team: TeamId, urgent: bool, key: QueueKey) {
+        if let Some(queue) = self.queued.get_mut(&team) {
+            queue.part(urgent).remove(&key);
+            if queue.urgent.is_empty() && queue.normal.is_empty() {
                 self.queued.remove(&team);
             }
         }
@@ -151,6 +177,17 @@
         self.jobs.iter()
     }
 
+    /// Jobs whose end was decided and is not in the stream yet.
+    pub(crate) fn ending(&self) -> impl Iterator<Item = (JobId, &Job)> {
+        self.ending.iter().filter_map(|id| Some((*id, self.jobs.get(*id)?)))
+    }
+
+    /// The first jobs of each team that are not urgent.
+    pub(crate) fn first_waiting(&self, count: usize) -> impl Iterator<Item = (JobId, &Job)> {
+        let keys = self.queued.values().flat_map(move |queue| queue.normal.iter().take(count));
+        keys.filter_map(|(_, id)| Some((*id, self.jobs.get(*id)?)))
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.by_ref.len()
     }
@@ -160,10 +197,26 @@
         self.queued.keys().copied()
     }
 
-    /// Waiting jobs of a team in the order in which they were accepted.
-    pub(crate) fn waiting(&self, team: TeamId) -> impl Iterator<Item = (JobId, &Job)> {
-        let ids = self.queued.get(&team).into_iter().flatten();
-        ids.filter_map(|(_, id)| Some((*id, self.jobs.get(*id)?)))
+    /// The first waiting job of a team after `after`, among those that are
+    /// urgent or those that are not.
+    pub(crate) fn next_waiting(
+        &self,
+        team: TeamId,
+        urgent: bool,
+        after: Option<QueueKey>,
+    ) -> Option<QueueKey> {
+        let queue = self.queued.get(&team)?;
+        let part = if urgent { &queue.urgent } else { &queue.normal };
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        part.range((from, Bound::Unbounded)).next().copied()
+    }
+
+    /// Waiting jobs of a team, urgent ones first, in the order in which they
+    /// were accepted.
+    fn waiting(&self, team: TeamId) -> impl Iterator<Item = &Job> {
+        let queue = self.queued.get(&team).into_iter();
+        let keys = queue.flat_map(|queue| queue.urgent.iter().chain(&queue.normal));
+        keys.filter_map(|(_, id)| self.jobs.get(*id))
     }
 
     /// What waiting jobs of a team could use: jobs in order as far as their sum
@@ -171,7 +224,7 @@
     /// urgent ones, and others as far as they fit in `room`.
     pub(crate) fn wanted(&self, team: TeamId, reach: Resources, room: Resources) -> Wanted {
         let mut wanted = Wanted::default();
-        for (_, job) in self.waiting(team) {
+        for job in self.waiting(team).take(LOOK_AHEAD) {
             let request = job.spec.request;
             let sum = wanted.amount.saturating_add(request);
             let useful = wanted.amount.is_zero() || job.spec.urgent || sum.fits_in(room);
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -20,6 +20,7 @@
 use crate::quota::Quota;
 use crate::scheduler_decision::SchedulerDecision;
 use crate::scheduler_decision::WaitReason;
+use crate::scheduler_event::JobOrigin;
 use crate::scheduler_event::SchedulerEvent;
 use crate::scheduler_event::StartAnswer;
 use crate::scheduler_event::TASK_LEASE_MS;
@@ -60,6 +61,8 @@
     pub(crate) gone: Vec<GoneTask>,
     /// True if a worker left before it told a new owner what it ran.
     pub(crate) unanswered_left: bool,
+    /// True if tasks and jobs may not be connected as they should be.
+    pub(crate) relink: bool,
 }
 
 /// What is known of a team.
@@ -118,9 +121,14 @@
             SchedulerEvent::OwnershipGained { epoch } => self.gain(now, epoch),
             SchedulerEvent::OwnershipLost => *self = Self::default(),
             SchedulerEvent::StartsAllowed(allowed) => self.starts_allowed = allowed,
-            SchedulerEvent::JobAccepted { job, origin } => self.queue.accept(now, job, origin),
+            SchedulerEvent::JobAccepted { job, origin } => {
+                self.queue.accept(now, job, origin);
+                // A worker may have reported a task of the job before.
+                self.relink |= origin == JobOrigin::Inherited;
+            }
             SchedulerEvent::JobCancelled(job) | SchedulerEvent::JobEnded(job) => {
                 self.queue.remove(&job);
+                self.relink = true;
             }
             SchedulerEvent::TeamChanged { team, view } => {
                 let state = self.teams.entry(team).or_default();
@@ -162,8 +170,11 @@
             self.settle(now, &mut decisions);
         }
         self.control_tasks(now, &mut decisions);
-        self.start_jobs(now, &mut decisions);
-        self.change_grants(now, &mut decisions);
+        if self.gate(now).is_none() {
+            let mut round = self.new_round(now);
+            self.start_jobs(now, &mut round, &mut decisions);
+            self.change_grants(now, &round, &mut decisions);
+        }
         decisions
     }
 
@@ -187,6 +198,7 @@
 
     fn gain(&mut self, now: TimeMs, epoch: Epoch) {
         self.epoch = Some(epoch);
+        self.relink = true;
         self.gained_at = now;
         self.starts_allowed = false;
         self.next_attempt = 0;
@@ -221,7 +233,7 @@
         if self.epoch.is_some() && report.polled_at < self.gained_at {
             return;
         }
-        let gone = worker.take_report(now, report, &mut self.classes);
+        let gone = worker.take_report(now, report, &mut self.classes, &mut self.relink);
         self.gone.extend(gone.into_iter().map(|(id, task)| {
             let end = match task.phase {
                 TaskPhase::Starting => GoneEnd::NotStarted,
@@ -249,7 +261,10 @@
             worker.ticket = ticket;
         }
         match answer {
-            StartAnswer::Started | StartAnswer::Known => confirm(now, task),
+            StartAnswer::Started | StartAnswer::Known => {
+                confirm(now, task);
+                self.relink = true;
+            }
             StartAnswer::Unknown => {}
             StartAnswer::OldEpoch => {
                 // Another owner has a higher epoch; the fold will tell.
--- a/lib/src/placement_check.rs
+++ b/lib/src/placement_check.rs
@@ -155,11 +155,12 @@
     }
 
     /// Takes and returns grant.
-    pub(crate) fn change_grants(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
-        if self.gate(now).is_some() {
-            return;
-        }
-        let round = self.new_round(now);
+    pub(crate) fn change_grants(
+        &mut self,
+        now: TimeMs,
+        round: &Round,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
         let room = round.free.values().fold(Resources::ZERO, |sum, free| sum.saturating_add(*free));
         for (team, state) in &mut self.teams {
             let used = round.used.get(team).copied().unwrap_or_default();
--- a/lib/src/placement_choice.rs
+++ b/lib/src/placement_choice.rs
@@ -2,7 +2,6 @@
 //! centres, best fit among those.
 
 use crate::ids::JobId;
-use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::placement::Scheduler;
 use crate::placement_check::STARVED_MS;
@@ -10,6 +9,7 @@
 use crate::placement_start::Round;
 use crate::resources::Resources;
 use crate::scheduler_decision::WaitReason;
+use crate::scheduler_event::WorkerSpec;
 use crate::time::TimeMs;
 use crate::worker_health::WorkerHealth;
 use crate::worker_view::Worker;
@@ -24,6 +24,9 @@
 /// back doubles.
 const RAMP_STEP_MS: u64 = 1_000;
 
+/// Waiting jobs of each team that may be found starved.
+const STARVED_LOOK_AHEAD: usize = 16;
+
 /// The worker chosen for a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Choice {
@@ -63,10 +66,14 @@
             }
             eligible += 1;
             let left = room.saturating_sub(size);
+            let WorkerSpec { rack, data_centre, .. } = worker.spec;
+            let in_rack = round.in_rack.get(&(team, rack)).copied().unwrap_or_default();
+            let in_data_centre =
+                round.in_data_centre.get(&(team, data_centre)).copied().unwrap_or_default();
             let score = Score {
                 failed_here: failed.contains(vm),
-                data_centre_bucket: self.in_data_centre(worker, team) / DATA_CENTRE_BUCKET,
-                rack_bucket: self.in_rack(worker, team) / RACK_BUCKET,
+                data_centre_bucket: in_data_centre / DATA_CENTRE_BUCKET,
+                rack_bucket: in_rack / RACK_BUCKET,
                 left_ppm: left.dominant_share_ppm(worker.spec.capacity),
                 vm: *vm,
             };
@@ -123,17 +130,6 @@
             .fold(free, |free, promise| free.saturating_sub(promise.size))
     }
 
-    fn in_data_centre(&self, worker: &Worker, team: TeamId) -> u32 {
-        let data_centre = worker.spec.data_centre;
-        let others = self.workers.values().filter(|other| other.spec.data_centre == data_centre);
-        others.map(|other| other.tasks_of(team)).sum()
-    }
-
-    fn in_rack(&self, worker: &Worker, team: TeamId) -> u32 {
-        let others = self.workers.values().filter(|other| other.spec.rack == worker.spec.rack);
-        others.map(|other| other.tasks_of(team)).sum()
-    }
-
     /// Promises the worker with the most room to the job that has waited
     /// longest for room, so that smaller jobs do not keep it out for ever.
     pub(crate) fn reserve_for_starved(&mut self, now: TimeMs, round: &Round) {
@@ -142,13 +138,8 @@
         }
         let starved = self
             .queue
-            .iter()
-            .filter(|(_, job)| {
-                job.is_queued()
-                    && job.wait == WaitReason::NoRoom
-                    && !job.spec.urgent
-                    && now.since(job.since) >= STARVED_MS
-            })
+            .first_waiting(STARVED_LOOK_AHEAD)
+            .filter(|(_, job)| job.wait == WaitReason::NoRoom && now.since(job.since) >= STARVED_MS)
             .min_by_key(|(_, job)| (job.accepted_at, job.order));
         let Some((id, job)) = starved else { return };
         let candidates = self
--- a/lib/src/placement_control.rs
+++ b/lib/src/placement_control.rs
@@ -42,8 +42,9 @@
 impl Scheduler {
     /// Decides actions that do not depend on waiting jobs.
     pub(crate) fn control_tasks(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
-        if !self.is_held(now) {
+        if self.relink && !self.is_held(now) {
             self.stop_closed(now, out);
+            self.relink = false;
         }
         self.move_tasks(now, out);
         self.enforce_limits(now, out);
--- a/lib/src/placement_settle.rs
+++ b/lib/src/placement_settle.rs
@@ -69,7 +69,9 @@
 
     /// Brings the jobs in line with what is known of their tasks.
     pub(crate) fn settle(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
-        self.adopt_tasks(now);
+        if self.relink {
+            self.adopt_tasks(now);
+        }
         self.note_results(now);
         self.judge_workers(now, out);
         for GoneTask { vm, id, end } in std::mem::take(&mut self.gone) {
@@ -113,9 +115,11 @@
                     }
                     TaskPhase::Reported(_) | TaskPhase::Starting => continue,
                 };
+                if task.survived && !failed {
+                    continue;
+                }
                 let job = self.queue.by_name(&id.job);
-                let is_settled = job.is_none_or(|job| job.settled >= Some(id.attempt));
-                if is_settled || (task.survived && !failed) {
+                if job.is_none_or(|job| job.settled >= Some(id.attempt)) {
                     continue;
                 }
                 task.survived = !failed;
@@ -297,7 +301,7 @@
     fn end_again(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
         let overdue: Vec<(JobId, JobOutcome)> = self
             .queue
-            .iter()
+            .ending()
             .filter(|(_, job)| now.since(job.since) >= END_RETRY_MS)
             .filter_map(|(id, job)| match job.state {
                 JobState::Ending { outcome } => Some((id, outcome)),
@@ -322,6 +326,7 @@
         vm: Option<VmId>,
         out: &mut Vec<SchedulerDecision>,
     ) {
+        self.relink = true;
         self.queue.set_state(now, id, JobState::Ending { outcome });
         self.promises.retain(|promise| promise.job != id);
         let Some(job) = self.queue.get_mut(id) else { return };
--- a/lib/src/placement_start.rs
+++ b/lib/src/placement_start.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::ids::DataCentreId;
 use crate::ids::JobId;
+use crate::ids::RackId;
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::invariant::Violation;
@@ -11,14 +13,17 @@
 use crate::job::JobState;
 use crate::job::TaskId;
 use crate::job_class::JobClass;
-use crate::job_queue::Job;
+use crate::job_queue::LOOK_AHEAD;
+use crate::job_queue::QueueKey;
 use crate::placement::Scheduler;
 use crate::placement_choice::Choice;
 use crate::resources::Resources;
 use crate::scheduler_decision::SchedulerDecision;
 use crate::scheduler_decision::StartReason;
 use crate::scheduler_decision::WaitReason;
+use crate::scheduler_event::WorkerSpec;
 use crate::share;
+use crate::share::ServiceRank;
 use crate::time::TimeMs;
 use crate::worker_health::WorkerHealth;
 use crate::worker_view::Task;
@@ -27,9 +32,6 @@
 /// A job that has waited this long is considered together with urgent ones.
 const AGED_MS: u64 = 600_000;
 
-/// Waiting jobs of a team that one decision looks at.
-const LOOK_AHEAD: usize = 512;
-
 /// Room that becomes free on a worker for one waiting job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Promise {
@@ -50,6 +52,9 @@
     pub(crate) total: Resources,
     /// Room on each worker that takes new work.
     pub(crate) free: BTreeMap<VmId, Resources>,
+    /// Live tasks of each team in each rack and data centre.
+    pub(crate) in_rack: BTreeMap<(TeamId, RackId), u32>,
+    pub(crate) in_data_centre: BTreeMap<(TeamId, DataCentreId), u32>,
     /// Sizes that found no room.
     full: Vec<Resources>,
     /// Teams whose first job waits for grant that later ones must not use.
@@ -63,25 +68,47 @@
     Waits(WaitReason),
 }
 
-/// Order in which a phase serves the jobs of one team.
+/// Which jobs a phase considers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Urgent,
+    /// Those that waited too long.
+    Aged,
+    Other,
+}
+
+/// A job of one team that is looked at, and how many were before.
+#[derive(Clone, Copy, Debug)]
 struct Cursor {
-    jobs: Vec<JobId>,
-    next: usize,
+    key: QueueKey,
+    count: usize,
+}
+
+type Cursors = BTreeMap<TeamId, Cursor>;
+
+impl Round {
+    fn count(&mut self, team: TeamId, spec: &WorkerSpec) {
+        *self.in_rack.entry((team, spec.rack)).or_default() += 1;
+        *self.in_data_centre.entry((team, spec.data_centre)).or_default() += 1;
+    }
 }
 
 impl Scheduler {
     /// Starts waiting jobs: urgent and aged ones first, then by fair share.
-    pub(crate) fn start_jobs(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
-        if self.gate(now).is_some() {
-            return;
-        }
-        let mut round = self.new_round(now);
+    pub(crate) fn start_jobs(
+        &mut self,
+        now: TimeMs,
+        round: &mut Round,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
         self.drop_promises(now);
-        let first = |job: &Job| job.spec.urgent || now.since(job.accepted_at) >= AGED_MS;
-        self.start_phase(now, &mut round, first, out);
-        self.start_phase(now, &mut round, |job| !first(job), out);
-        self.reserve_for_starved(now, &round);
-        self.unthrottle(now, &round, out);
+        let mut looked_at = Cursors::new();
+        self.start_phase(now, round, Phase::Urgent, &mut looked_at, out);
+        looked_at.clear();
+        self.start_phase(now, round, Phase::Aged, &mut looked_at, out);
+        self.start_phase(now, round, Phase::Other, &mut looked_at, out);
+        self.reserve_for_starved(now, round);
+        self.unthrottle(now, round, out);
     }
 
     pub(crate) fn new_round(&self, now: TimeMs) -> Round {
@@ -90,68 +117,96 @@
             sizes: BTreeMap::new(),
             total: Resources::ZERO,
             free: BTreeMap::new(),
+            in_rack: BTreeMap::new(),
+            in_data_centre: BTreeMap::new(),
             full: Vec::new(),
             blocked: BTreeSet::new(),
         };
         for (vm, worker) in &self.workers {
+            let mut on_worker = Resources::ZERO;
             for (id, task) in worker.live_tasks() {
-                let used = round.used.entry(id.job.team).or_default();
+                let team = id.job.team;
+                let task_size = task.size(&self.classes);
+                on_worker = on_worker.saturating_add(task_size);
+                let used = round.used.entry(team).or_default();
                 *used = used.saturating_add(task.request);
-                let size = round.sizes.entry(id.job.team).or_default();
-                *size = size.saturating_add(task.size(&self.classes));
+                let size = round.sizes.entry(team).or_default();
+                *size = size.saturating_add(task_size);
+                round.count(team, &worker.spec);
             }
             if worker.is_open() {
                 round.total = round.total.saturating_add(worker.spec.capacity);
-                round.free.insert(*vm, worker.free(now, &self.classes));
+                round.free.insert(*vm, worker.free(now, on_worker));
             }
         }
         round
     }
 
-    fn start_phase<F>(
+    /// Tries the waiting jobs of a phase, from where `looked_at` says on.
+    fn start_phase(
         &mut self,
         now: TimeMs,
         round: &mut Round,
-        belongs: F,
+        phase: Phase,
+        looked_at: &mut Cursors,
         out: &mut Vec<SchedulerDecision>,
-    ) where
-        F: Fn(&Job) -> bool,
-    {
-        let mut cursors: BTreeMap<TeamId, Cursor> = self
+    ) {
+        let mut open: BTreeMap<ServiceRank, Cursor> = self
             .queue
             .waiting_teams()
-            .map(|team| {
-                let waiting = self.queue.waiting(team).filter(|(_, job)| belongs(job));
-                let jobs = waiting.map(|(id, _)| id).take(LOOK_AHEAD).collect();
-                (team, Cursor { jobs, next: 0 })
+            .filter_map(|team| {
+                let done = looked_at.get(&team).copied();
+                let cursor = self.next_in_phase(now, team, phase, done)?;
+                Some((self.service_rank(team, round), cursor))
             })
             .collect();
-        while let Some(team) = self.next_team(round, &cursors) {
-            let Some(cursor) = cursors.get_mut(&team) else { return };
-            let Some(id) = cursor.jobs.get(cursor.next).copied() else { return };
-            cursor.next += 1;
+        while let Some((mut rank, cursor)) = open.pop_first() {
+            let team = rank.team;
+            if round.blocked.contains(&team) {
+                continue;
+            }
+            looked_at.insert(team, cursor);
+            let id = cursor.key.1;
             match self.try_start(now, id, round, out) {
-                Attempt::Started | Attempt::Ended => {}
+                Attempt::Started => rank = self.service_rank(team, round),
+                Attempt::Ended => {}
                 Attempt::Waits(reason) => {
                     if let Some(job) = self.queue.get_mut(id) {
                         job.wait = reason;
                     }
                 }
             }
+            if let Some(next) = self.next_in_phase(now, team, phase, Some(cursor)) {
+                open.insert(rank, next);
+            }
         }
     }
 
-    /// The team with jobs left that has the least of its share.
-    fn next_team(&self, round: &Round, cursors: &BTreeMap<TeamId, Cursor>) -> Option<TeamId> {
-        let teams = cursors.iter().filter(|(team, cursor)| {
-            cursor.next < cursor.jobs.len() && !round.blocked.contains(team)
-        });
-        teams.map(|(team, _)| *team).min_by_key(|team| {
-            let used = round.sizes.get(team).copied().unwrap_or_default();
-            let view = self.teams.get(team).and_then(|state| state.view.as_ref());
-            let share_milli = view.map_or(0, |view| view.share_milli);
-            share::service_rank(*team, share_milli, used, round.total)
-        })
+    /// Place of a team in the order of service.
+    fn service_rank(&self, team: TeamId, round: &Round) -> ServiceRank {
+        let used = round.sizes.get(&team).copied().unwrap_or_default();
+        let view = self.teams.get(&team).and_then(|state| state.view.as_ref());
+        let share_milli = view.map_or(0, |view| view.share_milli);
+        share::service_rank(team, share_milli, used, round.total)
+    }
+
+    /// The waiting job of a team after `done`, if it belongs to the phase.
+    /// Aged jobs are in front of all others that are not urgent.
+    fn next_in_phase(
+        &self,
+        now: TimeMs,
+        team: TeamId,
+        phase: Phase,
+        done: Option<Cursor>,
+    ) -> Option<Cursor> {
+        let count = done.map_or(1, |cursor| cursor.count + 1);
+        let after = done.map(|cursor| cursor.key);
+        let key = self.queue.next_waiting(team, phase == Phase::Urgent, after)?;
+        let belongs = match phase {
+            Phase::Urgent | Phase::Other => true,
+            Phase::Aged => is_aged(now, self.queue.get(key.1)?.accepted_at),
+        };
+        (belongs && count <= LOOK_AHEAD).then_some(Cursor { key, count })
     }
 
     fn try_start(
@@ -213,14 +268,18 @@
                 StartReason::Urgent
             }
             WorkerHealth::Good | WorkerHealth::Quarantined { .. } => {
-                let aged = now.since(job.accepted_at) >= AGED_MS;
-                if aged { StartReason::Aged } else { StartReason::FairShare }
+                if is_aged(now, job.accepted_at) {
+                    StartReason::Aged
+                } else {
+                    StartReason::FairShare
+                }
             }
         };
         let Some(worker) = self.workers.get_mut(&choice.vm) else { return Ok(()) };
         self.next_attempt += 1;
         worker.tasks.insert(task.clone(), new_task(now, class, request));
         let ticket = worker.ticket;
+        round.count(task.job.team, &worker.spec);
         self.queue.set_state(now, id, JobState::Active { vm: choice.vm, attempt });
         self.promises.retain(|promise| promise.job != id);
         let team = task.job.team;
@@ -245,6 +304,10 @@
     }
 }
 
+fn is_aged(now: TimeMs, accepted_at: TimeMs) -> bool {
+    now.since(accepted_at) >= AGED_MS
+}
+
 fn new_task(now: TimeMs, class: JobClass, request: Resources) -> Task {
     Task {
         request,
--- a/lib/src/share.rs
+++ b/lib/src/share.rs
@@ -20,7 +20,8 @@
 pub struct ServiceRank {
     /// Dominant share in use for each unit of weight.
     weighted_share: u128,
-    team: TeamId,
+    /// The team; equal shares are served in the order of ids.
+    pub team: TeamId,
 }
 
 /// Place of a team that uses `used` of `total`. A team that uses nothing comes
--- a/lib/src/worker_health.rs
+++ b/lib/src/worker_health.rs
@@ -175,7 +175,8 @@
     pub fn judge(&mut self, now: TimeMs, workers: usize) -> Vec<HealthChange> {
         self.forget_old(now);
         let mut changes = self.judge_probes(now);
-        let suspects: Vec<VmId> = self.results.keys().copied().collect();
+        let suspects: Vec<VmId> =
+            self.results.keys().filter(|vm| !self.quarantines.contains_key(vm)).copied().collect();
         for vm in suspects {
             if self.quarantines.len() >= (workers / 2).max(1) {
                 break;
--- a/lib/src/worker_view.rs
+++ b/lib/src/worker_view.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use crate::ids::TeamId;
 use crate::job::TaskAction;
 use crate::job::TaskId;
 use crate::job::TaskState;
@@ -156,21 +155,17 @@
         self.tasks.iter().filter(|(_, task)| task.is_live())
     }
 
-    /// Room for tasks by their sizes, and by their declared sizes as well if
-    /// the worker refused a start lately.
-    pub(crate) fn free(&self, now: TimeMs, classes: &ClassTable) -> Resources {
-        let mut sizes = Resources::ZERO;
-        let mut requests = Resources::ZERO;
-        for (_, task) in self.live_tasks() {
-            sizes = sizes.saturating_add(task.size(classes));
-            requests = requests.saturating_add(task.request);
-        }
+    /// Room beside tasks of these sizes, and by their declared sizes as well
+    /// if the worker refused a start lately.
+    pub(crate) fn free(&self, now: TimeMs, sizes: Resources) -> Resources {
         let by_size = self.spec.capacity.saturating_sub(sizes);
-        if self.is_strict(now) {
-            by_size.min(self.spec.capacity.saturating_sub(requests))
-        } else {
-            by_size
+        if !self.is_strict(now) {
+            return by_size;
         }
+        let requests = self
+            .live_tasks()
+            .fold(Resources::ZERO, |sum, (_, task)| sum.saturating_add(task.request));
+        by_size.min(self.spec.capacity.saturating_sub(requests))
     }
 
     pub(crate) fn is_strict(&self, now: TimeMs) -> bool {
@@ -193,20 +188,16 @@
         if request.fits_in(self.spec.capacity) { size.min(self.spec.capacity) } else { size }
     }
 
-    /// Number of live tasks of a team.
-    pub(crate) fn tasks_of(&self, team: TeamId) -> u32 {
-        let count = self.live_tasks().filter(|(id, _)| id.job.team == team).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
-
     /// Takes over a report. Returns the tasks that are known to be gone, in
     /// the phase they were in. A report that is older than the last is passed
-    /// over, since answers may overtake each other.
+    /// over, since answers may overtake each other. Sets `changed` if a task
+    /// has a new phase.
     pub(crate) fn take_report(
         &mut self,
         now: TimeMs,
         report: WorkerReport,
         classes: &mut ClassTable,
+        changed: &mut bool,
     ) -> Vec<(TaskId, Task)> {
         if self.polled_at.is_some_and(|last| report.polled_at < last) {
             return Vec::new();
@@ -218,7 +209,9 @@
         let mut absent = std::mem::take(&mut self.tasks);
         for entry in report.tasks {
             let known = absent.remove(&entry.task);
+            let phase = known.as_ref().map(|task| task.phase);
             let task = merge(now, report.polled_at, known, &entry, classes);
+            *changed |= phase != Some(task.phase);
             self.tasks.insert(entry.task, task);
         }
         let (kept, gone): (BTreeMap<_, _>, BTreeMap<_, _>) =
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -1,9 +1,18 @@
 //! The scheduler of a partition against a small fleet.
 
+use cowslipport_lib::config::DataCentreOutPolicy;
+use cowslipport_lib::ids::Epoch;
 use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::ids::VmId;
 use cowslipport_lib::job::JobOutcome;
 use cowslipport_lib::job::JobRef;
+use cowslipport_lib::job::JobSpec;
+use cowslipport_lib::resources::Resources;
+use cowslipport_lib::scheduler_decision::EndReason;
+use cowslipport_lib::scheduler_decision::SchedulerDecision;
+use cowslipport_lib::scheduler_event::WorkerService;
 
+use crate::placement_fake::Faults;
 use crate::placement_fake::Fleet;
 use crate::placement_fake::Truth;
 use crate::placement_fake::cores;
@@ -15,23 +24,321 @@
     Truth { run_ms, used: cores(size), fails: false }
 }
 
-fn outcome(fleet: &Fleet, team: u32, name: &str) -> Option<JobOutcome> {
-    let job = JobRef { team: TeamId(team), name: name.to_owned() };
-    fleet.outcomes.get(&job).map(|(outcome, _)| *outcome)
+fn name(team: u32, name: &str) -> JobRef {
+    JobRef { team: TeamId(team), name: name.to_owned() }
+}
+
+fn outcome(fleet: &Fleet, team: u32, job: &str) -> Option<(JobOutcome, EndReason)> {
+    fleet.outcomes.get(&name(team, job)).copied()
+}
+
+fn succeeded(fleet: &Fleet) -> usize {
+    fleet.outcomes.values().filter(|(outcome, _)| *outcome == JobOutcome::Succeeded).count()
+}
+
+/// Submits `count` jobs of a team.
+fn submit(fleet: &mut Fleet, team: u32, prefix: &str, count: u32, size: u64, truth: Truth) {
+    for index in 0..count {
+        fleet.submit(job(team, &format!("{prefix}-{index}"), cores(size)), truth);
+    }
+}
+
+/// Checks that an urgent job of team 1 starts in time on a full fleet.
+#[track_caller]
+fn check_urgent_start(mut fleet: Fleet, size: u64) {
+    let spec = JobSpec { urgent: true, ..job(1, "urgent", cores(size)) };
+    fleet.submit(spec, runs(2_000, size));
+    fleet.run(5_000);
+    let urgent = name(1, "urgent");
+    let started = fleet.first_start.get(&urgent).expect("the urgent job starts");
+    let delay_ms = started.since(fleet.accepted_at[&urgent]);
+    assert!(delay_ms <= 2_900, "the urgent job started after {delay_ms} ms");
 }
 
 /// Guards against a path from acceptance to the end that stops half way.
 #[test]
 fn accepted_jobs_run_and_end() {
     let mut fleet = Fleet::new(1, 4, 2);
-    for index in 0..40 {
-        fleet.submit(job(index % 2, &format!("job-{index}"), cores(8)), runs(3_000, 8));
+    submit(&mut fleet, 0, "a", 20, 8, runs(3_000, 8));
+    submit(&mut fleet, 1, "b", 20, 8, runs(3_000, 8));
+    fleet.run(20_000);
+    assert_eq!((fleet.open.len(), succeeded(&fleet)), (0, 40));
+    assert!(fleet.starts.values().all(|starts| *starts == 1), "{:?}", fleet.starts);
+}
+
+/// Guards against teams that get other parts than their shares while all of
+/// them have jobs waiting.
+#[test]
+fn full_fleet_is_divided_by_share() {
+    let mut fleet = Fleet::new(2, 12, 3);
+    fleet.set_share(0, 3_000);
+    fleet.set_share(1, 2_000);
+    for team in 0..3 {
+        submit(&mut fleet, team, "job", 1_200, 4, runs(4_000, 4));
     }
     fleet.run(20_000);
-    assert_eq!(fleet.open.len(), 0);
-    for index in 0..40 {
-        let name = format!("job-{index}");
-        assert_eq!(outcome(&fleet, index % 2, &name), Some(JobOutcome::Succeeded), "{name}");
+    let before = fleet.worked.clone();
+    fleet.run(60_000);
+    let work = |team| fleet.worked[&TeamId(team)] - before[&TeamId(team)];
+    let total = work(0) + work(1) + work(2);
+    for (team, share_permille) in [(0, 500), (1, 333), (2, 167)] {
+        let part_permille = work(team) * 1_000 / total;
+        let error = part_permille.abs_diff(share_permille);
+        assert!(error <= 20, "team {team} got {part_permille} of {share_permille} permille");
     }
-    assert!(fleet.starts.values().all(|starts| *starts == 1), "{:?}", fleet.starts);
+}
+
+/// Guards against a large job that waits for ever while small ones pass it.
+#[test]
+fn large_job_is_not_starved_by_small_ones() {
+    let mut fleet = Fleet::new(3, 4, 2);
+    for round in 0..200 {
+        submit(&mut fleet, 0, &format!("small-{round}"), 4, 4, runs(5_000, 4));
+        if round == 10 {
+            submit(&mut fleet, 1, "large", 1, 32, runs(1_000, 32));
+        }
+        fleet.run(500);
+    }
+    assert_eq!(outcome(&fleet, 1, "large-0").map(|end| end.0), Some(JobOutcome::Succeeded));
+}
+
+/// Guards against urgent work that waits for running tasks to end: tasks that
+/// can be throttled, tasks of full memory, and tasks that may not be repeated.
+#[test]
+fn urgent_job_starts_in_time_on_a_full_fleet() {
+    for (size, used) in [(4, 4), (16, 16), (32, 32)] {
+        let mut fleet = Fleet::new(4, 8, 2);
+        submit(&mut fleet, 0, "fill", 100, size, runs(600_000, used));
+        fleet.run(10_000);
+        check_urgent_start(fleet, 16);
+    }
+    let mut fleet = Fleet::new(4, 8, 2);
+    for index in 0..64 {
+        let spec = JobSpec { repeatable: false, ..job(0, &format!("once-{index}"), cores(8)) };
+        fleet.submit(spec, runs(600_000, 8));
+    }
+    fleet.run(10_000);
+    check_urgent_start(fleet, 32);
+}
+
+/// Guards against urgent work that waits behind its own team's limit.
+#[test]
+fn urgent_job_takes_the_place_of_its_own_team() {
+    let mut fleet = Fleet::new(5, 8, 2);
+    fleet.set_limit(1, cores(32));
+    submit(&mut fleet, 1, "fill", 20, 8, runs(600_000, 8));
+    fleet.run(10_000);
+    check_urgent_start(fleet, 16);
+}
+
+/// Guards against tasks of a team that go on above its limit for more than 4 s
+/// after it was lowered; the fleet checks it at every step.
+#[test]
+fn lowered_limit_stops_tasks() {
+    let mut fleet = Fleet::new(6, 8, 2);
+    submit(&mut fleet, 0, "fill", 40, 8, runs(600_000, 8));
+    fleet.run(10_000);
+    fleet.set_limit(0, cores(20));
+    fleet.run(10_000);
+    assert_eq!(fleet.used_by(0), cores(16));
+    assert!(fleet.teams[&TeamId(0)].0.grant.fits_in(cores(20)));
+    fleet.set_limit(0, cores(100));
+    fleet.run(10_000);
+    assert_eq!(fleet.used_by(0), cores(96));
+}
+
+/// Guards against queued jobs that start with a key that was revoked.
+#[test]
+fn queued_jobs_of_a_withdrawn_key_end() {
+    let mut fleet = Fleet::new(7, 2, 1);
+    submit(&mut fleet, 0, "job", 20, 16, runs(8_000, 16));
+    fleet.run(5_000);
+    fleet.withdraw_keys(0);
+    fleet.run(20_000);
+    assert_eq!(succeeded(&fleet), 4);
+    let end = Some((JobOutcome::KeyWithdrawn, EndReason::KeyRevoked));
+    assert_eq!(outcome(&fleet, 0, "job-19"), end);
+}
+
+/// Guards against jobs that can never run and keep others from running.
+#[test]
+fn jobs_that_cannot_run_end_and_block_nothing() {
+    let mut fleet = Fleet::new(8, 4, 2);
+    submit(&mut fleet, 0, "huge", 50, 64, runs(1_000, 64));
+    fleet.set_limit(1, cores(8));
+    submit(&mut fleet, 1, "wide", 10, 16, runs(1_000, 16));
+    submit(&mut fleet, 0, "small", 20, 8, runs(1_000, 8));
+    fleet.run(8_000);
+    assert_eq!(succeeded(&fleet), 20);
+    fleet.run(12_000);
+    let cannot = |reason| Some((JobOutcome::CannotRun, reason));
+    assert_eq!(outcome(&fleet, 0, "huge-49"), cannot(EndReason::LargerThanWorkers));
+    assert_eq!(outcome(&fleet, 1, "wide-9"), cannot(EndReason::LargerThanLimit));
+}
+
+/// Guards against capacity that is wasted on declarations ten times too large,
+/// and against workers overloaded by declarations ten times too small.
+#[test]
+fn observed_use_corrects_declared_sizes() {
+    let mut fleet = Fleet::new(9, 4, 2);
+    fleet.set_limit(0, cores(1_000));
+    submit(&mut fleet, 0, "over", 200, 8, runs(20_000, 1));
+    fleet.run(60_000);
+    let declared = fleet.used_by(0).cpu_milli;
+    assert!(declared >= cores(32 * 4 * 3 / 2).cpu_milli, "only {declared} milli are declared");
+
+    let mut fleet = Fleet::new(10, 4, 2);
+    submit(&mut fleet, 0, "under", 2_000, 1, runs(20_000, 10));
+    fleet.run(120_000);
+    let most = (0..4).map(|vm| fleet.live_on(vm)).max();
+    assert!(most <= Some(6), "a worker runs {most:?} tasks of 10 cores");
+}
+
+/// Guards against a bad worker that makes jobs fail, or that takes all jobs as
+/// it is always free, and against good workers blamed for bad jobs.
+#[test]
+fn bad_workers_and_bad_jobs_are_told_apart() {
+    let mut fleet = Fleet::new(11, 12, 2);
+    for vm in [2, 7] {
+        fleet.workers.get_mut(&VmId(vm)).expect("the worker exists").fails_everything = true;
+    }
+    submit(&mut fleet, 0, "good", 300, 8, runs(20_000, 8));
+    let bad = Truth { fails: true, ..runs(1_000, 8) };
+    submit(&mut fleet, 1, "bad", 20, 8, bad);
+    fleet.run(50_000);
+    let vms: Vec<u32> = fleet.quarantined.iter().map(|vm| vm.0).collect();
+    assert_eq!(vms, [2, 7]);
+    fleet.run(250_000);
+    let failed = fleet.outcomes.iter().filter(|(_, end)| end.0 == JobOutcome::Failed);
+    let failed: Vec<TeamId> = failed.map(|(job, _)| job.team).collect();
+    assert_eq!(failed, vec![TeamId(1); 20]);
+    assert_eq!(succeeded(&fleet), 300);
+}
+
+/// Guards against a repaired worker that stays out for ever, and against one
+/// that is released although it still fails.
+#[test]
+fn quarantine_ends_with_a_probe() {
+    let mut fleet = Fleet::new(12, 6, 1);
+    fleet.workers.get_mut(&VmId(3)).expect("the worker exists").fails_everything = true;
+    submit(&mut fleet, 0, "job", 600, 8, runs(20_000, 8));
+    fleet.run(100_000);
+    assert_eq!(fleet.quarantined.len(), 1);
+    fleet.workers.get_mut(&VmId(3)).expect("the worker exists").fails_everything = false;
+    fleet.run(200_000);
+    assert!(fleet.quarantined.is_empty());
+    assert!(fleet.live_on(3) > 1);
+    let is_quarantine = |decision| matches!(decision, &SchedulerDecision::Quarantine { .. });
+    let times = fleet.decisions.iter().filter(|(_, decision)| is_quarantine(decision)).count();
+    assert_eq!(times, 2, "one quarantine and one failed probe");
+}
+
+/// Guards against jobs that are started twice, or ended although they could
+/// run, when replies are lost, repeated or late.
+#[test]
+fn lost_repeated_and_late_replies_start_nothing_twice() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(100 + seed, 8, 2);
+        fleet.faults = Faults { lost_permille: 150, duplicated_permille: 150, lag_ms: 900 };
+        for index in 0..80 {
+            let spec = JobSpec {
+                repeatable: index % 2 == 0,
+                ..job(index % 2, &format!("job-{index}"), cores(8))
+            };
+            fleet.submit(spec, runs(4_000, 8));
+        }
+        fleet.run(120_000);
+        assert_eq!((fleet.open.len(), succeeded(&fleet)), (0, 80), "seed {seed}");
+        assert!(fleet.starts.values().all(|starts| *starts == 1), "seed {seed}");
+    }
+}
+
+/// Guards against starts of an owner that was paused while a successor took
+/// over, and against a successor that starts running jobs again.
+#[test]
+fn successor_and_paused_owner_start_nothing_twice() {
+    let mut fleet = Fleet::new(13, 8, 2);
+    fleet.faults = Faults { lag_ms: 100, ..Faults::default() };
+    for index in 0..60 {
+        let spec =
+            JobSpec { repeatable: false, ..job(index % 2, &format!("job-{index}"), cores(8)) };
+        fleet.submit(spec, runs(15_000, 8));
+    }
+    fleet.run(1_000);
+    fleet.pause_owner();
+    fleet.run(10_000);
+    fleet.add_owner(Epoch(2));
+    fleet.run(3_000);
+    fleet.resume_owner(0);
+    fleet.run(60_000);
+    assert_eq!((fleet.open.len(), succeeded(&fleet)), (0, 60));
+}
+
+/// Guards against a successor that starts work beside tasks on a worker that it
+/// cannot reach, and against jobs that stay open when that worker is gone.
+#[test]
+fn successor_waits_for_workers_of_unknown_content() {
+    let mut fleet = Fleet::new(14, 4, 1);
+    fleet.set_limit(0, cores(32));
+    let spec = JobSpec { repeatable: false, ..job(0, "once", cores(8)) };
+    fleet.submit(spec, runs(600_000, 8));
+    submit(&mut fleet, 0, "job", 20, 8, runs(600_000, 8));
+    fleet.run(5_000);
+    fleet.pause_owner();
+    fleet.workers.get_mut(&VmId(0)).expect("the worker exists").reachable = false;
+    fleet.add_owner(Epoch(2));
+    fleet.run(25_000);
+    let held = fleet.used_by(0);
+    assert_eq!(held, cores(32), "running tasks are not affected");
+    fleet.run(60_000);
+    assert_eq!(fleet.used_by(0), cores(32), "the limit is used again");
+}
+
+/// Guards against work that is lost while a data centre goes out and comes
+/// back, and against a burst of starts when it is back.
+#[test]
+fn data_centre_goes_out_and_comes_back() {
+    let mut fleet = Fleet::new(15, 24, 2);
+    for vm in 0..24 {
+        fleet.change_worker(VmId(vm), |spec| {
+            spec.on_data_centre_out = DataCentreOutPolicy::Checkpoint;
+        });
+    }
+    submit(&mut fleet, 0, "job", 400, 8, runs(30_000, 8));
+    fleet.run(20_000);
+    fleet.set_data_centre(1, false);
+    fleet.run(10_000);
+    let out: usize = (0..24).filter(|vm| vm / 4 % 3 == 1).map(|vm| fleet.live_on(vm)).sum();
+    assert_eq!(out, 0);
+    fleet.run(20_000);
+    fleet.set_data_centre(1, true);
+    let busy =
+        |fleet: &Fleet| (0..24).filter(|vm| vm / 4 % 3 == 1 && fleet.live_on(*vm) > 0).count();
+    fleet.run(900);
+    assert_eq!(busy(&fleet), 1);
+    fleet.run(1_000);
+    assert_eq!(busy(&fleet), 2);
+    fleet.run(148_100);
+    assert_eq!(succeeded(&fleet), 400);
+}
+
+/// Guards against tasks that stay on a VM that drains, and against cancelled
+/// jobs that go on.
+#[test]
+fn drained_workers_empty_and_cancelled_jobs_stop() {
+    let mut fleet = Fleet::new(16, 4, 1);
+    submit(&mut fleet, 0, "job", 16, 8, runs(60_000, 8));
+    fleet.run(5_000);
+    fleet.change_worker(VmId(2), |spec| spec.service = WorkerService::Draining);
+    fleet.run(5_000);
+    assert_eq!(fleet.live_on(2), 0);
+    for index in 0..16 {
+        fleet.cancel(&name(0, &format!("job-{index}")));
+    }
+    fleet.run(5_000);
+    assert_eq!(fleet.used_by(0), Resources::ZERO);
+    let failed = fleet.decisions.iter().any(|(_, decision)| {
+        matches!(decision, SchedulerDecision::EndJob { outcome: JobOutcome::Failed, .. })
+    });
+    assert!(!failed);
 }
