--- a/bench/src/move_bound.rs
+++ b/bench/src/move_bound.rs
@@ -26,6 +26,17 @@
     end: f64,
 }
 
+/// Costs of the policies among which the cheapest is sought.
+#[derive(Clone, Copy, Debug)]
+struct Weights {
+    /// Of a VM-second that is held.
+    price: f64,
+    /// Of a VM that joins a pool.
+    arrival: f64,
+    /// Of a VM that leaves a pool.
+    departure: f64,
+}
+
 /// What the bounds are computed from.
 pub(crate) struct Bound {
     needs: Vec<Vec<Need>>,
@@ -95,19 +106,25 @@
     ///
     /// For each price of a VM-second, the cheapest policy costs
     /// `min(moves + price * held)`; a policy within `held` then makes at least
-    /// that less `price * held` moves. The best price gives the bound. Only
-    /// moves into pools of services are counted.
+    /// that less `price * held` moves. The best price gives the bound.
+    ///
+    /// A move brings at most one VM into the pool of a service and takes at
+    /// most one out of another. A weighted mean of arrivals and departures is
+    /// therefore at most the number of moves, whatever the weight.
     pub(crate) fn fewest_moves(&self, held: f64) -> f64 {
-        let at_price = |price: f64| -> f64 {
-            let cost: f64 = self.needs.iter().map(|needs| self.cheapest(needs, price)).sum();
+        let at = |arrival: f64, price: f64| -> f64 {
+            let weights = Weights { price, arrival, departure: 1.0 - arrival };
+            let cost: f64 = self.needs.iter().map(|needs| self.cheapest(needs, weights)).sum();
             cost - price * held
         };
         // From a move for 10 VM-seconds to a move for 28 VM-hours.
-        (0..40).map(|step| at_price(0.1 / 1.35_f64.powi(step))).fold(0.0, f64::max)
+        let prices = (0..40).map(|step| 0.1 / 1.35_f64.powi(step));
+        let best = |arrival: f64| prices.clone().map(move |price| at(arrival, price));
+        [0.0, 0.25, 0.5, 0.75, 1.0].into_iter().flat_map(best).fold(0.0, f64::max)
     }
 
     /// The least cost of one pool by dynamic programming over its bursts.
-    fn cheapest(&self, needs: &[Need], price: f64) -> f64 {
+    fn cheapest(&self, needs: &[Need], weights: Weights) -> f64 {
         let most = needs.iter().map(|need| need.vms).max().unwrap_or_default();
         let largest = (most + self.reserve).max(self.first);
         let mut costs = vec![f64::INFINITY; largest + 1];
@@ -120,25 +137,34 @@
                         return f64::INFINITY;
                     }
                     (0..=largest)
-                        .map(|from| costs[from] + self.gap_cost(from, to, before, price))
+                        .map(|from| costs[from] + self.gap_cost(from, to, before, weights))
                         .fold(f64::INFINITY, f64::min)
                 })
                 .collect();
             before = Some((need, gap));
         }
-        costs.into_iter().fold(f64::INFINITY, f64::min) + price * self.certain(needs)
+        costs.into_iter().fold(f64::INFINITY, f64::min) + weights.price * self.certain(needs)
     }
 
     /// Cost of a gap: VMs that stay are held, or leave and return with one
     /// move; VMs that leave are held while they drain. The reserve is counted
     /// apart.
-    fn gap_cost(&self, from: usize, to: usize, before: Option<(&Need, f64)>, price: f64) -> f64 {
+    fn gap_cost(
+        &self,
+        from: usize,
+        to: usize,
+        before: Option<(&Need, f64)>,
+        weights: Weights,
+    ) -> f64 {
+        let Weights { price, arrival, departure } = weights;
         let (gap, shortest) =
             before.map_or((0.0, 0.0), |(need, gap)| (gap, self.shortest(need, gap)));
         let stay = from.min(to).saturating_sub(self.reserve) as f64;
         let leave = from.saturating_sub(to.max(self.reserve)) as f64;
         let arrive = to.saturating_sub(from) as f64;
-        stay * (price * gap).min(price * shortest + 1.0) + leave * price * shortest + arrive
+        stay * (price * gap).min(price * shortest + arrival + departure)
+            + leave * (price * shortest + departure)
+            + arrive * arrival
     }
 }
 
