moves: a pool that lacks only reserve waits for a lender

Cause: a pool whose demand rose took VMs from the spare pool as soon as the budget of the pool that lends was used up, and that pool gave its VMs back to the spare pool later.

Change: while the need is covered and a lender has VMs, the spare pool is left alone for up to five minutes.

--- a/lib/src/buffer.rs
+++ b/lib/src/buffer.rs
@@ -171,6 +171,11 @@
         self.low_mark.saturating_sub(self.have)
     }
 
+    /// True if at most a part of the reserve is missing.
+    pub fn covers_need(&self) -> bool {
+        self.need.is_some_and(|need| self.have >= need)
+    }
+
     /// VMs above the high mark.
     pub fn surplus(&self) -> u32 {
         self.have.saturating_sub(self.high_mark)
--- a/lib/src/moves.rs
+++ b/lib/src/moves.rs
@@ -42,9 +42,10 @@
 /// A move takes a VM out of service for about a minute and disturbs tasks.
 pub const MOVE_COST_MS: u64 = 900_000;
 
-/// Time for which a VM must have been more than a pool needs before the pool
-/// lends it.
-pub const LEND_AFTER_MS: u64 = 0;
+/// Time for which a pool that lacks only a part of its reserve waits for the
+/// budget of one that has more VMs than it needs. A pool gives about two VMs a
+/// minute.
+pub const LENDER_WAIT_MS: u64 = 300_000;
 
 /// Time that a VM gets to come back when it is rebooted during a move and no
 /// wave says otherwise.
@@ -194,31 +195,37 @@
         decisions
     }
 
-    /// Pools that can give a VM to `taker`: those that have had more than
-    /// they need for a while, the one whose bursts coincide least first, then
-    /// spare pools.
+    /// Pools that can give a VM to `taker`: those that have more than they
+    /// need, the one whose bursts coincide least first, then spare pools. A
+    /// taker that lacks only a part of its reserve leaves the spare pool alone
+    /// for a while if another pool can give a VM as soon as its budget allows.
     fn donors(
         &self,
         view: MoveView<'_>,
         buffers: &BTreeMap<PoolId, PoolBuffer>,
         taker: PoolId,
     ) -> Vec<PoolId> {
-        let mut donors = Vec::new();
+        let mut lenders = Vec::new();
+        let mut spares = Vec::new();
+        let mut can_wait = buffers.get(&taker).is_some_and(PoolBuffer::covers_need);
+        let mut lender_soon = false;
         for (pool, buffer) in buffers.iter().filter(|(pool, _)| **pool != taker) {
             let Some(entry) = view.state.pools.get(*pool) else { continue };
-            let longest = self.surplus.get(pool).and_then(|since| since.first());
-            let held_ms = longest.map_or(0, |since| view.now.since(*since));
             if buffer.surplus() == 0 || buffer.have <= entry.spec.min_vms {
                 continue;
             }
-            if !entry.spec.spare && held_ms < LEND_AFTER_MS {
+            if entry.spec.spare {
+                spares.push(*pool);
                 continue;
             }
-            let coincidence = view.demand.coincidence_permille(taker, *pool);
-            donors.push((entry.spec.spare, coincidence, *pool));
+            let longest = self.surplus.get(pool).and_then(|since| since.first());
+            lender_soon |= longest.is_none_or(|since| view.now.since(*since) < LENDER_WAIT_MS);
+            lenders.push((view.demand.coincidence_permille(taker, *pool), *pool));
         }
-        donors.sort_unstable();
-        donors.into_iter().map(|(_, _, pool)| pool).collect()
+        can_wait &= lender_soon;
+        lenders.sort_unstable();
+        let lenders = lenders.into_iter().map(|(_, pool)| pool);
+        if can_wait { lenders.collect() } else { lenders.chain(spares).collect() }
     }
 
     fn return_surplus(
