--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod route_queue;
 mod route_refresh;
 mod route_select;
+mod route_waiting;
 pub mod routing;
 mod slots;
 pub mod snapshot;
--- a/lib/src/route_refresh.rs
+++ b/lib/src/route_refresh.rs
@@ -64,6 +64,7 @@
 
     fn read_teams(&mut self, state: &ControlState) {
         self.keys = TeamKeys::of(state);
+        self.keys_changed = true;
         self.weights = state.teams.iter().map(|(id, team)| (id, team.spec.share_milli)).collect();
     }
 
@@ -119,7 +120,11 @@
         {
             self.leave_pool(old_pool, id);
         }
-        let others = self.peers.values().filter_map(|peer| peer.in_flight.get(&id)).sum();
+        let others = self
+            .peers
+            .values()
+            .filter_map(|peer| peer.recent.back().and_then(|counts| counts.get(&id)))
+            .sum();
         let instance = Instance {
             vm: id,
             pool: vm.pool,
--- /dev/null
+++ b/lib/src/route_waiting.rs
@@ -0,0 +1,101 @@
+//! Decisions on requests that wait.
+
+use crate::ids::PoolId;
+use crate::ids::TeamId;
+use crate::refusal::RefusalReason;
+use crate::route_queue::RequestId;
+use crate::route_queue::Waiting;
+use crate::routing::QueueEvent;
+use crate::routing::Router;
+use crate::routing::ViewState;
+use crate::routing::refuse;
+use crate::time::TimeMs;
+
+impl Router {
+    /// The caller of a queued request went away.
+    pub fn abandon(&mut self, id: RequestId) {
+        for pool in self.pools.values_mut() {
+            pool.queue.remove_if(|waiting| waiting.id == id);
+        }
+    }
+
+    /// Decides on queued requests: those that get a slot now, and those that
+    /// are refused. To be called after each other call and at least every few
+    /// milliseconds while requests wait.
+    pub fn expire(&mut self, now: TimeMs) -> Vec<QueueEvent> {
+        self.drop_silent_peers(now);
+        let mut events: Vec<_> = self
+            .evicted
+            .drain(..)
+            .map(|waiting| shed(&waiting, RefusalReason::QueueFull))
+            .collect();
+        let pools: Vec<PoolId> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| !pool.queue.is_empty())
+            .map(|(pool, _)| *pool)
+            .collect();
+        let recheck = std::mem::take(&mut self.keys_changed);
+        for pool in pools {
+            self.refuse_waiting(now, pool, recheck, &mut events);
+            self.note_use(now, pool);
+            self.start_waiting(now, pool, &mut events);
+        }
+        events
+    }
+
+    fn refuse_waiting(
+        &mut self,
+        now: TimeMs,
+        pool_id: PoolId,
+        recheck: bool,
+        events: &mut Vec<QueueEvent>,
+    ) {
+        let no_upstream = self.serving(now, pool_id) == 0;
+        let known = self.pool_names.values().any(|pool| *pool == pool_id);
+        let view = self.view;
+        let keys = &self.keys;
+        let Some(pool) = self.pools.get_mut(&pool_id) else {
+            return;
+        };
+        let reason = |waiting: &Waiting| match view {
+            ViewState::Stale => Some(RefusalReason::ViewStale),
+            ViewState::Confirmed | ViewState::Outage => {
+                if recheck && keys.team(&waiting.key) != Some(waiting.team) {
+                    Some(RefusalReason::KeyUnknown)
+                } else if !known {
+                    Some(RefusalReason::PoolUnknown)
+                } else if waiting.deadline <= now {
+                    Some(RefusalReason::DeadlineTooNear)
+                } else if no_upstream {
+                    Some(RefusalReason::NoUpstream)
+                } else {
+                    None
+                }
+            }
+        };
+        for waiting in pool.queue.remove_if(|waiting| reason(waiting).is_some()) {
+            if let Some(reason) = reason(&waiting) {
+                events.push(shed(&waiting, reason));
+            }
+        }
+    }
+
+    fn start_waiting(&mut self, now: TimeMs, pool_id: PoolId, events: &mut Vec<QueueEvent>) {
+        while let Some(choice) = self.select(now, pool_id, &[]) {
+            let weights = &self.weights;
+            let weight = |team: TeamId| weights.get(&team).copied().unwrap_or(1000);
+            let Some(waiting) =
+                self.pools.get_mut(&pool_id).and_then(|pool| pool.queue.pop(weight))
+            else {
+                return;
+            };
+            let choice = self.select(now, pool_id, &waiting.tried).unwrap_or(choice);
+            events.push(QueueEvent { id: waiting.id, decision: self.take(choice) });
+        }
+    }
+}
+
+fn shed(waiting: &Waiting, reason: RefusalReason) -> QueueEvent {
+    QueueEvent { id: waiting.id, decision: refuse(reason, reason.default_retry_after_ms()) }
+}
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -145,11 +146,18 @@
     pub(crate) queue: RouteQueue,
     pub(crate) ejector: Ejector,
     pub(crate) service_ms: Option<u64>,
+    /// Since when the home slots of this process are full.
+    pub(crate) saturated_since: Option<TimeMs>,
+    /// Slots in use beyond the home slots, and their limit for this step.
+    pub(crate) borrowed: u32,
+    pub(crate) borrow_limit: u32,
+    pub(crate) borrow_step_at: TimeMs,
 }
 
 pub(crate) struct PeerCounts {
     pub(crate) at: TimeMs,
-    pub(crate) in_flight: InFlight,
+    pub(crate) recent: VecDeque<InFlight>,
+    pub(crate) lends: InFlight,
 }
 
 pub(crate) struct Choice {
@@ -163,6 +171,8 @@
     pub(crate) settings: RouterSettings,
     pub(crate) view: ViewState,
     pub(crate) keys: TeamKeys,
+    /// True if the keys of waiting requests are to be checked again.
+    pub(crate) keys_changed: bool,
     pub(crate) weights: BTreeMap<TeamId, u32>,
     pub(crate) pool_names: BTreeMap<String, PoolId>,
     pub(crate) pools: BTreeMap<PoolId, PoolRoutes>,
@@ -183,6 +193,7 @@
             settings,
             view: ViewState::Stale,
             keys: TeamKeys::default(),
+            keys_changed: false,
             weights: BTreeMap::new(),
             pool_names: BTreeMap::new(),
             pools: BTreeMap::new(),
@@ -235,6 +246,7 @@
         } else if !self.retries.withdraw(now) {
             return refuse(RefusalReason::RetryBudget, Some(1000));
         }
+        self.note_use(now, pool_id);
         let waits = self.pools.get(&pool_id).is_some_and(|pool| !pool.queue.is_empty());
         if !waits && let Some(choice) = self.select(now, pool_id, &request.tried) {
             return self.take(choice);
@@ -311,87 +323,8 @@
         }
         self.forget_if_gone(vm);
     }
-
-    /// The caller of a queued request went away.
-    pub fn abandon(&mut self, id: RequestId) {
-        for pool in self.pools.values_mut() {
-            pool.queue.remove_if(|waiting| waiting.id == id);
-        }
-    }
-
-    /// Decides on queued requests: those that get a slot now, and those that
-    /// are refused. To be called after each other call and at least every few
-    /// milliseconds while requests wait.
-    pub fn expire(&mut self, now: TimeMs) -> Vec<QueueEvent> {
-        self.drop_silent_peers(now);
-        let mut events: Vec<_> = self
-            .evicted
-            .drain(..)
-            .map(|waiting| shed(&waiting, RefusalReason::QueueFull))
-            .collect();
-        let pools: Vec<PoolId> = self
-            .pools
-            .iter()
-            .filter(|(_, pool)| !pool.queue.is_empty())
-            .map(|(pool, _)| *pool)
-            .collect();
-        for pool in pools {
-            self.refuse_waiting(now, pool, &mut events);
-            self.start_waiting(now, pool, &mut events);
-        }
-        events
-    }
-
-    fn refuse_waiting(&mut self, now: TimeMs, pool_id: PoolId, events: &mut Vec<QueueEvent>) {
-        let no_upstream = self.serving(now, pool_id) == 0;
-        let known = self.pool_names.values().any(|pool| *pool == pool_id);
-        let view = self.view;
-        let keys = &self.keys;
-        let Some(pool) = self.pools.get_mut(&pool_id) else {
-            return;
-        };
-        let reason = |waiting: &Waiting| match view {
-            ViewState::Stale => Some(RefusalReason::ViewStale),
-            ViewState::Confirmed | ViewState::Outage => {
-                if keys.team(&waiting.key) != Some(waiting.team) {
-                    Some(RefusalReason::KeyUnknown)
-                } else if !known {
-                    Some(RefusalReason::PoolUnknown)
-                } else if waiting.deadline <= now {
-                    Some(RefusalReason::DeadlineTooNear)
-                } else if no_upstream {
-                    Some(RefusalReason::NoUpstream)
-                } else {
-                    None
-                }
-            }
-        };
-        for waiting in pool.queue.remove_if(|waiting| reason(waiting).is_some()) {
-            if let Some(reason) = reason(&waiting) {
-                events.push(shed(&waiting, reason));
-            }
-        }
-    }
-
-    fn start_waiting(&mut self, now: TimeMs, pool_id: PoolId, events: &mut Vec<QueueEvent>) {
-        while let Some(choice) = self.select(now, pool_id, &[]) {
-            let weights = &self.weights;
-            let weight = |team: TeamId| weights.get(&team).copied().unwrap_or(1000);
-            let Some(waiting) =
-                self.pools.get_mut(&pool_id).and_then(|pool| pool.queue.pop(weight))
-            else {
-                return;
-            };
-            let choice = self.select(now, pool_id, &waiting.tried).unwrap_or(choice);
-            events.push(QueueEvent { id: waiting.id, decision: self.take(choice) });
-        }
-    }
-}
-
-fn shed(waiting: &Waiting, reason: RefusalReason) -> QueueEvent {
-    QueueEvent { id: waiting.id, decision: refuse(reason, reason.default_retry_after_ms()) }
 }
 
-fn refuse(reason: RefusalReason, retry_after_ms: Option<u64>) -> RouteDecision {
+pub(crate) fn refuse(reason: RefusalReason, retry_after_ms: Option<u64>) -> RouteDecision {
     RouteDecision::Refuse { reason, retry_after_ms }
 }
