cli: the tool against real daemons, and differences in dry runs

The tool ran against fakes only. test_daemon.rs starts two daemons and a log service on loopback, commits, races, repeats a commit, and takes a data centre out and back. The daemon answers a dry run with the differences of lib instead of a shorter text of its own.

Found on the way: a dry run against an older revision was reported as a senseless answer; it is a conflict.

--- a/cli/src/commands/commit.rs
+++ b/cli/src/commands/commit.rs
@@ -75,7 +75,7 @@
     let request = admin.request(request);
     let answer = change_answer(admin.client.commit(request).await);
     if arguments.dry_run {
-        return print_dry_run(arguments, answer?);
+        return print_dry_run(arguments, answer?, expected_revision);
     }
     let reply = resolve(&mut admin, &manifest, answer).await;
     let (wait, format) = (&arguments.wait, arguments.output.format);
@@ -97,7 +97,11 @@
     }
 }
 
-fn print_dry_run(arguments: &CommitArguments, reply: CommitReply) -> Result<(), CliError> {
+fn print_dry_run(
+    arguments: &CommitArguments,
+    reply: CommitReply,
+    expected: u64,
+) -> Result<(), CliError> {
     match reply.result() {
         CommitResult::DryRun | CommitResult::Unchanged => {
             let text = if reply.lines.is_empty() {
@@ -110,9 +114,11 @@
             output::print(arguments.output.format, text, &value)
         }
         CommitResult::Invalid => Err(CliError::InvalidInput { lines: reply.lines }),
+        CommitResult::Conflict => {
+            Err(CliError::Conflict { expected, revision: reply.revision, author: reply.author })
+        }
         result @ (CommitResult::Unspecified
         | CommitResult::Recorded
-        | CommitResult::Conflict
         | CommitResult::LogUnavailable
         | CommitResult::Unknown) => {
             let message = format!("unexpected result {} of a dry run", result.as_str_name());
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -71,13 +71,18 @@
             entry.name.clone(),
             entry.vms.to_string(),
             entry.unavailable.to_string(),
-            entry.max_unavailable.to_string(),
+            budget(entry.max_unavailable),
             entry.owner.clone(),
         ]);
     }
     table.to_string()
 }
 
+/// A pool without a budget for the whole pool has the largest number.
+fn budget(max_unavailable: u32) -> String {
+    if max_unavailable == u32::MAX { "none".to_owned() } else { max_unavailable.to_string() }
+}
+
 fn teams(status: &StatusReply) -> String {
     let mut table = Table::new(["TEAM", "SHARE", "GRANTED", "LIMIT"]);
     for entry in &status.teams {
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod admin;
 pub(crate) mod callers;
+pub(crate) mod daemons;
 
 use std::path::PathBuf;
 
--- a/daemon/src/admin_server.rs
+++ b/daemon/src/admin_server.rs
@@ -59,7 +59,7 @@
             return Ok(reply_with(CommitResult::Conflict, state, Vec::new()));
         }
         let changes = state.manifest().changes_to(&manifest);
-        let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+        let lines = state.manifest().differences_to(&manifest);
         if changes.is_empty() {
             return Ok(reply_with(CommitResult::Unchanged, state, lines));
         }
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -1,7 +1,6 @@
 //! The checked configuration: what a manifest says, with names.
 
 use std::collections::BTreeMap;
-use std::fmt;
 
 use crate::ids::Revision;
 use crate::resources::Resources;
@@ -181,25 +180,6 @@
     PutPolicy(Policy),
 }
 
-impl fmt::Display for ConfigChange {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::PutDataCentre(spec) => write!(f, "put data centre {}", spec.name),
-            Self::RemoveDataCentre(name) => write!(f, "remove data centre {name}"),
-            Self::PutPool(spec) => write!(f, "put pool {}", spec.name),
-            Self::RemovePool(name) => write!(f, "remove pool {name}"),
-            Self::PutTeam(spec) => write!(f, "put team {}", spec.name),
-            Self::RemoveTeam(name) => write!(f, "remove team {name}"),
-            Self::PutBudgets { pool, budgets } => {
-                write!(f, "put {} budgets of pool {pool}", budgets.len())
-            }
-            Self::PutWave(spec) => write!(f, "put wave {}", spec.name),
-            Self::RemoveWave(name) => write!(f, "remove wave {name}"),
-            Self::PutPolicy(_) => f.write_str("put policy"),
-        }
-    }
-}
-
 /// A change of the configuration against the revision that its author saw.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigCommit {
