docs: manifest and settings pages from the schema's comments

The pages are generated beside the code and compared by the same check, so they cannot fall behind the schema. The comments name required fields and defaults.

--- a/gen/src/main.rs
+++ b/gen/src/main.rs
@@ -1,8 +1,11 @@
-//! Generates the Rust code of the schemas in `lib/src/protos`.
+//! Generates the Rust code of the schemas in `lib/src/protos`, and the pages of
+//! manifest and settings in `docs`.
 //!
-//! With `--check`, compares the generated code with the committed one and
+//! With `--check`, compares the generated files with the committed ones and
 //! fails if they differ.
 
+mod pages;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
@@ -10,6 +13,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use prost_types::FileDescriptorSet;
+
 /// Why the code could not be generated.
 #[derive(Debug, thiserror::Error)]
 enum GenError {
@@ -17,7 +22,7 @@
     Compile(#[from] protox::Error),
     #[error("cannot access {path}: {source}")]
     Io { path: PathBuf, source: io::Error },
-    #[error("generated code differs from the committed one: {}", files.join(", "))]
+    #[error("generated files differ from the committed ones: {}", files.join(", "))]
     Differs { files: Vec<String> },
 }
 
@@ -50,23 +55,30 @@
 }
 
 fn run(check: bool) -> Result<(), GenError> {
-    let protos = Path::new(env!("CARGO_MANIFEST_DIR")).join("../lib/src/protos");
-    let scratch = Path::new(env!("CARGO_MANIFEST_DIR")).join("../target/generated");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let (protos, docs) = (root.join("lib/src/protos"), root.join("docs"));
+    let scratch = root.join("target/generated");
     fs::create_dir_all(&scratch).map_err(|source| io_error(&scratch, source))?;
-    generate(&protos, &scratch)?;
-    let generated = read_sources(&scratch)?;
+    let descriptors = protox::compile(SCHEMAS, [&protos])?;
+    let pages = pages::pages(&descriptors);
+    generate(descriptors, &scratch)?;
+    let mut generated = BTreeMap::new();
+    for (name, source) in read_sources(&scratch)? {
+        generated.insert(protos.join(name), source);
+    }
+    for (name, page) in pages {
+        generated.insert(docs.join(name), page);
+    }
     if check {
-        return compare(&generated, &read_sources(&protos)?);
+        return compare(&generated, &protos);
     }
-    for (name, source) in &generated {
-        let path = protos.join(name);
-        fs::write(&path, source).map_err(|source| io_error(&path, source))?;
+    for (path, content) in &generated {
+        fs::write(path, content).map_err(|source| io_error(path, source))?;
     }
     Ok(())
 }
 
-fn generate(protos: &Path, out: &Path) -> Result<(), GenError> {
-    let descriptors = protox::compile(SCHEMAS, [protos])?;
+fn generate(descriptors: FileDescriptorSet, out: &Path) -> Result<(), GenError> {
     let mut builder = tonic_prost_build::configure();
     for message in PRINTED {
         builder = builder.type_attribute(message, "#[derive(serde::Serialize)]");
@@ -104,16 +116,16 @@
     Ok(sources)
 }
 
-fn compare(
-    generated: &BTreeMap<String, String>,
-    committed: &BTreeMap<String, String>,
-) -> Result<(), GenError> {
-    let mut files: Vec<String> = generated
-        .iter()
-        .filter(|(name, source)| committed.get(*name) != Some(*source))
-        .map(|(name, _)| name.clone())
-        .collect();
-    files.extend(committed.keys().filter(|name| !generated.contains_key(*name)).cloned());
+/// Compares with the committed files, and finds sources without a schema.
+fn compare(generated: &BTreeMap<PathBuf, String>, protos: &Path) -> Result<(), GenError> {
+    let differs = |(path, content): &(&PathBuf, &String)| {
+        fs::read_to_string(path).ok().as_ref() != Some(*content)
+    };
+    let mut files: Vec<String> =
+        generated.iter().filter(differs).map(|(path, _)| path.display().to_string()).collect();
+    let left = read_sources(protos)?.into_keys().map(|name| protos.join(name));
+    let left = left.filter(|path| !generated.contains_key(path));
+    files.extend(left.map(|path| path.display().to_string()));
     if files.is_empty() { Ok(()) } else { Err(GenError::Differs { files }) }
 }
 
--- a/lib/src/protos/cowslipport.config.rs
+++ b/lib/src/protos/cowslipport.config.rs
@@ -35,9 +35,11 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DataCentre {
     /// Unique name.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub name: ::core::option::Option<::prost::alloc::string::String>,
     /// Region that the data centre is in.
+    /// Required.
     #[prost(string, optional, tag = "2")]
     pub region: ::core::option::Option<::prost::alloc::string::String>,
 }
@@ -47,25 +49,32 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Pool {
     /// Unique name, also the path segment in request URLs.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub name: ::core::option::Option<::prost::alloc::string::String>,
     /// Requests that one upstream instance serves at the same time.
+    /// Required.
     #[prost(uint32, optional, tag = "2")]
     pub slots_per_vm: ::core::option::Option<u32>,
     /// Smallest number of VMs that moves leave in the pool.
+    /// Default: 0.
     #[prost(uint32, optional, tag = "3")]
     pub min_vms: ::core::option::Option<u32>,
     /// Largest number of VMs that moves bring into the pool.
+    /// Required.
     #[prost(uint32, optional, tag = "4")]
     pub max_vms: ::core::option::Option<u32>,
     /// True for the pool that holds spare VMs.
+    /// Default: false. At most one pool is spare.
     #[prost(bool, optional, tag = "5")]
     pub spare: ::core::option::Option<bool>,
     /// What running tasks do when their data centre is taken out: "finish" or
     /// "checkpoint".
+    /// Default: "finish".
     #[prost(string, optional, tag = "6")]
     pub on_data_centre_out: ::core::option::Option<::prost::alloc::string::String>,
     /// Time in milliseconds that a drain waits for requests and tasks.
+    /// Default: 60000.
     #[prost(uint64, optional, tag = "7")]
     pub drain_timeout_ms: ::core::option::Option<u64>,
 }
@@ -75,19 +84,24 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Team {
     /// Unique name.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub name: ::core::option::Option<::prost::alloc::string::String>,
     /// Weight of the team when everything is full, in thousandths.
+    /// Required.
     #[prost(uint32, optional, tag = "2")]
     pub share_milli: ::core::option::Option<u32>,
     /// Upper limit on processor use of running tasks across the fleet, in
     /// thousandths of a core.
+    /// Required.
     #[prost(uint64, optional, tag = "3")]
     pub limit_cpu_milli: ::core::option::Option<u64>,
     /// Upper limit on memory of running tasks across the fleet, in bytes.
+    /// Required.
     #[prost(uint64, optional, tag = "4")]
     pub limit_memory_bytes: ::core::option::Option<u64>,
     /// Upper limit on accelerators of running tasks across the fleet.
+    /// Default: 0.
     #[prost(uint32, optional, tag = "5")]
     pub limit_accelerators: ::core::option::Option<u32>,
     /// Keys that are granted. A key that is not listed is withdrawn.
@@ -100,9 +114,11 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TeamKey {
     /// Name of the key, unique within the team, used in logs and reports.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub name: ::core::option::Option<::prost::alloc::string::String>,
     /// SHA-256 of the key, in lower-case hexadecimal.
+    /// Required.
     #[prost(string, optional, tag = "2")]
     pub sha256: ::core::option::Option<::prost::alloc::string::String>,
 }
@@ -112,13 +128,16 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Budget {
     /// Pool that the budget protects.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub pool: ::core::option::Option<::prost::alloc::string::String>,
     /// Failure domain over which VMs are counted: "pool", "data_centre" or
     /// "rack". The last two bound each domain on its own.
+    /// Default: "pool".
     #[prost(string, optional, tag = "2")]
     pub scope: ::core::option::Option<::prost::alloc::string::String>,
     /// VMs that may be unavailable at the same time.
+    /// Required.
     #[prost(uint32, optional, tag = "3")]
     pub max_unavailable: ::core::option::Option<u32>,
 }
@@ -128,25 +147,32 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Wave {
     /// Unique name. A new name starts a new wave.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub name: ::core::option::Option<::prost::alloc::string::String>,
     /// Pools whose VMs are maintained.
+    /// Required.
     #[prost(string, repeated, tag = "2")]
     pub pools: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// VMs in the first step.
+    /// Default: 1.
     #[prost(uint32, optional, tag = "3")]
     pub initial_width: ::core::option::Option<u32>,
     /// VMs in the widest step.
+    /// Required.
     #[prost(uint32, optional, tag = "4")]
     pub max_width: ::core::option::Option<u32>,
     /// Failed VMs in one step that halt the wave.
+    /// Default: 1.
     #[prost(uint32, optional, tag = "5")]
     pub max_failed: ::core::option::Option<u32>,
     /// Time in milliseconds that a VM must stay healthy after its reboot.
+    /// Default: 60000.
     #[prost(uint64, optional, tag = "6")]
     pub soak_ms: ::core::option::Option<u64>,
     /// Time in milliseconds after which a VM that has not come back counts as
     /// failed.
+    /// Default: 600000.
     #[prost(uint64, optional, tag = "7")]
     pub reboot_timeout_ms: ::core::option::Option<u64>,
 }
@@ -156,21 +182,27 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Policy {
     /// Weight of team shares, in thousandths.
+    /// Default: 1000.
     #[prost(uint32, optional, tag = "1")]
     pub weight_share_milli: ::core::option::Option<u32>,
     /// Weight of work done while a data centre changes, in thousandths.
+    /// Default: 1000.
     #[prost(uint32, optional, tag = "2")]
     pub weight_data_centre_work_milli: ::core::option::Option<u32>,
     /// Weight of buffer cost, in thousandths.
+    /// Default: 1000.
     #[prost(uint32, optional, tag = "3")]
     pub weight_buffer_milli: ::core::option::Option<u32>,
     /// Weight of the number of moves, in thousandths.
+    /// Default: 1000.
     #[prost(uint32, optional, tag = "4")]
     pub weight_moves_milli: ::core::option::Option<u32>,
     /// Weight of roll-out time, in thousandths.
+    /// Default: 1000.
     #[prost(uint32, optional, tag = "5")]
     pub weight_roll_out_milli: ::core::option::Option<u32>,
     /// Time in milliseconds for which an idempotency key is remembered.
+    /// Default: 120000.
     #[prost(uint64, optional, tag = "6")]
     pub idempotency_window_ms: ::core::option::Option<u64>,
 }
@@ -180,21 +212,27 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Settings {
     /// Name of the process, unique in the fleet.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub name: ::core::option::Option<::prost::alloc::string::String>,
     /// Data centre that the process runs in.
+    /// Required.
     #[prost(string, optional, tag = "2")]
     pub data_centre: ::core::option::Option<::prost::alloc::string::String>,
     /// Addresses that the process listens on.
+    /// Required.
     #[prost(message, optional, tag = "3")]
     pub listen: ::core::option::Option<Listen>,
     /// Services of the platform.
+    /// Required.
     #[prost(message, optional, tag = "4")]
     pub platform: ::core::option::Option<Platform>,
     /// Other entry processes, asked before the first session is known.
+    /// Each `IP:port` of the gRPC address. Default: none.
     #[prost(string, repeated, tag = "5")]
     pub peers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Credentials for peers and operators.
+    /// Required.
     #[prost(message, optional, tag = "6")]
     pub credentials: ::core::option::Option<Credentials>,
     /// Limits of the front end.
@@ -210,12 +248,15 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Listen {
     /// HTTP requests of callers.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub callers: ::core::option::Option<::prost::alloc::string::String>,
     /// gRPC calls of peers and operators.
+    /// Required.
     #[prost(string, optional, tag = "2")]
     pub peers: ::core::option::Option<::prost::alloc::string::String>,
     /// Health, readiness and metrics.
+    /// Required.
     #[prost(string, optional, tag = "3")]
     pub health: ::core::option::Option<::prost::alloc::string::String>,
 }
@@ -225,9 +266,11 @@
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Platform {
     /// Log service.
+    /// Required.
     #[prost(string, optional, tag = "1")]
     pub log: ::core::option::Option<::prost::alloc::string::String>,
     /// VM list.
+    /// Required.
     #[prost(string, optional, tag = "2")]
     pub vm_list: ::core::option::Option<::prost::alloc::string::String>,
 }
@@ -256,21 +299,27 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Limits {
     /// Largest body of a request, in bytes.
+    /// Default: 8388608.
     #[prost(uint64, optional, tag = "1")]
     pub max_body_bytes: ::core::option::Option<u64>,
     /// Connections of callers that are open at the same time.
+    /// Default: 10000.
     #[prost(uint32, optional, tag = "2")]
     pub max_connections: ::core::option::Option<u32>,
     /// Requests of one pool that wait for a slot at the same time.
+    /// Default: 1000.
     #[prost(uint32, optional, tag = "3")]
     pub max_queued_requests: ::core::option::Option<u32>,
     /// Time in milliseconds in which a caller must send the head and the body.
+    /// Default: 10000.
     #[prost(uint64, optional, tag = "4")]
     pub request_read_timeout_ms: ::core::option::Option<u64>,
     /// Time in milliseconds that a request may take when the caller names none.
+    /// Default: 30000.
     #[prost(uint64, optional, tag = "5")]
     pub default_deadline_ms: ::core::option::Option<u64>,
     /// Time in milliseconds that work in flight may take after SIGTERM.
+    /// Default: 35000.
     #[prost(uint64, optional, tag = "6")]
     pub shutdown_timeout_ms: ::core::option::Option<u64>,
 }
@@ -280,12 +329,15 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Logging {
     /// "json" or "terminal".
+    /// Default: "json".
     #[prost(string, optional, tag = "1")]
     pub format: ::core::option::Option<::prost::alloc::string::String>,
     /// "error", "warning", "info", "debug" or "trace".
+    /// Default: "info".
     #[prost(string, optional, tag = "2")]
     pub level: ::core::option::Option<::prost::alloc::string::String>,
-    /// Levels of single targets, such as "router" = "debug".
+    /// Levels of single targets, such as router = "debug". The target of a line is
+    /// its `target` in the log. Default: none.
     #[prost(btree_map = "string, string", tag = "3")]
     pub target_levels: ::prost::alloc::collections::BTreeMap<
         ::prost::alloc::string::String,
