--- a/cli/tests/support/daemons.rs
+++ b/cli/tests/support/daemons.rs
@@ -1,18 +1,23 @@
-//! Real daemons and a log service in one thread, for the path from end to end.
+//! Real daemons and the fleet of the small example in one thread, for the path
+//! from end to end.
 
 use std::net::SocketAddr;
 use std::sync::mpsc as thread_channel;
 use std::thread::JoinHandle;
 
+use cowslipport_daemon::app::Addresses;
 use cowslipport_daemon::app::Daemon;
 use cowslipport_daemon::app::DaemonConfig;
-use cowslipport_daemon::edges::ListedVm;
-use cowslipport_daemon::edges::VmList;
-use cowslipport_daemon::edges::VmListError;
+use cowslipport_daemon::app::PlatformEdges;
 use cowslipport_daemon::platform_client::GrpcLog;
+use cowslipport_daemon::platform_client::GrpcVmList;
+use cowslipport_daemon::worker_client::GrpcWorkers;
 use cowslipport_lib::settings::Limits;
-use cowslipport_standin::log_server;
-use cowslipport_standin::log_store::LogLimits;
+use cowslipport_standin::fleet;
+use cowslipport_standin::fleet::Fleet;
+use cowslipport_standin::fleet::FleetSpec;
+use cowslipport_standin::fleet::RackSpec;
+use cowslipport_standin::vm_inventory::InventorySettings;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
@@ -20,49 +25,28 @@
 
 use super::TOKEN;
 
-/// A list without VMs.
-#[derive(Clone)]
-struct NoVms;
-
-impl VmList for NoVms {
-    async fn list(&self) -> Result<Vec<ListedVm>, VmListError> {
-        Ok(Vec::new())
-    }
-
-    async fn reboot(&self, _vm: &str, _token: &str) -> Result<(), VmListError> {
-        Ok(())
-    }
-}
-
 /// Running daemons; they end with the value.
 pub(crate) struct Daemons {
     /// Addresses for operators.
-    pub(crate) addresses: Vec<String>,
+    pub(crate) operators: Vec<String>,
+    /// Addresses for callers.
+    pub(crate) callers: Vec<String>,
     shutdown: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Daemons {
-    /// Starts a log service and the named daemons.
+    /// Starts the fleet and the named daemons.
     pub(crate) fn start(names: &'static [&'static str]) -> Self {
         let (addresses_to_test, addresses) = thread_channel::channel();
-        let (shutdown, ended) = oneshot::channel::<()>();
+        let (shutdown, ended) = oneshot::channel();
         let thread = std::thread::spawn(move || {
-            actix_rt::System::new().block_on(async {
-                let log = log_server::start(loopback(), LogLimits::default(), 1);
-                let log = log.await.expect("the log service starts");
-                let mut daemons = Vec::new();
-                for name in names {
-                    daemons.push(start(name, log.address()).await);
-                }
-                let peers = daemons.iter().map(|daemon| daemon.addresses().peers.to_string());
-                addresses_to_test.send(peers.collect()).expect("the test waits");
-                // Either the test sends, or it has ended.
-                let _ = ended.await;
-            });
+            actix_rt::System::new().block_on(serve(names, addresses_to_test, ended));
         });
-        let addresses = addresses.recv().expect("the daemons start");
-        Self { addresses, shutdown: Some(shutdown), thread: Some(thread) }
+        let addresses: Vec<Addresses> = addresses.recv().expect("the daemons start");
+        let operators = addresses.iter().map(|address| address.peers.to_string()).collect();
+        let callers = addresses.iter().map(|address| address.callers.to_string()).collect();
+        Self { operators, callers, shutdown: Some(shutdown), thread: Some(thread) }
     }
 }
 
@@ -73,11 +57,40 @@
     }
 }
 
+async fn serve(
+    names: &[&str],
+    addresses: thread_channel::Sender<Vec<Addresses>>,
+    ended: oneshot::Receiver<()>,
+) {
+    let spec = FleetSpec {
+        inventory: InventorySettings { lag_ms: 0, ..InventorySettings::default() },
+        racks: vec![rack("dc1", "web"), rack("dc1", "batch"), rack("dc2", "batch")],
+        ..FleetSpec::default()
+    };
+    let fleet = fleet::start(spec).await.expect("the fleet starts");
+    let mut daemons = Vec::new();
+    for name in names {
+        daemons.push(start(name, &fleet).await);
+    }
+    addresses.send(daemons.iter().map(Daemon::addresses).collect()).expect("the test waits");
+    // Either the test sends, or it has ended.
+    let _ = ended.await;
+}
+
+fn rack(data_centre: &str, pool: &str) -> RackSpec {
+    RackSpec {
+        data_centre: data_centre.to_owned(),
+        rack: format!("{data_centre}-{pool}"),
+        pool: pool.to_owned(),
+        vms: 2,
+    }
+}
+
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-async fn start(name: &str, log: SocketAddr) -> Daemon {
+async fn start(name: &str, fleet: &Fleet) -> Daemon {
     let config = DaemonConfig {
         name: name.to_owned(),
         data_centre: "dc1".to_owned(),
@@ -89,6 +102,11 @@
         operator_token: TOKEN.to_owned(),
         limits: Limits { shutdown_timeout_ms: 500, ..Limits::default() },
     };
+    let platform = PlatformEdges {
+        log: GrpcLog::new(fleet.log.address()),
+        vm_list: GrpcVmList::new(fleet.vm_list.address()),
+        workers: GrpcWorkers,
+    };
     let logger = Logger::root(Discard, o!());
-    Daemon::start(config, GrpcLog::new(log), NoVms, None, logger).await.expect("the daemon starts")
+    Daemon::start(config, platform, None, logger).await.expect("the daemon starts")
 }
