lib: copies of the control state share what the VM list said

Cause: each task of the daemon that follows the fold holds a copy of the state: control, peer, router and fleet today, placement and maintenance to come. A join looked its rack up by a scan over all racks.

Change: a record and all copies share one allocation for what the VM list says of a VM. Names of VMs and racks are found by binary search over their keys.

VmObservation::Joined holds an Arc now; code that makes one adds into().

--- a/bench/src/bin/capacity/model.rs
+++ b/bench/src/bin/capacity/model.rs
@@ -179,15 +179,18 @@
     let rack = index / VMS_PER_RACK;
     let data_centre = rack % DATA_CENTRES;
     let (high, low) = (index / 250, index % 250);
-    VmObservation::Joined(VmJoined {
-        name: format!("vm-{data_centre:02}-{index:05}"),
-        data_centre: data_centre_name(data_centre),
-        rack: format!("rack-{rack:04}"),
-        pool: pool_name(index % pools),
-        worker_address: format!("10.{data_centre}.{high}.{low}:7800"),
-        upstream_address: format!("10.{data_centre}.{high}.{low}:8080"),
-        capacity: Resources { cpu_milli: 32_000, memory_bytes: 128 << 30, accelerators: 0 },
-    })
+    VmObservation::Joined(
+        VmJoined {
+            name: format!("vm-{data_centre:02}-{index:05}"),
+            data_centre: data_centre_name(data_centre),
+            rack: format!("rack-{rack:04}"),
+            pool: pool_name(index % pools),
+            worker_address: format!("10.{data_centre}.{high}.{low}:7800"),
+            upstream_address: format!("10.{data_centre}.{high}.{low}:8080"),
+            capacity: Resources { cpu_milli: 32_000, memory_bytes: 128 << 30, accelerators: 0 },
+        }
+        .into(),
+    )
 }
 
 /// A team as the manifest has it, with two keys.
--- a/bench/src/bin/capacity/report.rs
+++ b/bench/src/bin/capacity/report.rs
@@ -101,6 +101,7 @@
     };
     let mut lines = vec![
         state("state on the heap", "B", |state| as_f64(state.heap_bytes)),
+        state("further copy of the state", "B", |state| as_f64(state.copy_bytes)),
         state("snapshot", "B", |state| as_f64(state.snapshot_bytes)),
         state("copy of the state", "ns", |state| state.clone_ns),
         state("snapshot encode", "ns", |state| state.encode_ns),
@@ -153,9 +154,9 @@
     let state = &cost.state;
     writeln!(
         f,
-        "  state {} B in {} allocations, copy {:.1} ms",
+        "  state {} B, each further copy {} B in {:.1} ms",
         state.heap_bytes,
-        state.allocations,
+        state.copy_bytes,
         state.clone_ns / 1e6
     )?;
     writeln!(
--- a/bench/src/bin/capacity/state_cost.rs
+++ b/bench/src/bin/capacity/state_cost.rs
@@ -10,10 +10,10 @@
 /// Cost of one folded state.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct StateCost {
-    /// Bytes that one copy of the state holds on the heap.
+    /// Bytes that the first copy of the state holds on the heap.
     pub(crate) heap_bytes: usize,
-    /// Allocations that one copy holds.
-    pub(crate) allocations: usize,
+    /// Bytes that each further copy in the same process holds.
+    pub(crate) copy_bytes: usize,
     /// Size of its snapshot in bytes.
     pub(crate) snapshot_bytes: usize,
     /// Processor time of a copy, in nanoseconds.
@@ -26,16 +26,25 @@
     pub(crate) digest_ns: f64,
 }
 
+/// Bytes on the heap that what `make` returns holds.
+fn held_by<T, F>(make: F) -> usize
+where
+    F: FnOnce() -> T,
+{
+    let region = Region::new(GLOBAL);
+    let made = make();
+    let held = region.change();
+    drop(made);
+    held.bytes_allocated.saturating_sub(held.bytes_deallocated)
+}
+
 /// Cost of a state.
 pub(crate) fn measure(state: &ControlState) -> StateCost {
     let bytes = state.encode();
-    let region = Region::new(GLOBAL);
-    let copy = state.clone();
-    let held = region.change();
-    drop(copy);
+    let first = || ControlState::decode(&bytes).expect("a snapshot decodes");
     StateCost {
-        heap_bytes: held.bytes_allocated.saturating_sub(held.bytes_deallocated),
-        allocations: held.allocations.saturating_sub(held.deallocations),
+        heap_bytes: held_by(first),
+        copy_bytes: held_by(|| state.clone()),
         snapshot_bytes: bytes.len(),
         clone_ns: time_each(1, || (), |()| state.clone()),
         encode_ns: time_each(1, || (), |()| state.encode()),
--- a/daemon/src/fleet_task.rs
+++ b/daemon/src/fleet_task.rs
@@ -173,7 +173,7 @@
         let placeable = state.pool_by_name(&listed.vm.pool).is_some()
             && state.data_centre_by_name(&listed.vm.data_centre).is_some();
         if !known && placeable {
-            observations.push(VmObservation::Joined(listed.vm.clone()));
+            observations.push(VmObservation::Joined(listed.vm.clone().into()));
         }
     }
     observations
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use crate::arena::Arena;
 use crate::config::Budget;
@@ -26,6 +27,7 @@
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::ids::WaveId;
+use crate::name_index::NameIndex;
 use crate::record::DrainPurpose;
 use crate::record::Health;
 use crate::record::SessionOpen;
@@ -75,7 +77,8 @@
     /// Grants of teams in partitions. The sum for a team is at most its limit,
     /// except after the limit was lowered.
     pub grants: BTreeMap<(TeamId, PartitionId), Resources>,
-    pub(crate) vm_names: BTreeMap<String, VmId>,
+    pub(crate) vm_names: NameIndex<VmId>,
+    pub(crate) rack_names: NameIndex<RackId>,
     pub(crate) recent_ids: VecDeque<RecordId>,
     pub(crate) recent_id_set: BTreeSet<RecordId>,
     pub(crate) freed_vms: VecDeque<(Offset, VmId)>,
@@ -139,8 +142,9 @@
 /// A VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Vm {
-    /// What the VM list says. `pool` is the name at the time of joining.
-    pub joined: VmJoined,
+    /// What the VM list says. `pool` is the name at the time of joining. All
+    /// copies of the state in a process share it.
+    pub joined: Arc<VmJoined>,
     /// Offset at which it joined.
     pub joined_at: Offset,
     /// Its data centre.
@@ -228,7 +232,15 @@
 
     /// The VM of a name.
     pub fn vm_by_name(&self, name: &str) -> Option<VmId> {
-        self.vm_names.get(name).copied()
+        self.vm_names.find(name, |id| self.vm_name(id)).ok()
+    }
+
+    pub(crate) fn vm_name(&self, id: VmId) -> &str {
+        self.vms.get(id).map_or("", |vm| &vm.joined.name)
+    }
+
+    pub(crate) fn rack_name(&self, id: RackId) -> &str {
+        self.racks.get(id).map_or("", String::as_str)
     }
 
     /// The partition that a VM is part of.
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -4,6 +4,8 @@
 //! record is judged against the state at its offset, so writers that race are
 //! settled by order.
 
+use std::sync::Arc;
+
 use crate::budget;
 use crate::control::ControlState;
 use crate::control::DataCentre;
@@ -239,15 +241,15 @@
         if changes.is_empty() { Err(VoidReason::EmptyBatch) } else { Ok(changes) }
     }
 
-    fn join_vm(&mut self, offset: Offset, joined: &VmJoined) -> Option<ControlChange> {
-        if self.vm_names.contains_key(&joined.name) {
+    fn join_vm(&mut self, offset: Offset, joined: &Arc<VmJoined>) -> Option<ControlChange> {
+        let Err(place) = self.vm_names.find(&joined.name, |id| self.vm_name(id)) else {
             return None;
-        }
+        };
         let data_centre = self.data_centre_by_name(&joined.data_centre)?;
         let pool = self.pool_by_name(&joined.pool)?;
         let rack = self.intern_rack(&joined.data_centre, &joined.rack);
         let vm = Vm {
-            joined: joined.clone(),
+            joined: Arc::clone(joined),
             joined_at: offset,
             data_centre,
             rack,
@@ -262,7 +264,7 @@
             }
             None => self.vms.insert(vm),
         };
-        self.vm_names.insert(joined.name.clone(), id);
+        self.vm_names.insert(place, id);
         Some(ControlChange::Vm(id))
     }
 
@@ -278,8 +280,14 @@
 
     fn intern_rack(&mut self, data_centre: &str, rack: &str) -> RackId {
         let name = format!("{data_centre}/{rack}");
-        let known = self.racks.iter().find(|(_, known)| **known == name).map(|(id, _)| id);
-        known.unwrap_or_else(|| self.racks.insert(name))
+        match self.rack_names.find(&name, |id| self.rack_name(id)) {
+            Ok(id) => id,
+            Err(place) => {
+                let id = self.racks.insert(name);
+                self.rack_names.insert(place, id);
+                id
+            }
+        }
     }
 
     fn set_health(&mut self, id: VmId, health: Health) -> Option<ControlChange> {
@@ -293,8 +301,11 @@
     }
 
     fn remove_vm(&mut self, offset: Offset, id: VmId) -> Option<ControlChange> {
-        let vm = self.vms.remove(id)?;
-        self.vm_names.remove(&vm.joined.name);
+        self.vms.get(id)?;
+        let mut names = std::mem::take(&mut self.vm_names);
+        names.remove(self.vm_name(id), |id| self.vm_name(id));
+        self.vm_names = names;
+        self.vms.remove(id);
         self.freed_vms.push_back((offset, id));
         Some(ControlChange::Vm(id))
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -27,6 +27,7 @@
 mod move_choice;
 pub mod move_decision;
 pub mod moves;
+mod name_index;
 pub mod operation;
 pub mod placement;
 mod placement_check;
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -1,5 +1,7 @@
 //! Checked records of the `control` stream.
 
+use std::sync::Arc;
+
 use crate::config::ConfigCommit;
 use crate::ids::Offset;
 use crate::ids::OperationId;
@@ -112,7 +114,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum VmObservation {
     /// The VM list shows a VM that the fold does not know.
-    Joined(VmJoined),
+    Joined(Arc<VmJoined>),
     /// The health of a VM changed.
     Health {
         /// The VM.
--- a/lib/src/snapshot.rs
+++ b/lib/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! Snapshots of the folded state: encoding, digest and chunks.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use prost::Message;
 use sha2::Digest;
@@ -30,6 +31,7 @@
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::ids::WaveId;
+use crate::name_index::NameIndex;
 use crate::protos::config as raw_config;
 use crate::protos::control as raw;
 use crate::record::DrainPurpose;
@@ -239,7 +241,7 @@
         Some(OperationPhase::Moved) => raw::OperationPhase::Moved,
     };
     raw::VmState {
-        joined: Some((&vm.joined).into()),
+        joined: Some((&*vm.joined).into()),
         health: raw::Health::from(vm.health).into(),
         joined_at: vm.joined_at.0,
         operation: vm.operation.map_or(0, |operation| operation.id.0.0),
@@ -303,6 +305,8 @@
         for name in &raw.racks {
             state.racks.insert(name.clone());
         }
+        let racks = state.racks.iter().map(|(id, _)| id).collect();
+        state.rack_names = NameIndex::new(racks, |id| state.rack_name(id));
         read_data_centres(raw, &mut state)?;
         read_pools(raw, &mut state)?;
         read_teams(raw, &mut state)?;
@@ -402,7 +406,7 @@
             continue;
         };
         let vm = Vm {
-            joined: joined.into(),
+            joined: Arc::new(joined.into()),
             joined_at: Offset(entry.joined_at),
             data_centre: DataCentreId(entry.data_centre),
             rack: RackId(entry.rack),
@@ -410,10 +414,10 @@
             health: entry.health().try_into()?,
             operation: read_operation(entry)?,
         };
-        let name = vm.joined.name.clone();
-        let id = state.vms.insert(vm);
-        state.vm_names.insert(name, id);
+        state.vms.insert(vm);
     }
+    let ids = state.vms.iter().map(|(id, _)| id).collect();
+    state.vm_names = NameIndex::new(ids, |id| state.vm_name(id));
     Ok(())
 }
 
--- a/lib/src/wire_control.rs
+++ b/lib/src/wire_control.rs
@@ -1,5 +1,7 @@
 //! Conversion of control records between the generated and the checked types.
 
+use std::sync::Arc;
+
 use prost::Message;
 
 use crate::config::ConfigChange;
@@ -330,7 +332,7 @@
     fn try_from(raw: &raw::VmObservation) -> Result<Self, Findings> {
         use raw::vm_observation::Observation;
         Ok(match raw.observation.as_ref().ok_or_else(|| absent("observation"))? {
-            Observation::Joined(joined) => Self::Joined(joined.into()),
+            Observation::Joined(joined) => Self::Joined(Arc::new(joined.into())),
             Observation::Health(health) => {
                 Self::Health { vm: VmId(health.vm), health: health.health().try_into()? }
             }
@@ -343,7 +345,7 @@
     fn from(observation: &VmObservation) -> Self {
         use raw::vm_observation::Observation;
         let observation = match observation {
-            VmObservation::Joined(joined) => Observation::Joined(joined.into()),
+            VmObservation::Joined(joined) => Observation::Joined((&**joined).into()),
             VmObservation::Health { vm, health } => Observation::Health(raw::VmHealth {
                 vm: vm.0,
                 health: raw::Health::from(*health).into(),
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -126,18 +126,21 @@
         changes.push(pool("spare", true, 0, 50));
         fleet.commit(changes);
         let join = |index: u32| {
-            VmObservation::Joined(VmJoined {
-                name: format!("vm-{index}"),
-                data_centre: format!("dc{}", index / 4 % 3),
-                rack: format!("r{}", index / 4),
-                pool: match index % (pools + 1) {
-                    spare if spare == pools => "spare".to_owned(),
-                    pool => format!("p{pool}"),
-                },
-                worker_address: "127.0.0.1:2".to_owned(),
-                upstream_address: String::new(),
-                capacity: Resources::ZERO,
-            })
+            VmObservation::Joined(
+                VmJoined {
+                    name: format!("vm-{index}"),
+                    data_centre: format!("dc{}", index / 4 % 3),
+                    rack: format!("r{}", index / 4),
+                    pool: match index % (pools + 1) {
+                        spare if spare == pools => "spare".to_owned(),
+                        pool => format!("p{pool}"),
+                    },
+                    worker_address: "127.0.0.1:2".to_owned(),
+                    upstream_address: String::new(),
+                    capacity: Resources::ZERO,
+                }
+                .into(),
+            )
         };
         fleet.apply_valid(RecordBody::VmBatch((0..vms).map(join).collect()));
         for session in [11, 12] {
--- a/lib/tests/test_fold.rs
+++ b/lib/tests/test_fold.rs
@@ -118,15 +118,18 @@
 }
 
 fn join(index: u32) -> VmObservation {
-    VmObservation::Joined(VmJoined {
-        name: format!("vm-{index}"),
-        data_centre: "dc1".to_owned(),
-        rack: format!("r{}", index / 4),
-        pool: "p1".to_owned(),
-        worker_address: "127.0.0.1:2".to_owned(),
-        upstream_address: String::new(),
-        capacity: cpu(32_000),
-    })
+    VmObservation::Joined(
+        VmJoined {
+            name: format!("vm-{index}"),
+            data_centre: "dc1".to_owned(),
+            rack: format!("r{}", index / 4),
+            pool: "p1".to_owned(),
+            worker_address: "127.0.0.1:2".to_owned(),
+            upstream_address: String::new(),
+            capacity: cpu(32_000),
+        }
+        .into(),
+    )
 }
 
 /// Two pools, one team with a limit of 10 cores, one wave, 8 VMs in one data
