--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -8,17 +8,18 @@
 use clap::Parser;
 use cowslipport_daemon::app::Daemon;
 use cowslipport_daemon::app::DaemonConfig;
+use cowslipport_daemon::app::PlatformEdges;
 use cowslipport_daemon::app::StartError;
 use cowslipport_daemon::credentials;
 use cowslipport_daemon::credentials::CredentialError;
+use cowslipport_daemon::logging;
+use cowslipport_daemon::logging::Destination;
 use cowslipport_daemon::platform_client::GrpcLog;
 use cowslipport_daemon::platform_client::GrpcVmList;
+use cowslipport_daemon::worker_client::GrpcWorkers;
 use cowslipport_lib::findings::Findings;
 use cowslipport_lib::settings::Settings;
 use metrics_exporter_prometheus::PrometheusBuilder;
-use slog::Drain;
-use slog::Logger;
-use slog::o;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -45,6 +46,8 @@
     Start(#[from] StartError),
     #[error("cannot listen for signals: {0}")]
     Signal(io::Error),
+    #[error("cannot start the log thread: {0}")]
+    Log(io::Error),
 }
 
 /// Exit status for invalid settings or credentials.
@@ -60,7 +63,7 @@
                 MainError::Read { .. } | MainError::Settings { .. } | MainError::Credential(_) => {
                     ExitCode::from(EXIT_INVALID)
                 }
-                MainError::Start(_) | MainError::Signal(_) => ExitCode::FAILURE,
+                MainError::Start(_) | MainError::Signal(_) | MainError::Log(_) => ExitCode::FAILURE,
             }
         }
     }
@@ -69,13 +72,19 @@
 async fn run(arguments: Arguments) -> Result<(), MainError> {
     let settings = read_settings(arguments.settings)?;
     let config = daemon_config(&settings)?;
-    let log = GrpcLog::new(settings.platform.log);
-    let vm_list = GrpcVmList::new(settings.platform.vm_list);
+    let platform = PlatformEdges {
+        log: GrpcLog::new(settings.platform.log),
+        vm_list: GrpcVmList::new(settings.platform.vm_list),
+        workers: GrpcWorkers,
+    };
     // Without a recorder the metrics endpoint answers 404.
     let metrics = PrometheusBuilder::new().install_recorder().ok();
-    let daemon = Daemon::start(config, log, vm_list, metrics, logger()).await?;
+    let (logger, log_thread) =
+        logging::start(&settings.logging, Destination::Stderr).map_err(MainError::Log)?;
+    let daemon = Daemon::start(config, platform, metrics, logger).await?;
     wait_for_signal().await.map_err(MainError::Signal)?;
     daemon.stop().await;
+    log_thread.finish();
     Ok(())
 }
 
@@ -101,11 +110,6 @@
     })
 }
 
-fn logger() -> Logger {
-    let drain = slog_json::Json::default(io::stderr()).fuse();
-    Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
-}
-
 async fn wait_for_signal() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
