--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -62,15 +62,18 @@
             let pools = profile.services + 1;
             let whole = profile.vms / pools * pools;
             let pool = if index < whole { index % pools } else { profile.services };
-            VmObservation::Joined(VmJoined {
-                name: format!("vm-{index}"),
-                data_centre: format!("dc{}", rack % profile.data_centres),
-                rack: format!("r{rack}"),
-                pool: pool_name(profile, pool),
-                worker_address: String::new(),
-                upstream_address: String::new(),
-                capacity: Resources::ZERO,
-            })
+            VmObservation::Joined(
+                VmJoined {
+                    name: format!("vm-{index}"),
+                    data_centre: format!("dc{}", rack % profile.data_centres),
+                    rack: format!("r{rack}"),
+                    pool: pool_name(profile, pool),
+                    worker_address: String::new(),
+                    upstream_address: String::new(),
+                    capacity: Resources::ZERO,
+                }
+                .into(),
+            )
         };
         fleet.append(RecordBody::VmBatch((0..profile.vms).map(join).collect()));
         fleet
