--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -151,10 +151,21 @@
                 peer_address: "127.0.0.1:1".to_owned(),
                 lease_ms: 6000,
             }));
+            fleet.confirm_members();
         }
         fleet
     }
 
+    /// Every member says that it has applied all records so far, as the next
+    /// change of the members requires.
+    fn confirm_members(&mut self) {
+        let next_offset = self.state.next_offset;
+        let members: Vec<SessionId> = self.state.sessions.keys().copied().collect();
+        for session in members {
+            self.apply_valid(RecordBody::SessionRenew { session, renewal: 1, next_offset });
+        }
+    }
+
     pub(crate) fn commit(&mut self, changes: Vec<ConfigChange>) {
         let expected_revision = self.state.revision;
         let author = "ana".to_owned();
