--- a/lib/tests/request_fleet/mod.rs
+++ b/lib/tests/request_fleet/mod.rs
@@ -114,13 +114,16 @@
 }
 
 fn join(index: u32) -> VmObservation {
-    VmObservation::Joined(VmJoined {
-        name: format!("vm-{index}"),
-        data_centre: format!("dc{}", index % 4 + 1),
-        rack: format!("r{}", index / 4),
-        pool: "p1".to_owned(),
-        worker_address: "127.0.0.1:2".to_owned(),
-        upstream_address: format!("127.0.0.1:{}", 10_000 + index),
-        capacity: Resources::ZERO,
-    })
+    VmObservation::Joined(
+        VmJoined {
+            name: format!("vm-{index}"),
+            data_centre: format!("dc{}", index % 4 + 1),
+            rack: format!("r{}", index / 4),
+            pool: "p1".to_owned(),
+            worker_address: "127.0.0.1:2".to_owned(),
+            upstream_address: format!("127.0.0.1:{}", 10_000 + index),
+            capacity: Resources::ZERO,
+        }
+        .into(),
+    )
 }
