buffer: a rise of demand is seen at once, the usual need forgives two bursts

Cause: a single long burst raised the need of a pool and moved a VM there and back; a rank that forgives it made a lasting rise visible a minute later.

Change: the need rises at once when two chunks are above 1,300 permille of it; the usual need is the third largest of 15 chunks.

--- a/lib/src/buffer.rs
+++ b/lib/src/buffer.rs
@@ -23,23 +23,27 @@
 pub const CHUNK_SAMPLES: usize = 60;
 
 /// Chunks that the estimate remembers.
-pub const CHUNKS: usize = 10;
+pub const CHUNKS: usize = 15;
 
 /// Chunks that have to be complete before a pool gives or takes a VM.
 pub const LEARNING_CHUNKS: usize = 3;
 
 /// Rank of the chunk, from the largest need, that sets the need of the pool.
-/// With 1, a single unusual burst moves no VM.
-pub const NEED_RANK: usize = 1;
+/// With 2, two unusual bursts move no VM.
+pub const NEED_RANK: usize = 2;
 
-/// Chunks that all have to be far below the usual need for the need to drop
-/// at once, so that VMs can go directly to a pool whose demand rises.
-pub const DROP_CHUNKS: usize = 2;
+/// Chunks that all have to be far from the usual need for the need to follow
+/// at once, so that VMs go directly from a pool whose demand falls to one
+/// whose demand rises.
+pub const SHIFT_CHUNKS: usize = 2;
 
 /// How far below, in thousandths of the usual need. Bursts of usual demand
 /// differ by about a fifth.
 pub const DROP_PERMILLE: u64 = 700;
 
+/// How far above, in thousandths of the usual need.
+pub const RISE_PERMILLE: u64 = 1300;
+
 /// Time that a request may wait for a slot, in samples.
 pub const WAIT_SAMPLES: u64 = 10;
 
@@ -78,9 +82,12 @@
         let mut needs: Vec<u32> = self.needs.iter().copied().collect();
         needs.sort_unstable_by(|left, right| right.cmp(left));
         let usual = *needs.get(NEED_RANK)?;
-        let recent = self.needs.iter().rev().take(DROP_CHUNKS).copied().max()?;
-        let dropped = u64::from(recent) * 1000 < u64::from(usual) * DROP_PERMILLE;
-        Some(if dropped { recent } else { usual })
+        let recent = || self.needs.iter().rev().take(SHIFT_CHUNKS).copied();
+        let (lowest, highest) = (recent().min()?, recent().max()?);
+        let permille = |need: u32| u64::from(need) * 1000;
+        let dropped = permille(highest) < u64::from(usual) * DROP_PERMILLE;
+        let risen = permille(lowest) > u64::from(usual) * RISE_PERMILLE;
+        Some(if dropped || risen { highest } else { usual })
     }
 
     /// Part of the high samples of this pool, in thousandths, at which the
