bench: bound of moves for policies that serve every burst as well

Cause: the bound asked for need and reserve in every burst.

Change: in each burst a policy needs the VMs that ours had, or need and reserve if that is less. Buffer and moves are compared with policies that serve as well.

--- a/bench/src/measure.rs
+++ b/bench/src/measure.rs
@@ -59,12 +59,14 @@
     fn bound_method(self) -> &'static str {
         match self {
             Self::BufferVmHours => {
-                "reserve at all times, work of each burst, and VMs held in gaps shorter than a move"
+                "reserve, work of each burst, VMs held in gaps shorter than a move; bursts served as well"
             }
             Self::RollOutTimeMs => {
                 "longest of: VM-time of each budget's domain, and of the fleet, by the widest steps"
             }
-            Self::Moves => "fewest moves of a policy that knows the trace and holds no more buffer",
+            Self::Moves => {
+                "fewest moves of a policy that knows the trace, serves bursts as well, holds no more"
+            }
             Self::BudgetViolations => "none",
             Self::LateWorkPermille => "none",
         }
--- a/bench/src/move_bound.rs
+++ b/bench/src/move_bound.rs
@@ -1,8 +1,8 @@
 //! Bounds for buffer and moves of policies that know the demand trace.
 //!
 //! In each burst there is a moment at which a pool has the VMs that the burst
-//! needs and the reserve that its budget may take away: with fewer, some work
-//! would wait too long. In the gap after the burst such a VM either stays, or
+//! needs and the reserve that its budget may take away, or at least as many as
+//! the policy that is measured had: with fewer, more work would wait too long. In the gap after the burst such a VM either stays, or
 //! leaves, for which it drains `move_ms` in its pool. At most the length of
 //! the burst of that is not part of the gap, so the VM is held for at least
 //! the shorter of the gap and the rest of the move.
@@ -11,6 +11,7 @@
 use cowslipport_lib::buffer::vms_for;
 
 use crate::profile::Profile;
+use crate::trace::Burst;
 use crate::trace::SECONDS;
 use crate::trace::Trace;
 
@@ -18,6 +19,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Need {
     vms: usize,
+    /// VMs and reserve that a policy must have at some moment of the burst to
+    /// serve it as well as the one that it is compared with.
+    required: usize,
     /// VM-seconds of work in the burst.
     work: f64,
     /// First second and first second after the time in which the work of the
@@ -37,6 +41,15 @@
     departure: f64,
 }
 
+/// What a policy did, to compare it with policies that know the trace.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Reached {
+    /// VM-seconds that pools of services held.
+    pub(crate) held: f64,
+    /// Most VMs that a pool had in each of its bursts.
+    pub(crate) most: Vec<Vec<u32>>,
+}
+
 /// What the bounds are computed from.
 pub(crate) struct Bound {
     needs: Vec<Vec<Need>>,
@@ -49,7 +62,7 @@
 }
 
 impl Bound {
-    pub(crate) fn new(profile: &Profile, trace: &Trace) -> Self {
+    pub(crate) fn new(profile: &Profile, trace: &Trace, reached: &Reached) -> Self {
         let slots = f64::from(profile.slots_per_vm);
         let services = 0..profile.services as usize;
         let used = services
@@ -57,18 +70,22 @@
             .flat_map(|service| trace.offered(service))
             .map(|offered| f64::from(offered) / slots)
             .sum();
-        let need = |burst: &crate::trace::Burst| {
+        let reserve = profile.pool_budget as usize;
+        let need = |(burst, most): (&Burst, &u32)| {
             let samples = vec![burst.slots; (burst.end - burst.start) as usize];
+            let vms = vms_for(&samples, profile.slots_per_vm) as usize;
             Need {
-                vms: vms_for(&samples, profile.slots_per_vm) as usize,
+                vms,
+                required: (vms + reserve).min(*most as usize),
                 work: samples.iter().map(|sample| f64::from(*sample) / slots).sum(),
                 start: f64::from(burst.start),
                 end: f64::from(burst.end) + WAIT_SAMPLES as f64,
             }
         };
+        let needs = |id: usize| trace.bursts[id].iter().zip(&reached.most[id]).map(need).collect();
         Self {
-            needs: services.map(|id| trace.bursts[id].iter().map(need).collect()).collect(),
-            reserve: profile.pool_budget as usize,
+            needs: services.map(needs).collect(),
+            reserve,
             move_seconds: profile.move_ms as f64 / 1000.0,
             first: (profile.vms / (profile.services + 1)) as usize,
             used_vm_seconds: used,
@@ -85,7 +102,9 @@
     /// VM-seconds that pools hold at least.
     pub(crate) fn held_vm_seconds(&self) -> f64 {
         let pool = |needs: &Vec<Need>| {
-            let gaps = gaps(needs).map(|(need, gap)| need.vms as f64 * self.shortest(need, gap));
+            let gaps = gaps(needs).map(|(need, gap)| {
+                need.required.saturating_sub(self.reserve) as f64 * self.shortest(need, gap)
+            });
             self.certain(needs) + gaps.sum::<f64>()
         };
         self.needs.iter().map(pool).sum()
@@ -96,13 +115,18 @@
         gap.min(self.move_seconds - (need.end - need.start)).max(0.0)
     }
 
-    /// Reserve at all times and the work of each burst.
+    /// Reserve at all times and the work of each burst, less what the VMs do
+    /// that need not be there.
     fn certain(&self, needs: &[Need]) -> f64 {
-        let work: f64 = needs.iter().map(|need| need.work).sum();
-        self.reserve as f64 * f64::from(SECONDS) + work
+        let work = |need: &Need| {
+            let lacking = (need.vms + self.reserve - need.required) as f64;
+            need.work - lacking * (need.end - need.start)
+        };
+        self.reserve as f64 * f64::from(SECONDS) + needs.iter().map(work).sum::<f64>()
     }
 
-    /// The fewest moves of any policy that holds at most `held` VM-seconds.
+    /// The fewest moves of any policy that serves every burst as well and
+    /// holds no more VM-seconds.
     ///
     /// For each price of a VM-second, the cheapest policy costs
     /// `min(moves + price * held)`; a policy within `held` then makes at least
@@ -120,7 +144,7 @@
         // From a move for 10 VM-seconds to a move for 28 VM-hours.
         let prices = (0..40).map(|step| 0.1 / 1.35_f64.powi(step));
         let best = |arrival: f64| prices.clone().map(move |price| at(arrival, price));
-        [0.0, 0.25, 0.5, 0.75, 1.0].into_iter().flat_map(best).fold(0.0, f64::max)
+        [0.5, 0.75, 1.0].into_iter().flat_map(best).fold(0.0, f64::max)
     }
 
     /// The least cost of one pool by dynamic programming over its bursts.
@@ -133,7 +157,7 @@
         for (need, gap) in gaps(needs) {
             costs = (0..=largest)
                 .map(|to| {
-                    if to < need.vms + self.reserve {
+                    if to < need.required {
                         return f64::INFINITY;
                     }
                     (0..=largest)
--- a/bench/src/pool_run.rs
+++ b/bench/src/pool_run.rs
@@ -22,8 +22,11 @@
 use crate::measure::Measure;
 use crate::measure::Row;
 use crate::move_bound;
+use crate::move_bound::Reached;
 use crate::profile::Profile;
 use crate::roll_out::Machines;
+use crate::trace::Burst;
+use crate::trace::CYCLE;
 use crate::trace::SECONDS;
 use crate::trace::Trace;
 
@@ -34,8 +37,8 @@
 
 /// What the run took.
 pub(crate) struct PoolRun {
-    /// Seconds for which VMs were in the pools of services and not down.
-    pub(crate) held_vm_seconds: f64,
+    /// VMs in the pools of services that are not down.
+    pub(crate) reached: Reached,
     pub(crate) moves: u32,
     pub(crate) violations: u32,
     pub(crate) late_permille: f64,
@@ -60,7 +63,9 @@
         demand: Demand::default(),
     };
     let mut queues = vec![Queue::default(); pools.len()];
-    let mut run = PoolRun { held_vm_seconds: 0.0, moves: 0, violations: 0, late_permille: 0.0 };
+    let mut run =
+        PoolRun { reached: Reached::default(), moves: 0, violations: 0, late_permille: 0.0 };
+    run.reached.most = trace.bursts.iter().map(|bursts| vec![0; bursts.len()]).collect();
     for second in 0..SECONDS {
         let now = TimeMs(u64::from(second) * 1000);
         fail(&mut fleet, trace, second);
@@ -73,8 +78,12 @@
             tracker.record(slots, profile.slots_per_vm);
             queues[index].second(slots, serving(&fleet, *pool) * profile.slots_per_vm);
         }
-        let is_held = |vm: &Vm| pools.contains(&vm.pool) && vm.health != Health::Down;
-        run.held_vm_seconds += fleet.state.vms.iter().filter(|(_, vm)| is_held(vm)).count() as f64;
+        for (index, pool) in pools.iter().enumerate() {
+            let held = |vm: &Vm| vm.pool == *pool && vm.health != Health::Down;
+            let vms = fleet.state.vms.iter().filter(|(_, vm)| held(vm)).count() as u32;
+            run.reached.held += f64::from(vms);
+            note_most(&mut run.reached.most[index], &trace.bursts[index], second, vms);
+        }
         let reports = machines.reports(&fleet, now, profile.move_ms);
         run.moves += step(&mut fleet, &mut machines, &mut planners, &reports, now);
     }
@@ -84,6 +93,17 @@
     run
 }
 
+/// Notes the VMs of a pool if the second is part of a burst, or of the time
+/// in which its work may still be done.
+fn note_most(most: &mut [u32], bursts: &[Burst], second: u32, vms: u32) {
+    let first = (second / CYCLE).saturating_sub(1) as usize;
+    for (burst, most) in bursts.iter().zip(most).skip(first).take(2) {
+        if (burst.start..burst.end + WAIT_SAMPLES as u32).contains(&second) {
+            *most = vms.max(*most);
+        }
+    }
+}
+
 /// Plans and appends; returns the number of VMs that changed their pool.
 fn step(
     fleet: &mut Fleet,
@@ -164,12 +184,12 @@
 impl PoolRun {
     pub(crate) fn rows(&self, profile: &Profile, trace: &Trace) -> Vec<Row> {
         let hours = |vm_seconds: f64| vm_seconds / 3600.0;
-        let bound = move_bound::Bound::new(profile, trace);
+        let bound = move_bound::Bound::new(profile, trace, &self.reached);
         let used = bound.used_vm_seconds;
         vec![
             Row::new(
                 Measure::BufferVmHours,
-                hours(self.held_vm_seconds - used),
+                hours(self.reached.held - used),
                 hours(bound.fixed_split_vm_seconds() - used),
                 hours(bound.held_vm_seconds() - used),
             ),
@@ -177,7 +197,7 @@
                 Measure::Moves,
                 f64::from(self.moves),
                 0.0,
-                bound.fewest_moves(self.held_vm_seconds),
+                bound.fewest_moves(self.reached.held),
             ),
             Row::new(Measure::LateWorkPermille, self.late_permille, 0.0, 0.0),
         ]
--- a/bench/src/trace.rs
+++ b/bench/src/trace.rs
@@ -16,7 +16,7 @@
 pub(crate) const SECONDS: u32 = 12 * 3600;
 
 /// Time between two bursts of one service, in seconds.
-const CYCLE: u32 = 60;
+pub(crate) const CYCLE: u32 = 60;
 
 /// Slots that a service demands in a burst when its mean is not doubled. The
 /// pools of eight VMs have 64.
