daemon: request path with queueing, retries, deadlines and witnesses

The thin front end buffered answers, followed redirects, reported an answer that was cut before its head as a refused connection with not_run, and leaked a slot when a caller went away. Each request is now a task that outlives its caller's connection. Upstreams get one exchange on each connection; the codec of actix-http tells a cut body from a whole one, which awc does not.

--- a/daemon/src/app.rs
+++ b/daemon/src/app.rs
@@ -8,6 +8,7 @@
 use cowslipport_lib::protos::peer::admin_server::AdminServer;
 use cowslipport_lib::protos::peer::peer_server::PeerServer;
 use cowslipport_lib::record::SessionOpen;
+use cowslipport_lib::routing::RouterSettings;
 use cowslipport_lib::session::SESSION_LEASE_MS;
 use cowslipport_lib::session::SessionKeeper;
 use cowslipport_lib::settings::Limits;
@@ -32,6 +33,7 @@
 use crate::edges::LogService;
 use crate::edges::VmList;
 use crate::edges::WorkerConnector;
+use crate::exchange::ExchangeContext;
 use crate::fleet_task;
 use crate::fleet_task::FleetTask;
 use crate::health;
@@ -61,6 +63,10 @@
 use crate::router_task::RouterTask;
 use crate::subscriber::Subscriber;
 use crate::token::TokenCheck;
+use crate::upstream_client::HttpUpstream;
+use crate::witness_task::WitnessConfig;
+use crate::witness_task::WitnessMessage;
+use crate::witness_task::WitnessTask;
 
 /// Time between failing readiness and refusing connections, in which a
 /// balancer that probes every second notices.
@@ -168,10 +174,16 @@
         actix_rt::spawn(callers::serve(
             callers_listener,
             CallerContext {
-                router: tasks.router.clone(),
+                exchange: ExchangeContext {
+                    router: tasks.router.clone(),
+                    witness: tasks.witness.clone(),
+                    upstream: HttpUpstream,
+                    clock: tasks.clock,
+                    logger: logger.new(o!("target" => "callers")),
+                    open: open_connections,
+                },
                 jobs: tasks.jobs.clone(),
-                logger: logger.new(o!("target" => "callers")),
-                connection: open_connections,
+                limits: config.limits,
             },
             listening_stopped.clone(),
         ));
@@ -217,11 +229,13 @@
 
 struct Tasks {
     session: SessionId,
+    clock: Clock,
     clients: PeerClients,
     control: ControlHandle,
     peer: mpsc::Sender<PeerMessage>,
     router: mpsc::Sender<RouterMessage>,
     jobs: mpsc::Sender<JobsMessage>,
+    witness: mpsc::Sender<WitnessMessage>,
     journal: JournalHandle,
 }
 
@@ -249,7 +263,9 @@
     let (jobs, jobs_receiver) = jobs_task::mailbox();
     let journal = journal_task::spawn(clock);
     let target = |name: &'static str| logger.new(o!("target" => name));
-    RouterTask::spawn(clock, target("router"), peer.clone(), router_receiver);
+    let settings = router_settings(config, session);
+    RouterTask::spawn(settings, clock, target("router"), peer.clone(), router_receiver);
+    let witness = WitnessTask::spawn(WitnessConfig { session, clock, clients: clients.clone() });
     let peer_config = PeerConfig {
         keeper: SessionKeeper::new(session_open(config, session, peer_address)),
         seeds: config.seeds.clone(),
@@ -287,10 +303,20 @@
         Subscriber::Maintenance(maintenance),
         Subscriber::Placement(placement),
         Subscriber::Jobs(jobs.clone()),
+        Subscriber::Witness(witness.clone()),
     ];
     let mailbox = (control.clone(), control_receiver);
     ControlTask::spawn(platform.log, session, clock, target("control"), mailbox, subscribers);
-    Ok(Tasks { session, clients, control, peer, router, jobs, journal })
+    Ok(Tasks { session, clock, clients, control, peer, router, jobs, witness, journal })
+}
+
+fn router_settings(config: &DaemonConfig, session: SessionId) -> RouterSettings {
+    RouterSettings {
+        session,
+        data_centre: config.data_centre.clone(),
+        max_queued: config.limits.max_queued_requests as usize,
+        seed: rand::random(),
+    }
 }
 
 /// What several tasks share.
@@ -358,6 +384,7 @@
         control: tasks.control.clone(),
         jobs: tasks.jobs.clone(),
         journal: tasks.journal.clone(),
+        witness: tasks.witness.clone(),
         name: config.name.clone(),
     };
     let admin_service = AdminService {
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -1,201 +1,298 @@
-//! The HTTP front end for callers and the calls to upstreams.
+//! The HTTP front end for callers.
 
-use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::HttpMessage;
 use actix_http::HttpService;
+use actix_http::KeepAlive;
+use actix_http::Method;
 use actix_http::Request;
 use actix_http::Response;
+use actix_http::ResponseBuilder;
 use actix_http::StatusCode;
+use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
+use actix_http::body::MessageBody;
+use actix_http::body::SizedStream;
 use actix_http::header;
 use actix_service::Service;
 use actix_service::ServiceFactory;
+use bytes::Bytes;
 use bytes::BytesMut;
-use cowslipport_lib::ids::VmId;
+use cowslipport_lib::keys::KeyDigest;
+use cowslipport_lib::refusal::Answer;
+use cowslipport_lib::refusal::RefusalReason;
+use cowslipport_lib::retry::Repeatability;
+use cowslipport_lib::retry::Undispatched;
+use cowslipport_lib::route_queue::RequestId;
+use cowslipport_lib::settings::Limits;
+use cowslipport_lib::time::TimeMs;
+use futures_util::Stream;
 use futures_util::StreamExt;
-use slog::Logger;
+use futures_util::stream;
 use slog::warn;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio_io_timeout::TimeoutStream;
 
+use crate::edges::Upstream;
+use crate::edges::UpstreamRequest;
+use crate::exchange;
+use crate::exchange::BodyPart;
+use crate::exchange::CallerRequest;
+use crate::exchange::ExchangeContext;
+use crate::exchange::Reply;
 use crate::job_front;
 use crate::jobs_task::JobsMessage;
-use crate::router_task::RouteReply;
-use crate::router_task::RouteRequest;
-use crate::router_task::RouterMessage;
+use crate::upstream_client::remove_hop_headers;
 
-const MAX_BODY_BYTES: usize = 1024 * 1024;
-const UPSTREAM_TIMEOUT: Duration = Duration::from_secs(30);
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+const MAX_DEADLINE_MS: u64 = 600_000;
+/// A caller that takes no byte for this time is gone or stuck.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longer than any request runs, as a caller sends nothing meanwhile.
+const READ_TIMEOUT: Duration = Duration::from_millis(MAX_DEADLINE_MS + 30_000);
+
+/// Time in which a refused caller may go on sending before its connection is
+/// closed.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+type CallerStream = Pin<Box<TimeoutStream<TcpStream>>>;
 
 /// What the connections of callers need.
 #[derive(Clone)]
-pub(crate) struct CallerContext {
-    /// Mailbox of the router task.
-    pub(crate) router: mpsc::Sender<RouterMessage>,
+pub(crate) struct CallerContext<U> {
+    /// What the tasks of requests need.
+    pub(crate) exchange: ExchangeContext<U>,
     /// Mailbox of the task for job calls.
     pub(crate) jobs: mpsc::Sender<JobsMessage>,
-    /// The logger.
-    pub(crate) logger: Logger,
-    /// Held by each open connection, so that a stop can wait for them.
-    pub(crate) connection: mpsc::Sender<()>,
+    /// Limits of the front end.
+    pub(crate) limits: Limits,
 }
 
-/// Accepts connections of callers until `stop` changes.
-pub(crate) async fn serve(
+/// Accepts connections of callers until `stop` changes. With the largest
+/// number of connections open, further ones wait in the backlog of the socket.
+pub(crate) async fn serve<U>(
     listener: TcpListener,
-    context: CallerContext,
+    context: CallerContext<U>,
     mut stop: watch::Receiver<bool>,
-) {
-    let client = Rc::new(awc::Client::builder().timeout(UPSTREAM_TIMEOUT).finish());
-    let logger = context.logger.clone();
-    let connection = context.connection.clone();
+) where
+    U: Upstream,
+{
+    let limits = context.limits;
+    let logger = context.exchange.logger.clone();
+    let open = context.exchange.open.clone();
     let factory = HttpService::build()
-        .client_request_timeout(HEAD_TIMEOUT)
+        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+        .client_request_timeout(Duration::from_millis(limits.request_read_timeout_ms))
+        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1(move |request: Request| {
-            let (context, client) = (context.clone(), Rc::clone(&client));
-            async move { Ok::<_, actix_http::Error>(answer(request, context, client).await) }
-        })
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else { return };
+            let context = context.clone();
+            async move { Ok::<_, actix_http::Error>(answer(request, context).await) }
+        });
+    let service = factory.new_service(()).await;
+    let Ok(service) = service else { return };
     let service = Rc::new(service);
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
+        let is_full = connections.len() >= limits.max_connections as usize;
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.changed() => return,
+            accepted = listener.accept(), if !is_full => accepted,
+            _ = connections.join_next(), if is_full => continue,
+            _ = stop.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, address)) => {
                 let service = Rc::clone(&service);
-                let connection = connection.clone();
-                actix_rt::spawn(async move {
+                let open = open.clone();
+                connections.spawn_local(async move {
                     // The connection ends with its caller.
-                    let _ = service.call(stream).await;
-                    drop(connection);
+                    let _ = service.call((guarded(stream), Some(address))).await;
+                    drop(open);
                 });
             }
             Err(error) => warn!(logger, "connection is not accepted"; "error" => error.to_string()),
         }
     }
+    // Requests in flight end; a stop waits for them.
+    connections.detach_all();
 }
 
-async fn answer(
-    mut request: Request,
-    context: CallerContext,
-    client: Rc<awc::Client>,
-) -> Response<BoxBody> {
-    let is_job_call = is_job_path(request.uri().path());
-    let pool_path = split_path(request.uri().path());
+fn guarded(stream: TcpStream) -> CallerStream {
+    // Without it, answers in small parts only wait longer.
+    let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_read_timeout(Some(READ_TIMEOUT));
+    stream.set_write_timeout(Some(WRITE_TIMEOUT));
+    Box::pin(stream)
+}
+
+async fn answer<U>(mut request: Request, context: CallerContext<U>) -> Response<BoxBody>
+where
+    U: Upstream,
+{
+    let path = request.uri().path();
+    let is_job_call = path == "/jobs" || path.starts_with("/jobs/");
+    let pool_path = split_path(&request);
     if !is_job_call && pool_path.is_none() {
-        return refusal(StatusCode::NOT_FOUND, "path_unknown");
+        return refuse(RefusalReason::PoolUnknown);
     }
-    let Some(key) = bearer(&request) else {
-        return refusal(StatusCode::UNAUTHORIZED, "key_missing");
-    };
-    let body = match read_body(&mut request).await {
-        Ok(body) => body,
-        Err(response) => return response,
+    let Some(key) = bearer(&request) else { return refuse(RefusalReason::KeyUnknown) };
+    let read_timeout = Duration::from_millis(context.limits.request_read_timeout_ms);
+    let arrived = context.exchange.clock.now();
+    let body = read_body(&mut request, context.limits.max_body_bytes);
+    let body = match tokio::time::timeout(read_timeout, body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(reason)) => return refuse(reason),
+        Err(_) => return refuse(RefusalReason::ReadTimeout),
     };
     let Some((pool, path)) = pool_path else {
         let path = request.uri().path();
         return job_front::answer(request.method(), path, key, &body, &context.jobs).await;
     };
-    match route(&context, RouteRequest { pool, key }).await {
-        RouteReply::Send { vm, address } => {
-            let response = forward(&request, &path, body, address, &client).await;
-            let _ = context.router.send(RouterMessage::Finished { vm }).await;
-            log_failure(&context.logger, vm, &response);
-            response
+    let Some(deadline) = deadline(&request, &context, arrived) else {
+        return refuse(RefusalReason::Malformed);
+    };
+    let caller_request = CallerRequest {
+        id: RequestId(rand::random()),
+        key: KeyDigest::of(key.as_bytes()),
+        pool,
+        idempotency_key: header_of(&request, IDEMPOTENCY_HEADER)
+            .map(|value| value.as_bytes().to_vec()),
+        deadline,
+        request: upstream_request(&request, path, body),
+    };
+    let is_bodyless = *request.method() == Method::HEAD;
+    match exchange::spawn(context.exchange, caller_request).await {
+        Ok(Reply::Answer(answer)) => local_answer(&answer),
+        Ok(Reply::Upstream { status, headers, length, body }) => {
+            let mut builder = Response::build(status);
+            for (name, value) in &headers {
+                builder.append_header((name.clone(), value.clone()));
+            }
+            with_body(&mut builder, status, is_bodyless, length, body)
         }
-        RouteReply::KeyNotGranted => refusal(StatusCode::UNAUTHORIZED, "key_not_granted"),
-        RouteReply::PoolUnknown => refusal(StatusCode::NOT_FOUND, "pool_unknown"),
-        RouteReply::ViewStale => refusal(StatusCode::SERVICE_UNAVAILABLE, "view_stale"),
-        RouteReply::NoUpstream => refusal(StatusCode::SERVICE_UNAVAILABLE, "no_upstream"),
+        // The task of the request failed after it may have been sent.
+        Err(_) => Response::build(StatusCode::INTERNAL_SERVER_ERROR)
+            .force_close()
+            .body(r#"{"not_run":false,"outcome":"unknown","reason":"internal"}"#)
+            .map_into_boxed_body(),
     }
 }
 
-fn log_failure(logger: &Logger, vm: VmId, response: &Response<BoxBody>) {
-    if response.status() == StatusCode::BAD_GATEWAY {
-        warn!(logger, "upstream failed"; "vm" => vm.0);
-    }
+fn split_path(request: &Request) -> Option<(String, String)> {
+    let path = request.uri().path_and_query()?.as_str().strip_prefix("/pools/")?;
+    let end = path.find(['/', '?']).unwrap_or(path.len());
+    let (pool, rest) = path.split_at(end);
+    let rest = if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") };
+    (!pool.is_empty()).then(|| (pool.to_owned(), rest))
 }
 
-async fn route(context: &CallerContext, request: RouteRequest) -> RouteReply {
-    let (reply, answer) = oneshot::channel();
-    if context.router.send(RouterMessage::Route { request, reply }).await.is_err() {
-        return RouteReply::ViewStale;
-    }
-    answer.await.unwrap_or(RouteReply::ViewStale)
+fn header_of<'a>(request: &'a Request, name: &str) -> Option<&'a header::HeaderValue> {
+    request.headers().get(name)
 }
 
-fn is_job_path(path: &str) -> bool {
-    path == "/jobs" || path.starts_with("/jobs/")
+fn bearer(request: &Request) -> Option<String> {
+    let value = header_of(request, "authorization")?.to_str().ok()?;
+    Some(value.strip_prefix("Bearer ")?.to_owned())
 }
 
-fn split_path(path: &str) -> Option<(String, String)> {
-    let rest = path.strip_prefix("/pools/")?;
-    let (pool, path) = rest.split_once('/').unwrap_or((rest, ""));
-    Some((pool.to_owned(), format!("/{path}")))
+/// The deadline of a request; `None` if its header is not valid.
+fn deadline<U>(request: &Request, context: &CallerContext<U>, arrived: TimeMs) -> Option<TimeMs> {
+    let Some(value) = header_of(request, DEADLINE_HEADER) else {
+        return Some(arrived.plus(context.limits.default_deadline_ms));
+    };
+    let deadline_ms: u64 = value.to_str().ok()?.parse().ok()?;
+    Some(arrived.plus(deadline_ms.min(MAX_DEADLINE_MS)))
 }
 
-fn bearer(request: &Request) -> Option<String> {
-    let value = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
-    Some(value.strip_prefix("Bearer ")?.to_owned())
+fn upstream_request(request: &Request, path: String, body: Bytes) -> UpstreamRequest {
+    let mut headers = request.headers().clone();
+    remove_hop_headers(&mut headers);
+    // The key is for this process.
+    headers.remove(header::AUTHORIZATION);
+    UpstreamRequest { method: request.method().clone(), path, headers, body }
 }
 
-async fn read_body(request: &mut Request) -> Result<BytesMut, Response<BoxBody>> {
+async fn read_body(request: &mut Request, max_bytes: u64) -> Result<Bytes, RefusalReason> {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| refusal(StatusCode::BAD_REQUEST, "body_incomplete"))?;
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| RefusalReason::Malformed)?;
+        if (body.len() + part.len()) as u64 > max_bytes {
+            return Err(RefusalReason::BodyTooLarge);
         }
-        body.extend_from_slice(&chunk);
+        body.extend_from_slice(&part);
     }
-    Ok(body)
+    Ok(body.freeze())
+}
+
+fn refuse(reason: RefusalReason) -> Response<BoxBody> {
+    let phase = Undispatched::new(Repeatability::Once, TimeMs::default());
+    local_answer(&Answer::NotRun(phase.refuse(reason, None)))
 }
 
-async fn forward(
-    request: &Request,
-    path: &str,
-    body: BytesMut,
-    address: SocketAddr,
-    client: &awc::Client,
+fn local_answer(answer: &Answer) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(answer.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = Response::build(status);
+    builder.insert_header((header::CONTENT_TYPE, "application/json"));
+    if let Some(seconds) = answer.retry_after_s() {
+        builder.insert_header((header::RETRY_AFTER, seconds.to_string()));
+    }
+    let body = serde_json::to_string(&answer.body()).unwrap_or_default();
+    builder.body(body).map_into_boxed_body()
+}
+
+fn with_body(
+    builder: &mut ResponseBuilder,
+    status: StatusCode,
+    is_bodyless: bool,
+    length: Option<u64>,
+    body: mpsc::Receiver<BodyPart>,
 ) -> Response<BoxBody> {
-    let url = format!("http://{address}{path}");
-    let call = client.request(request.method().clone(), url).send_body(body.freeze());
-    match call.await {
-        Ok(mut upstream) => match upstream.body().limit(MAX_BODY_BYTES).await {
-            Ok(body) => Response::build(upstream.status()).body(body).map_into_boxed_body(),
-            Err(_) => unknown(StatusCode::BAD_GATEWAY),
-        },
-        Err(awc::error::SendRequestError::Connect(_)) => {
-            refusal(StatusCode::SERVICE_UNAVAILABLE, "upstream_unreachable")
+    if is_bodyless || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+        if let Some(length) = length {
+            builder.no_chunking(length);
         }
-        Err(_) => unknown(StatusCode::BAD_GATEWAY),
+        return builder.body(()).map_into_boxed_body();
+    }
+    match length {
+        Some(length) => boxed(builder, SizedStream::new(length, parts(body))),
+        None => boxed(builder, BodyStream::new(parts(body))),
     }
 }
 
-fn refusal(status: StatusCode, reason: &str) -> Response<BoxBody> {
-    let body = serde_json::json!({ "not_run": true, "reason": reason });
-    json_response(status, &body)
+fn boxed<B>(builder: &mut ResponseBuilder, body: B) -> Response<BoxBody>
+where
+    B: MessageBody + 'static,
+{
+    builder.body(body).map_into_boxed_body()
 }
 
-fn unknown(status: StatusCode) -> Response<BoxBody> {
-    json_response(status, &serde_json::json!({ "outcome": "unknown" }))
-}
+/// A body that was cut.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer of the upstream was cut")]
+struct BodyCut;
 
-fn json_response(status: StatusCode, body: &serde_json::Value) -> Response<BoxBody> {
-    let mut builder = Response::build(status);
-    builder.insert_header((header::CONTENT_TYPE, "application/json"));
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        builder.insert_header((header::RETRY_AFTER, "1"));
-    }
-    builder.body(body.to_string()).map_into_boxed_body()
+/// Parts of a body. It ends with an error, which aborts the connection, unless
+/// its end was passed on.
+fn parts(body: mpsc::Receiver<BodyPart>) -> Pin<Box<dyn Stream<Item = Result<Bytes, BodyCut>>>> {
+    let parts = stream::unfold(Some(body), |body| async move {
+        let mut body = body?;
+        match body.recv().await {
+            Some(BodyPart::Data(data)) => Some((Ok(data), Some(body))),
+            Some(BodyPart::End) => None,
+            None => Some((Err(BodyCut), None)),
+        }
+    });
+    Box::pin(parts)
 }
--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -2,7 +2,12 @@
 //! fakes of tests implement.
 
 use std::future::Future;
+use std::net::SocketAddr;
 
+use actix_http::Method;
+use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
 use cowslipport_lib::ids::Epoch;
 use cowslipport_lib::ids::Offset;
 use cowslipport_lib::job::TaskAction;
@@ -162,3 +167,68 @@
     /// A client of the worker at `address`, or nothing if that is no address.
     fn connect(&self, address: &str) -> Option<Self::Client>;
 }
+
+/// A request for an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Why an upstream did not answer, or not whole.
+#[derive(Debug, thiserror::Error)]
+pub enum UpstreamError {
+    /// No byte of the request was sent.
+    #[error("upstream cannot be connected to: {reason}")]
+    NotSent {
+        /// What the client saw.
+        reason: String,
+    },
+    /// A part of the request may have arrived.
+    #[error("exchange with the upstream broke: {reason}")]
+    Broken {
+        /// What the client saw.
+        reason: String,
+    },
+}
+
+/// Head of an upstream's answer, with the body to be read.
+#[derive(Debug)]
+pub struct UpstreamResponse<B> {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Length of the body, if the head tells it.
+    pub length: Option<u64>,
+    /// True if the upstream closes the connection.
+    pub closes: bool,
+    /// The body.
+    pub body: B,
+}
+
+/// Body of an upstream's answer.
+pub trait UpstreamBody: 'static {
+    /// The next part, or nothing at the end of a whole body. A body that was
+    /// cut ends with an error.
+    fn next(&mut self) -> impl Future<Output = Result<Option<Bytes>, UpstreamError>>;
+}
+
+/// Calls upstream instances.
+pub trait Upstream: Clone + 'static {
+    /// Body of an answer.
+    type Body: UpstreamBody;
+
+    /// Sends a request and reads the head of the answer.
+    fn send(
+        &self,
+        address: SocketAddr,
+        request: &UpstreamRequest,
+    ) -> impl Future<Output = Result<UpstreamResponse<Self::Body>, UpstreamError>>;
+}
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -20,6 +20,8 @@
 use crate::jobs_task::JobsMessage;
 use crate::journal_task::JournalHandle;
 use crate::peer_task::PeerMessage;
+use crate::witness_task::WitnessMessage;
+use crate::witness_wire;
 
 const MAX_FETCHED_RECORDS: usize = 1024;
 
@@ -33,6 +35,8 @@
     pub(crate) jobs: mpsc::Sender<JobsMessage>,
     /// Address of the journal.
     pub(crate) journal: JournalHandle,
+    /// Mailbox of the witness task.
+    pub(crate) witness: mpsc::Sender<WitnessMessage>,
     /// Name of this process.
     pub(crate) name: String,
 }
@@ -41,6 +45,10 @@
     async fn tell_jobs(&self, message: JobsMessage) -> Result<(), Status> {
         self.jobs.send(message).await.map_err(|_| stopping())
     }
+
+    async fn tell_witness(&self, message: WitnessMessage) -> Result<(), Status> {
+        self.witness.send(message).await.map_err(|_| stopping())
+    }
 }
 
 pub(crate) fn stopping() -> Status {
@@ -82,23 +90,42 @@
 
     async fn record_attempt(
         &self,
-        _request: Request<raw::RecordAttemptRequest>,
+        request: Request<raw::RecordAttemptRequest>,
     ) -> Result<Response<raw::RecordAttemptReply>, Status> {
-        Err(Status::unimplemented("idempotency witnesses are not built yet"))
+        let request = request.into_inner();
+        let key = witness_wire::key(&request.key_hash).ok_or_else(|| invalid("key_hash"))?;
+        let attempt = witness_wire::attempt(request.session, request.attempt);
+        let epoch = Offset(request.membership_epoch);
+        let (reply, answer) = oneshot::channel();
+        self.tell_witness(WitnessMessage::Record { epoch, key, attempt, reply }).await?;
+        let answer = answer.await.map_err(|_| stopping())?;
+        Ok(Response::new(witness_wire::raw_answer(answer)))
     }
 
     async fn finish_attempt(
         &self,
-        _request: Request<raw::FinishAttemptRequest>,
+        request: Request<raw::FinishAttemptRequest>,
     ) -> Result<Response<raw::FinishAttemptReply>, Status> {
-        Err(Status::unimplemented("idempotency witnesses are not built yet"))
+        let request = request.into_inner();
+        let key = witness_wire::key(&request.key_hash).ok_or_else(|| invalid("key_hash"))?;
+        let attempt = witness_wire::attempt(request.session, request.attempt);
+        let state = witness_wire::state(request.state(), request.status);
+        let state = state.ok_or_else(|| invalid("state"))?;
+        self.tell_witness(WitnessMessage::Finish { key, attempt, state }).await?;
+        Ok(Response::new(raw::FinishAttemptReply {}))
     }
 
     async fn pull_attempts(
         &self,
-        _request: Request<raw::PullAttemptsRequest>,
+        request: Request<raw::PullAttemptsRequest>,
     ) -> Result<Response<raw::PullAttemptsReply>, Status> {
-        Err(Status::unimplemented("idempotency witnesses are not built yet"))
+        let epoch = Offset(request.into_inner().membership_epoch);
+        let (reply, answer) = oneshot::channel();
+        self.tell_witness(WitnessMessage::Pull { epoch, reply }).await?;
+        let entries = answer.await.map_err(|_| stopping())?;
+        let accepted = entries.is_some();
+        let entries = entries.iter().flatten().map(witness_wire::raw_entry).collect();
+        Ok(Response::new(raw::PullAttemptsReply { accepted, entries }))
     }
 
     async fn submit_job(
--- a/daemon/src/router_task.rs
+++ b/daemon/src/router_task.rs
@@ -5,25 +5,34 @@
 use std::time::Duration;
 
 use cowslipport_lib::control::ControlState;
-use cowslipport_lib::freshness::ViewState;
+use cowslipport_lib::ejection::ExchangeResult;
 use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::ids::TeamId;
 use cowslipport_lib::ids::VmId;
+use cowslipport_lib::keys::KeyDigest;
+use cowslipport_lib::refusal::RefusalReason;
 use cowslipport_lib::replica::ControlFeed;
-use sha2::Digest;
-use sha2::Sha256;
+use cowslipport_lib::replica::ReplicaChange;
+use cowslipport_lib::route_queue::RequestId;
+use cowslipport_lib::routing::RouteDecision;
+use cowslipport_lib::routing::RouteRequest;
+use cowslipport_lib::routing::Router;
+use cowslipport_lib::routing::RouterSettings;
+use metrics::counter;
 use slog::Logger;
 use slog::info;
-use subtle::ConstantTimeEq;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::authority::View;
 use crate::clock::Clock;
 use crate::peer_task::PeerMessage;
+use crate::placement_log::vm_name;
 
 const MAILBOX_MESSAGES: usize = 4096;
 const IN_FLIGHT_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the deadlines of waiting requests are looked at.
+const QUEUE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Messages of the router task.
 pub(crate) enum RouterMessage {
@@ -33,19 +42,15 @@
     View(View),
     /// Requests in flight from another process.
     PeerInFlight { session: SessionId, in_flight: BTreeMap<VmId, u32> },
-    /// Asks for an upstream.
+    /// Asks for the team of a key.
+    Team { key: KeyDigest, reply: oneshot::Sender<Option<TeamId>> },
+    /// Asks for an upstream. A closed reply channel means that the caller is
+    /// gone.
     Route { request: RouteRequest, reply: oneshot::Sender<RouteReply> },
+    /// The caller of a waiting request is gone.
+    Abandon(RequestId),
     /// A request that was sent to a VM ended.
-    Finished { vm: VmId },
-}
-
-/// A request that asks for an upstream.
-#[derive(Debug)]
-pub(crate) struct RouteRequest {
-    /// Name of the pool.
-    pub(crate) pool: String,
-    /// Key of the team, as presented.
-    pub(crate) key: String,
+    Finished { vm: VmId, result: ExchangeResult },
 }
 
 /// Answer to a request for an upstream.
@@ -58,14 +63,18 @@
         /// Address of its upstream instance.
         address: SocketAddr,
     },
-    /// The key is not granted.
-    KeyNotGranted,
-    /// The pool does not exist.
-    PoolUnknown,
-    /// The view is stale.
-    ViewStale,
-    /// No upstream is in service.
-    NoUpstream,
+    /// Refuse the request.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// Time after which a second try may succeed.
+        retry_after_ms: Option<u64>,
+    },
+}
+
+struct Waiting {
+    pool: String,
+    reply: oneshot::Sender<RouteReply>,
 }
 
 /// The mailbox of a router task that is about to start.
@@ -80,13 +89,14 @@
     peer: mpsc::Sender<PeerMessage>,
     state: ControlState,
     view: View,
-    own: BTreeMap<VmId, u32>,
-    peers: BTreeMap<SessionId, BTreeMap<VmId, u32>>,
+    router: Router,
+    waiting: BTreeMap<RequestId, Waiting>,
 }
 
 impl RouterTask {
     /// Starts the task. It ends when its mailbox is closed.
     pub(crate) fn spawn(
+        settings: RouterSettings,
         clock: Clock,
         logger: Logger,
         peer: mpsc::Sender<PeerMessage>,
@@ -98,98 +108,138 @@
             peer,
             state: ControlState::default(),
             view: View::STALE,
-            own: BTreeMap::new(),
-            peers: BTreeMap::new(),
+            router: Router::new(settings),
+            waiting: BTreeMap::new(),
         };
         actix_rt::spawn(task.run(receiver));
     }
 
     async fn run(mut self, mut receiver: mpsc::Receiver<RouterMessage>) {
-        let mut ticks = tokio::time::interval(IN_FLIGHT_INTERVAL);
+        let mut reports = tokio::time::interval(IN_FLIGHT_INTERVAL);
+        let mut deadlines = tokio::time::interval(QUEUE_INTERVAL);
+        deadlines.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 message = receiver.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                _ = ticks.tick() => {
+                _ = reports.tick() => {
+                    let in_flight = self.router.in_flight().collect();
                     // The next report carries newer counts.
-                    let _ = self.peer.try_send(PeerMessage::InFlight(self.own.clone()));
+                    let _ = self.peer.try_send(PeerMessage::InFlight(in_flight));
                 }
+                _ = deadlines.tick(), if !self.waiting.is_empty() => {}
             }
+            self.decide_waiting();
         }
     }
 
     fn handle(&mut self, message: RouterMessage) {
+        let now = self.clock.now();
         match message {
-            RouterMessage::Control(feed) => {
-                self.state.follow(&feed);
-                self.peers.retain(|session, _| self.state.sessions.contains_key(session));
-            }
+            RouterMessage::Control(feed) => match self.state.follow(&feed) {
+                ReplicaChange::All => self.router.rebuild(now, &self.state),
+                ReplicaChange::Some(changes) => self.router.refresh(now, &self.state, &changes),
+            },
             RouterMessage::View(view) => self.view = view,
             RouterMessage::PeerInFlight { session, in_flight } => {
-                self.peers.insert(session, in_flight);
-            }
-            RouterMessage::Route { request, reply } => {
-                let answer = self.route(&request);
-                if let Err(RouteReply::Send { vm, .. }) = reply.send(answer) {
-                    self.finished(vm);
+                if self.state.sessions.contains_key(&session) {
+                    self.router.set_peer_in_flight(now, session, in_flight);
                 }
             }
-            RouterMessage::Finished { vm } => self.finished(vm),
+            RouterMessage::Team { key, reply } => {
+                // The asker may be gone.
+                let _ = reply.send(self.router.team(&key));
+            }
+            RouterMessage::Route { request, reply } => self.route(request, reply),
+            RouterMessage::Abandon(id) => {
+                self.router.abandon(id);
+                self.waiting.remove(&id);
+            }
+            RouterMessage::Finished { vm, result } => self.router.finished(now, vm, result),
         }
     }
 
-    fn finished(&mut self, vm: VmId) {
-        if let Some(count) = self.own.get_mut(&vm) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
-                self.own.remove(&vm);
-            }
+    fn route(&mut self, request: RouteRequest, reply: oneshot::Sender<RouteReply>) {
+        let now = self.clock.now();
+        self.router.set_view(self.view.at(now));
+        let (id, pool) = (request.id, request.pool.clone());
+        let decision = self.router.route(now, request);
+        self.log(&pool, id, &decision);
+        if matches!(decision, RouteDecision::Queue { .. }) {
+            self.waiting.insert(id, Waiting { pool, reply });
+        } else {
+            self.answer(reply, &decision);
         }
     }
 
-    fn route(&mut self, request: &RouteRequest) -> RouteReply {
-        if self.view.at(self.clock.now()) == ViewState::Stale {
-            return RouteReply::ViewStale;
+    fn decide_waiting(&mut self) {
+        if self.waiting.is_empty() {
+            return;
         }
-        let Some(team) = self.team_of_key(&request.key) else { return RouteReply::KeyNotGranted };
-        let Some(pool) = self.state.pool_by_name(&request.pool) else {
-            return RouteReply::PoolUnknown;
-        };
-        let mut eligible: Vec<(u32, VmId, SocketAddr)> = Vec::new();
-        for (id, vm) in self.state.vms.iter().filter(|(_, vm)| vm.pool == pool) {
-            if self.state.is_routable(vm)
-                && let Ok(address) = vm.joined.upstream_address.parse()
-            {
-                eligible.push((self.known_in_flight(id), id, address));
-            }
+        let now = self.clock.now();
+        self.router.set_view(self.view.at(now));
+        for event in self.router.expire(now) {
+            let Some(waiting) = self.waiting.remove(&event.id) else { continue };
+            self.log(&waiting.pool, event.id, &event.decision);
+            self.answer(waiting.reply, &event.decision);
         }
-        let Some((in_flight, vm, address)) = eligible.iter().min().copied() else {
-            return RouteReply::NoUpstream;
-        };
-        *self.own.entry(vm).or_insert(0) += 1;
-        info!(self.logger, "request routed"; "subject" => &request.pool, "team" => team.0,
-            "decision" => vm.0, "reason" => "least_in_flight", "in_flight" => in_flight,
-            "eligible" => eligible.len());
-        RouteReply::Send { vm, address }
     }
 
-    fn known_in_flight(&self, vm: VmId) -> u32 {
-        let others: u32 = self.peers.values().filter_map(|counts| counts.get(&vm)).sum();
-        self.own.get(&vm).copied().unwrap_or(0) + others
+    fn answer(&mut self, reply: oneshot::Sender<RouteReply>, decision: &RouteDecision) {
+        let answer = match decision {
+            RouteDecision::Send { vm, .. } => {
+                match self.router.address(*vm).and_then(|address| address.parse().ok()) {
+                    Some(address) => RouteReply::Send { vm: *vm, address },
+                    None => {
+                        let result = ExchangeResult::ConnectFailed;
+                        self.router.finished(self.clock.now(), *vm, result);
+                        let reason = RefusalReason::NoUpstream;
+                        RouteReply::Refuse { reason, retry_after_ms: None }
+                    }
+                }
+            }
+            RouteDecision::Refuse { reason, retry_after_ms } => {
+                RouteReply::Refuse { reason: *reason, retry_after_ms: *retry_after_ms }
+            }
+            RouteDecision::Queue { .. } => return,
+        };
+        if let Err(RouteReply::Send { vm, .. }) = reply.send(answer) {
+            self.router.finished(self.clock.now(), vm, ExchangeResult::Abandoned);
+        }
     }
 
-    fn team_of_key(&self, key: &str) -> Option<TeamId> {
-        let hash = Sha256::digest(key.as_bytes());
-        let mut found = None;
-        for (id, team) in self.state.teams.iter() {
-            for granted in &team.spec.keys {
-                if bool::from(granted.sha256.ct_eq(hash.as_slice())) {
-                    found = Some(id);
-                }
+    fn log(&self, pool: &str, id: RequestId, decision: &RouteDecision) {
+        match decision {
+            RouteDecision::Send { vm, reason, eligible } => {
+                counter!("cowslipport_routing_decisions_total", "decision" => "send",
+                    "reason" => reason.name())
+                .increment(1);
+                let names = || -> Vec<String> {
+                    eligible.iter().map(|vm| vm_name(&self.state, *vm)).collect()
+                };
+                info!(self.logger, "request routed"; "subject" => pool, "request" => id.0,
+                    "decision" => "send", "choice" => vm_name(&self.state, *vm),
+                    "reason" => reason.name(),
+                    "eligible" => slog::FnValue(|_| names().join(",")));
+            }
+            RouteDecision::Queue { position } => {
+                counter!("cowslipport_routing_decisions_total", "decision" => "queue",
+                    "reason" => "no_free_slot")
+                .increment(1);
+                info!(self.logger, "request routed"; "subject" => pool, "request" => id.0,
+                    "decision" => "queue", "choice" => position, "reason" => "no_free_slot",
+                    "eligible" => "");
+            }
+            RouteDecision::Refuse { reason, .. } => {
+                counter!("cowslipport_routing_decisions_total", "decision" => "refuse",
+                    "reason" => reason.name())
+                .increment(1);
+                info!(self.logger, "request routed"; "subject" => pool, "request" => id.0,
+                    "decision" => "refuse", "choice" => "", "reason" => reason.name(),
+                    "eligible" => "");
             }
         }
-        found
     }
 }
--- a/daemon/src/subscriber.rs
+++ b/daemon/src/subscriber.rs
@@ -11,6 +11,7 @@
 use crate::peer_task::PeerMessage;
 use crate::placement_task::PlacementMessage;
 use crate::router_task::RouterMessage;
+use crate::witness_task::WitnessMessage;
 
 /// What a read of the log told about the log.
 #[derive(Clone, Debug)]
@@ -43,6 +44,8 @@
     Placement(mpsc::Sender<PlacementMessage>),
     /// The task for job calls.
     Jobs(mpsc::Sender<JobsMessage>),
+    /// The witness task.
+    Witness(mpsc::Sender<WitnessMessage>),
 }
 
 impl Subscriber {
@@ -58,6 +61,7 @@
             }
             Self::Placement(sender) => sender.send(PlacementMessage::Control(feed)).await.is_ok(),
             Self::Jobs(sender) => sender.send(JobsMessage::Control(feed)).await.is_ok(),
+            Self::Witness(sender) => sender.send(WitnessMessage::Control(feed)).await.is_ok(),
         };
     }
 
@@ -71,7 +75,8 @@
             | Self::Fleet(_)
             | Self::Maintenance(_)
             | Self::Placement(_)
-            | Self::Jobs(_) => {}
+            | Self::Jobs(_)
+            | Self::Witness(_) => {}
         }
     }
 }
--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -169,6 +169,16 @@
         }
     }
 
+    /// True if another upstream may be tried after one failed.
+    pub fn may_try_again(&self) -> bool {
+        match self {
+            Self::Undispatched(undispatched) => undispatched.tries + 1 < MAX_TRIES,
+            Self::Dispatched(Dispatched { tries, repeatability, .. }) => {
+                *repeatability == Repeatability::Repeatable && tries + 1 < MAX_TRIES
+            }
+        }
+    }
+
     /// No upstream can be tried (again). After dispatch the outcome is
     /// unknown, whatever the reason.
     pub fn give_up(
@@ -188,15 +198,14 @@
     /// A try failed. Before dispatch every method may be tried again, after it
     /// only a repeatable one.
     pub fn failed(mut self, now: TimeMs, cause: UnknownCause, rng: &mut ChaCha8Rng) -> FailureStep {
-        let (tries, deadline, may_repeat) = match &mut self {
-            Self::Undispatched(Undispatched { tries, deadline, .. }) => (tries, *deadline, true),
-            Self::Dispatched(Dispatched { tries, deadline, repeatability }) => {
-                (tries, *deadline, *repeatability == Repeatability::Repeatable)
-            }
+        let may_try_again = self.may_try_again();
+        let (tries, deadline) = match &mut self {
+            Self::Undispatched(Undispatched { tries, deadline, .. })
+            | Self::Dispatched(Dispatched { tries, deadline, .. }) => (tries, *deadline),
         };
         *tries += 1;
         let wait_ms = backoff_ms(*tries, rng);
-        if may_repeat && *tries < MAX_TRIES && now.plus(wait_ms) < deadline {
+        if may_try_again && now.plus(wait_ms) < deadline {
             return FailureStep::TryAgain { phase: self, wait_ms };
         }
         FailureStep::GiveUp(self.give_up(RefusalReason::ConnectFailed, None, cause))
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -81,6 +81,18 @@
     FreeSlot,
 }
 
+impl RouteReason {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::LocalHomeSlot => "local_home_slot",
+            Self::HomeSlot => "home_slot",
+            Self::LocalFreeSlot => "local_free_slot",
+            Self::FreeSlot => "free_slot",
+        }
+    }
+}
+
 /// What to do with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RouteDecision {
--- a/lib/tests/request_fleet/mod.rs
+++ b/lib/tests/request_fleet/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test crate uses a part")]
 
+use std::sync::Arc;
+
 use cowslipport_lib::config::ConfigChange;
 use cowslipport_lib::config::ConfigCommit;
 use cowslipport_lib::config::DataCentreOutPolicy;
@@ -114,7 +116,7 @@
 }
 
 fn join(index: u32) -> VmObservation {
-    VmObservation::Joined(VmJoined {
+    VmObservation::Joined(Arc::new(VmJoined {
         name: format!("vm-{index}"),
         data_centre: format!("dc{}", index % 4 + 1),
         rack: format!("r{}", index / 4),
@@ -122,5 +124,5 @@
         worker_address: "127.0.0.1:2".to_owned(),
         upstream_address: format!("127.0.0.1:{}", 10_000 + index),
         capacity: Resources::ZERO,
-    })
+    }))
 }
