--- a/demo/src/report.rs
+++ b/demo/src/report.rs
@@ -71,7 +71,7 @@
     if let Some(process) = processes.first() {
         let addresses = process.addresses();
         println!("  export COWSLIPPORT_SERVER={}", addresses.peers);
-        println!("  export COWSLIPPORT_OPERATOR_TOKEN={OPERATOR_TOKEN}");
+        println!("  export COWSLIPPORT_TOKEN={OPERATOR_TOKEN}");
         println!("  cargo run -p cowslipport-cli -- status");
         println!(
             "  curl -H 'Authorization: Bearer {key}' http://{}/pools/web/slots",
