daemon: the target of a line is that of its task's logger

Lines of tasks had two `target` keys, one from the logger of the task and one from the log's own rule (tag or module). The logger's value is now the only one, for levels too.

Before: `"target":"job_stream","target":"placement"` in a run of three daemons. After: one key (daemon/tests/test_logging.rs).

--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -4,10 +4,11 @@
 //! never wait for it: a record that finds the mailbox full is counted and
 //! dropped. The thread owns the destination and the state of the sampling.
 //!
-//! The target of a line is the tag of its record or, without a tag, the name
-//! of its module without `_task`.
+//! The target of a line is the value `target` of its logger, which each task
+//! sets. A line without one has the default level.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::io;
 use std::io::Write;
 use std::panic::RefUnwindSafe;
@@ -26,12 +27,14 @@
 use cowslipport_lib::settings::LogLevel;
 use cowslipport_lib::settings::Logging;
 use slog::Drain;
-use slog::FnValue;
+use slog::KV;
+use slog::Key;
 use slog::Level;
 use slog::Logger;
 use slog::Never;
 use slog::OwnedKVList;
 use slog::Record;
+use slog::Serializer;
 use slog::b;
 use slog::o;
 use slog::record;
@@ -51,6 +54,9 @@
 /// that does not take them must not keep the process from ending.
 const FINISH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Key of the value that names the target of a logger.
+const TARGET_KEY: &str = "target";
+
 /// Where lines go.
 pub enum Destination {
     /// Standard error, with colours if it is a terminal and the form is
@@ -136,9 +142,32 @@
 }
 
 impl Levels {
-    fn accept(&self, record: &Record<'_>) -> bool {
-        let level = self.targets.get(target_of(record)).copied().unwrap_or(self.default);
-        record.level().is_at_least(level)
+    fn accept(&self, record: &Record<'_>, values: &OwnedKVList) -> bool {
+        let mut found = FoundLevel { targets: &self.targets, level: None };
+        if !self.targets.is_empty() {
+            // The serializer returns no error.
+            let _ = values.serialize(record, &mut found);
+        }
+        record.level().is_at_least(found.level.unwrap_or(self.default))
+    }
+}
+
+/// Looks for the level of the innermost target of a logger.
+struct FoundLevel<'a> {
+    targets: &'a BTreeMap<String, Level>,
+    level: Option<Level>,
+}
+
+impl Serializer for FoundLevel<'_> {
+    fn emit_arguments(&mut self, _key: Key, _value: &fmt::Arguments<'_>) -> slog::Result {
+        Ok(())
+    }
+
+    fn emit_str(&mut self, key: Key, value: &str) -> slog::Result {
+        if key == TARGET_KEY && self.level.is_none() {
+            self.level = self.targets.get(value).copied();
+        }
+        Ok(())
     }
 }
 
@@ -152,15 +181,6 @@
     }
 }
 
-fn target_of<'a>(record: &'a Record<'_>) -> &'a str {
-    if !record.tag().is_empty() {
-        return record.tag();
-    }
-    let module = record.module();
-    let name = module.rsplit("::").next().unwrap_or(module);
-    name.strip_suffix("_task").unwrap_or(name)
-}
-
 /// Hands records to the log thread.
 struct MailboxDrain {
     mailbox: SyncSender<Message>,
@@ -179,7 +199,7 @@
     type Err = Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
-        if !self.levels.accept(record) {
+        if !self.levels.accept(record, values) {
             return Ok(());
         }
         let message = Message::Record {
@@ -220,12 +240,7 @@
 }
 
 fn json(writer: Box<dyn Write + Send>) -> slog_json::Json<Box<dyn Write + Send>> {
-    let target = FnValue(|record: &Record<'_>| target_of(record).to_owned());
-    slog_json::Json::new(writer)
-        .add_default_keys()
-        .add_key_value(o!("target" => target))
-        .set_flush(true)
-        .build()
+    slog_json::Json::new(writer).add_default_keys().set_flush(true).build()
 }
 
 /// What the log thread receives.
@@ -284,8 +299,10 @@
 fn report_dropped(lines: u64, output: &Output) {
     if lines > 0 {
         let message = format_args!("log lines dropped");
-        let values = b!("lines" => lines, "reason" => "the destination is too slow");
-        let _ = output.log(&record!(Level::Warning, "logging", &message, values), &o!().into());
+        let values = b!(
+            "lines" => lines, "reason" => "the destination is too slow", TARGET_KEY => "logging"
+        );
+        let _ = output.log(&record!(Level::Warning, "", &message, values), &o!().into());
     }
 }
 
@@ -294,8 +311,8 @@
         let message = format_args!("log lines suppressed");
         let values = b!(
             "lines" => lines, "subject" => subject, "file" => site.file, "line" => site.line,
-            "reason" => "too many of this line in a second"
+            "reason" => "too many of this line in a second", TARGET_KEY => "logging"
         );
-        let _ = output.log(&record!(Level::Warning, "logging", &message, values), &o!().into());
+        let _ = output.log(&record!(Level::Warning, "", &message, values), &o!().into());
     }
 }
--- a/daemon/tests/test_logging.rs
+++ b/daemon/tests/test_logging.rs
@@ -17,6 +17,7 @@
 use slog::Logger;
 use slog::debug;
 use slog::info;
+use slog::o;
 use slog::warn;
 
 /// Takes no byte until its gate opens, and tells of the first attempt.
@@ -81,25 +82,31 @@
     let Ok(mut value) = serde_json::from_str::<serde_json::Value>(line) else {
         return line.split_once(" INFO ").map_or(line, |(_, rest)| rest).to_owned();
     };
-    value.as_object_mut().expect("a line is an object").remove("ts").expect("a line has a time");
+    let object = value.as_object_mut().expect("a line is an object");
+    object.remove("ts").expect("a line has a time");
+    // The line in this file.
+    object.remove("line");
     value.to_string()
 }
 
-/// Guards against a line without its target, and a target whose level is not
-/// the one of the settings.
+/// Guards against a target whose level is not the one of the settings, and
+/// against a target that stands twice in a line.
 #[test]
 fn levels_hold_for_each_target() {
     let target_levels =
-        [("router".to_owned(), LogLevel::Debug), ("test_logging".to_owned(), LogLevel::Warning)];
+        [("router".to_owned(), LogLevel::Debug), ("peers".to_owned(), LogLevel::Warning)];
     let settings = Logging { target_levels: target_levels.into(), ..Logging::default() };
     let log = Log::start(&settings);
-    info!(log.logger, "module has level warning");
-    warn!(log.logger, "by module"; "subject" => "vm-1", "eligible" => 3);
-    debug!(log.logger, # "router", "by tag"; "reason" => "free slot");
-    debug!(log.logger, # "exchange", "default level is info");
+    let process = log.logger.new(o!("process" => "entry-1"));
+    let (router, peers) =
+        (process.new(o!("target" => "router")), process.new(o!("target" => "peers")));
+    debug!(router, "written, level debug"; "subject" => "vm-1", "eligible" => 3);
+    info!(peers, "not written, level warning");
+    warn!(peers, "written, level warning"; "reason" => "silent");
+    debug!(process, "not written, default level");
     insta::assert_snapshot!(log.lines().join("\n"), @r#"
-{"eligible":3,"level":"WARN","msg":"by module","subject":"vm-1","target":"test_logging"}
-{"level":"DEBG","msg":"by tag","reason":"free slot","target":"router"}
+{"eligible":3,"level":"DEBG","msg":"written, level debug","process":"entry-1","subject":"vm-1","target":"router"}
+{"level":"WARN","msg":"written, level warning","process":"entry-1","reason":"silent","target":"peers"}
 "#);
 }
 
@@ -143,8 +150,8 @@
     // 200 lines, then one in 100 of the other 300.
     assert_eq!(lines.iter().filter(|line| line.contains(r#""msg":"flood""#)).count(), 203);
     insta::assert_snapshot!(lines[203..].join("\n"), @r#"
-{"level":"INFO","msg":"other line","target":"test_logging"}
-{"file":"daemon/tests/test_logging.rs","level":"WARN","line":137,"lines":297,"msg":"log lines suppressed","reason":"too many of this line in a second","subject":"flood","target":"logging"}
-{"level":"INFO","msg":"next second","target":"test_logging"}
+{"level":"INFO","msg":"other line"}
+{"file":"daemon/tests/test_logging.rs","level":"WARN","lines":297,"msg":"log lines suppressed","reason":"too many of this line in a second","subject":"flood","target":"logging"}
+{"level":"INFO","msg":"next second"}
 "#);
 }
