--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -126,18 +126,21 @@
         changes.push(pool("spare", true, 0, 50));
         fleet.commit(changes);
         let join = |index: u32| {
-            VmObservation::Joined(VmJoined {
-                name: format!("vm-{index}"),
-                data_centre: format!("dc{}", index / 4 % 3),
-                rack: format!("r{}", index / 4),
-                pool: match index % (pools + 1) {
-                    spare if spare == pools => "spare".to_owned(),
-                    pool => format!("p{pool}"),
-                },
-                worker_address: "127.0.0.1:2".to_owned(),
-                upstream_address: String::new(),
-                capacity: Resources::ZERO,
-            })
+            VmObservation::Joined(
+                VmJoined {
+                    name: format!("vm-{index}"),
+                    data_centre: format!("dc{}", index / 4 % 3),
+                    rack: format!("r{}", index / 4),
+                    pool: match index % (pools + 1) {
+                        spare if spare == pools => "spare".to_owned(),
+                        pool => format!("p{pool}"),
+                    },
+                    worker_address: "127.0.0.1:2".to_owned(),
+                    upstream_address: String::new(),
+                    capacity: Resources::ZERO,
+                }
+                .into(),
+            )
         };
         fleet.apply_valid(RecordBody::VmBatch((0..vms).map(join).collect()));
         for session in [11, 12] {
@@ -148,10 +151,21 @@
                 peer_address: "127.0.0.1:1".to_owned(),
                 lease_ms: 6000,
             }));
+            fleet.confirm_members();
         }
         fleet
     }
 
+    /// Every member says that it has applied all records so far, as the next
+    /// change of the members requires.
+    fn confirm_members(&mut self) {
+        let next_offset = self.state.next_offset;
+        let members: Vec<SessionId> = self.state.sessions.keys().copied().collect();
+        for session in members {
+            self.apply_valid(RecordBody::SessionRenew { session, renewal: 1, next_offset });
+        }
+    }
+
     pub(crate) fn commit(&mut self, changes: Vec<ConfigChange>) {
         let expected_revision = self.state.revision;
         let author = "ana".to_owned();
