--- a/lib/src/route_refresh.rs
+++ b/lib/src/route_refresh.rs
@@ -64,6 +64,7 @@
 
     fn read_teams(&mut self, state: &ControlState) {
         self.keys = TeamKeys::of(state);
+        self.keys_changed = true;
         self.weights = state.teams.iter().map(|(id, team)| (id, team.spec.share_milli)).collect();
     }
 
@@ -106,7 +107,7 @@
             self.forget_if_gone(id);
             return;
         };
-        let in_service = state.is_in_service(vm);
+        let in_service = state.is_routable(vm);
         let slots = pool.spec.slots_per_vm;
         let homes = slots::homes(id, slots, &self.members);
         let old = self.instances.get(&id);
@@ -119,7 +120,11 @@
         {
             self.leave_pool(old_pool, id);
         }
-        let others = self.peers.values().filter_map(|peer| peer.in_flight.get(&id)).sum();
+        let others = self
+            .peers
+            .values()
+            .filter_map(|peer| peer.recent.back().and_then(|counts| counts.get(&id)))
+            .sum();
         let instance = Instance {
             vm: id,
             pool: vm.pool,
