daemon: tests of log outages, cut-off and killed processes; no gap before an outage

Cause: daemon/tests/test_faults.rs with the log down found 2 to 9 of 600 requests refused as stale about 1.75 s into the outage. Two causes: evidence of the outage came up to 500 ms after the loss was seen, and the router's view expired up to 100 ms before the next one was published, although the evidence was there. Ruled out: queueing, ejection, scheduling delays.

Change: exchanges every 200 ms while the log does not answer; the validity of a confirmed view is extended by evidence of an outage.

--- a/daemon/src/peer_task.rs
+++ b/daemon/src/peer_task.rs
@@ -44,6 +44,7 @@
 
 const TICK: Duration = Duration::from_millis(100);
 const EXCHANGE_INTERVAL_MS: u64 = 500;
+const OUTAGE_EXCHANGE_INTERVAL_MS: u64 = 200;
 /// Members that one round of exchanges asks.
 const EXCHANGE_FANOUT: usize = 8;
 const FETCH_RECORDS: u32 = 1024;
@@ -291,7 +292,13 @@
         for body in self.config.keeper.due_records(now, &self.state, &self.freshness) {
             self.append(body);
         }
-        if self.exchanged_at.is_none_or(|at| now.since(at) >= EXCHANGE_INTERVAL_MS) {
+        // Without the log, evidence of an outage must be there before the last
+        // confirmation is too old.
+        let interval_ms = match self.freshness.log_reachable() {
+            true => EXCHANGE_INTERVAL_MS,
+            false => OUTAGE_EXCHANGE_INTERVAL_MS,
+        };
+        if self.exchanged_at.is_none_or(|at| now.since(at) >= interval_ms) {
             self.exchanged_at = Some(now);
             self.exchange(now);
             self.tell_maintenance();
@@ -452,7 +459,7 @@
                 "next_offset" => self.state.next_offset.0);
             self.view = state;
         }
-        let valid_until = self.freshness.valid_until(state, now);
+        let valid_until = self.freshness.valid_until(now, self.me, &self.state);
         let view = View { state, valid_until };
         // A full mailbox only makes the receiver treat its view as stale.
         let _ = self.config.router.try_send(RouterMessage::View(view));
@@ -468,7 +475,7 @@
         let partitions = owned
             .map(|(id, _)| (*id, keeper.start_authority(now, *id, &self.state, self.view)))
             .collect();
-        let view_until = self.freshness.valid_until(self.view, now);
+        let view_until = self.freshness.valid_until(now, self.me, &self.state);
         let valid_until = match (self.view, keeper.lease_until()) {
             (ViewState::Confirmed, Some(lease_until)) => view_until.min(lease_until),
             (ViewState::Confirmed, None) => now,
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -5,14 +5,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_rt::Arbiter;
 use awc::http::Method;
+use cowslipport_daemon::app::Addresses;
 use cowslipport_daemon::app::Daemon;
 use cowslipport_daemon::app::DaemonConfig;
 use cowslipport_daemon::app::PlatformEdges;
+use cowslipport_daemon::edges::LogError;
+use cowslipport_daemon::edges::LogService;
+use cowslipport_daemon::edges::ReadBatch;
 use cowslipport_daemon::platform_client::GrpcLog;
 use cowslipport_daemon::platform_client::GrpcVmList;
 use cowslipport_daemon::worker_client::GrpcWorkers;
 use cowslipport_lib::config::Manifest;
+use cowslipport_lib::ids::Offset;
 use cowslipport_lib::protos::config as raw_config;
 use cowslipport_lib::protos::peer as raw;
 use cowslipport_lib::protos::peer::CommitResult;
@@ -27,6 +33,8 @@
 use slog::Discard;
 use slog::Logger;
 use slog::o;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tonic::Request;
 use tonic::transport::Channel;
 
@@ -86,9 +94,99 @@
     "127.0.0.1:0".parse().expect("the address is valid")
 }
 
-/// A process on the platform.
-pub(crate) async fn start_daemon(name: &str, fleet: &Fleet) -> Daemon {
-    let config = DaemonConfig {
+/// Something that listens like a process.
+pub(crate) trait Entry {
+    /// Addresses that it listens on.
+    fn entry(&self) -> Addresses;
+}
+
+impl Entry for Daemon {
+    fn entry(&self) -> Addresses {
+        self.addresses()
+    }
+}
+
+impl Entry for Process {
+    fn entry(&self) -> Addresses {
+        self.addresses
+    }
+}
+
+/// A process on a thread of its own, which can be killed.
+pub(crate) struct Process {
+    addresses: Addresses,
+    arbiter: Arbiter,
+    cut: watch::Sender<bool>,
+}
+
+impl Process {
+    /// Starts a process.
+    pub(crate) async fn start(name: &str, fleet: &Fleet) -> Self {
+        let (cut, is_cut) = watch::channel(false);
+        let log = CutLog { log: GrpcLog::new(fleet.log.address()), is_cut };
+        let vm_list = GrpcVmList::new(fleet.vm_list.address());
+        let config = config(name);
+        let (started, addresses) = oneshot::channel();
+        let arbiter = Arbiter::new();
+        arbiter.spawn(async move {
+            let platform = PlatformEdges { log, vm_list, workers: GrpcWorkers };
+            let logger = Logger::root(Discard, o!());
+            let daemon = Daemon::start(config, platform, None, logger).await;
+            let daemon = daemon.expect("the process starts");
+            // The test may have ended.
+            let _ = started.send(daemon.addresses());
+            std::future::pending::<()>().await;
+        });
+        let addresses = addresses.await.expect("the process starts");
+        Self { addresses, arbiter, cut }
+    }
+
+    /// Ends the process without a word to anybody.
+    pub(crate) fn kill(self) {
+        self.arbiter.stop();
+        self.arbiter.join().expect("the thread ends");
+    }
+
+    /// Cuts the process off from the log, or ends that.
+    pub(crate) fn cut_log(&self, cut: bool) {
+        let _ = self.cut.send(cut);
+    }
+}
+
+/// A log that one process can be cut off from.
+#[derive(Clone)]
+struct CutLog {
+    log: GrpcLog,
+    is_cut: watch::Receiver<bool>,
+}
+
+impl CutLog {
+    fn check(&self) -> Result<(), LogError> {
+        let reason = "cut off".to_owned();
+        if *self.is_cut.borrow() { Err(LogError::Unavailable { reason }) } else { Ok(()) }
+    }
+}
+
+impl LogService for CutLog {
+    async fn append(&self, stream: &str, record: Vec<u8>) -> Result<Offset, LogError> {
+        self.check()?;
+        self.log.append(stream, record).await
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max_records: u32,
+        wait_ms: u32,
+    ) -> Result<ReadBatch, LogError> {
+        self.check()?;
+        self.log.read(stream, from, max_records, wait_ms).await
+    }
+}
+
+fn config(name: &str) -> DaemonConfig {
+    DaemonConfig {
         name: name.to_owned(),
         data_centre: "dc1".to_owned(),
         callers: loopback(),
@@ -98,7 +196,12 @@
         peer_token: "peer".to_owned(),
         operator_token: "operator".to_owned(),
         limits: Limits { shutdown_timeout_ms: 3_000, ..Limits::default() },
-    };
+    }
+}
+
+/// A process on the platform.
+pub(crate) async fn start_daemon(name: &str, fleet: &Fleet) -> Daemon {
+    let config = config(name);
     let platform = PlatformEdges {
         log: GrpcLog::new(fleet.log.address()),
         vm_list: GrpcVmList::new(fleet.vm_list.address()),
@@ -122,8 +225,11 @@
 }
 
 /// Client for operators' calls.
-pub(crate) async fn admin(daemon: &Daemon) -> AdminClient<Channel> {
-    let address = format!("http://{}", daemon.addresses().peers);
+pub(crate) async fn admin<E>(entry: &E) -> AdminClient<Channel>
+where
+    E: Entry,
+{
+    let address = format!("http://{}", entry.entry().peers);
     AdminClient::connect(address).await.expect("the process listens")
 }
 
@@ -135,11 +241,10 @@
 }
 
 /// Commits a manifest through a process.
-pub(crate) async fn commit(
-    daemon: &Daemon,
-    expected_revision: u64,
-    manifest: &str,
-) -> raw::CommitReply {
+pub(crate) async fn commit<E>(entry: &E, expected_revision: u64, manifest: &str) -> raw::CommitReply
+where
+    E: Entry,
+{
     let manifest = Manifest::from_toml(manifest).expect("the manifest is valid");
     let request = raw::CommitRequest {
         expected_revision,
@@ -147,40 +252,45 @@
         manifest: Some(raw_config::Manifest::from(&manifest)),
         dry_run: false,
     };
-    let reply = admin(daemon).await.commit(authorized(request)).await;
+    let reply = admin(entry).await.commit(authorized(request)).await;
     reply.expect("the call is accepted").into_inner()
 }
 
 /// Takes a data centre out of service or brings it back.
-pub(crate) async fn set_data_centre(
-    daemon: &Daemon,
-    name: &str,
-    in_service: bool,
-) -> raw::CommitReply {
+pub(crate) async fn set_data_centre<E>(entry: &E, name: &str, in_service: bool) -> raw::CommitReply
+where
+    E: Entry,
+{
     let request = raw::SetDataCentreRequest {
         data_centre: name.to_owned(),
         in_service,
         author: "ana".to_owned(),
     };
-    let reply = admin(daemon).await.set_data_centre(authorized(request)).await;
+    let reply = admin(entry).await.set_data_centre(authorized(request)).await;
     reply.expect("the call is accepted").into_inner()
 }
 
 /// Status of the fleet by one process.
-pub(crate) async fn status(daemon: &Daemon) -> raw::StatusReply {
-    let reply = admin(daemon).await.status(authorized(raw::StatusRequest {})).await;
+pub(crate) async fn status<E>(entry: &E) -> raw::StatusReply
+where
+    E: Entry,
+{
+    let reply = admin(entry).await.status(authorized(raw::StatusRequest {})).await;
     reply.expect("the call is accepted").into_inner()
 }
 
 /// Sends a caller's request; returns status and body.
-pub(crate) async fn call(
-    daemon: &Daemon,
+pub(crate) async fn call<E>(
+    entry: &E,
     method: Method,
     path: &str,
     key: &str,
     body: &str,
-) -> (u16, String) {
-    let url = format!("http://{}{path}", daemon.addresses().callers);
+) -> (u16, String)
+where
+    E: Entry,
+{
+    let url = format!("http://{}{path}", entry.entry().callers);
     let client = awc::Client::default();
     let request = client.request(method, url).bearer_auth(key);
     let mut response = request.send_body(body.to_owned()).await.expect("the front end answers");
@@ -200,3 +310,35 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Three processes that can be killed, with [`MANIFEST`] in force and served.
+pub(crate) async fn start_three_processes(fleet: &Fleet) -> Vec<Process> {
+    let mut processes = Vec::new();
+    for name in ["entry-1", "entry-2", "entry-3"] {
+        processes.push(Process::start(name, fleet).await);
+    }
+    wait_until(Duration::from_secs(10), "all processes are members", || async {
+        status(&processes[0]).await.members.len() == 3
+    })
+    .await;
+    let reply = commit(&processes[0], 0, MANIFEST).await;
+    assert_eq!(reply.result(), CommitResult::Recorded, "{reply:?}");
+    wait_until(Duration::from_secs(10), "requests are served", || async {
+        for process in &processes {
+            if get(process, KEY).await.0 != 200 {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+    processes
+}
+
+/// Sends a request for pool `booking`.
+pub(crate) async fn get<E>(entry: &E, key: &str) -> (u16, String)
+where
+    E: Entry,
+{
+    call(entry, Method::GET, "/pools/booking/slots", key, "").await
+}
--- a/lib/src/freshness.rs
+++ b/lib/src/freshness.rs
@@ -111,14 +111,17 @@
         if self.has_outage_evidence(now, me, state) { ViewState::Outage } else { ViewState::Stale }
     }
 
-    /// Until when the present view holds if nothing more is heard.
-    pub fn valid_until(&self, view: ViewState, now: TimeMs) -> TimeMs {
-        match (view, self.confirmed_at) {
-            (ViewState::Confirmed, Some(at)) => at.plus(CONFIRMED_MAX_AGE_MS + 1),
-            (ViewState::Confirmed, None) | (ViewState::Stale, _) => now,
+    /// Until when this process may act on its view if nothing more is heard.
+    /// A confirmation that is about to be too old is covered by evidence of an
+    /// outage, so that there is no gap between the two.
+    pub fn valid_until(&self, now: TimeMs, me: SessionId, state: &ControlState) -> TimeMs {
+        let confirmed = self.confirmed_at.map_or(now, |at| at.plus(CONFIRMED_MAX_AGE_MS + 1));
+        if self.has_outage_evidence(now, me, state) {
             // Together with the age of the evidence this stays within the
             // bound of a confirmation.
-            (ViewState::Outage, _) => now.plus(CONFIRMED_MAX_AGE_MS - EVIDENCE_MAX_AGE_MS),
+            confirmed.max(now.plus(CONFIRMED_MAX_AGE_MS - EVIDENCE_MAX_AGE_MS))
+        } else {
+            confirmed
         }
     }
 
