placement: random histories, ends seen while a successor waits, restarts

Cause: random histories found that a job which must not run twice ran again when its worker restarted after its end was reported to an owner that still waited for other workers, before a new owner asked, or after the answer to its start was lost. Judging all workers at each decision took most of the time of the scenarios.

Change: ends that no other attempt can change are settled at once. Poll replies tell how long the worker has been up (platform.proto), and OwnershipGained how long the former owner was silent; a restart in that time puts inherited jobs in doubt. Workers are judged when one of their tasks fails.

One known red test: a restart that neither of two owners saw.

--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -41,6 +41,10 @@
 /// this time, so that its refusals do not keep a job from other workers.
 const REFUSAL_BACKOFF_MS: u64 = 500;
 
+/// An owner that stops may not have noticed or recorded in this time that a
+/// worker restarted: three polls and one batch of ends.
+const UNNOTICED_MS: u64 = 10_000;
+
 /// The queue and the workers of one partition. The owner calls
 /// [`Scheduler::handle`] for each event, and [`Scheduler::decide`] after events
 /// and at least every 100 ms.
@@ -48,6 +52,9 @@
 pub struct Scheduler {
     pub(crate) epoch: Option<Epoch>,
     pub(crate) gained_at: TimeMs,
+    /// A worker that restarted in this time before the ownership may have run
+    /// tasks that no owner knows.
+    pub(crate) doubt_ms: u64,
     pub(crate) starts_allowed: bool,
     pub(crate) next_attempt: u64,
     pub(crate) queue: JobQueue,
@@ -59,7 +66,8 @@
     pub(crate) promises: Vec<Promise>,
     /// Tasks that ended without a report of their end.
     pub(crate) gone: Vec<GoneTask>,
-    /// True if a worker left before it told a new owner what it ran.
+    /// True if a worker left or restarted before it told a new owner what it
+    /// ran.
     pub(crate) unanswered_left: bool,
     /// True if tasks and jobs may not be connected as they should be.
     pub(crate) relink: bool,
@@ -118,7 +126,9 @@
     /// Takes over one event.
     pub fn handle(&mut self, now: TimeMs, event: SchedulerEvent) {
         match event {
-            SchedulerEvent::OwnershipGained { epoch } => self.gain(now, epoch),
+            SchedulerEvent::OwnershipGained { epoch, former_silent_ms } => {
+                self.gain(now, epoch, former_silent_ms);
+            }
             SchedulerEvent::OwnershipLost => *self = Self::default(),
             SchedulerEvent::StartsAllowed(allowed) => self.starts_allowed = allowed,
             SchedulerEvent::JobAccepted { job, origin } => {
@@ -166,9 +176,7 @@
             return decisions;
         }
         self.expire_leases(now);
-        if !self.is_held(now) {
-            self.settle(now, &mut decisions);
-        }
+        self.settle(now, &mut decisions);
         self.control_tasks(now, &mut decisions);
         if self.gate(now).is_none() {
             let mut round = self.new_round(now);
@@ -196,10 +204,11 @@
             && self.workers.values().any(|worker| worker.inherited)
     }
 
-    fn gain(&mut self, now: TimeMs, epoch: Epoch) {
+    fn gain(&mut self, now: TimeMs, epoch: Epoch, former_silent_ms: u64) {
         self.epoch = Some(epoch);
         self.relink = true;
         self.gained_at = now;
+        self.doubt_ms = former_silent_ms.saturating_add(UNNOTICED_MS);
         self.starts_allowed = false;
         self.next_attempt = 0;
         for worker in self.workers.values_mut() {
@@ -233,9 +242,13 @@
         if self.epoch.is_some() && report.polled_at < self.gained_at {
             return;
         }
+        let up_ms = report.up_ms.unwrap_or(u64::MAX);
+        let restarted = up_ms <= now.since(self.gained_at).saturating_add(self.doubt_ms);
+        self.unanswered_left |= worker.inherited && restarted;
         let gone = worker.take_report(now, report, &mut self.classes, &mut self.relink);
         self.gone.extend(gone.into_iter().map(|(id, task)| {
             let end = match task.phase {
+                TaskPhase::Starting if up_ms <= now.since(task.started_at) => GoneEnd::Lost,
                 TaskPhase::Starting => GoneEnd::NotStarted,
                 TaskPhase::Reported(state) if state.is_live() => GoneEnd::Lost,
                 TaskPhase::Reported(state) => GoneEnd::Ended(state),
--- a/lib/src/placement_settle.rs
+++ b/lib/src/placement_settle.rs
@@ -67,18 +67,32 @@
         }
     }
 
-    /// Brings the jobs in line with what is known of their tasks.
+    /// Brings the jobs in line with what is known of their tasks. While workers
+    /// have not answered a new owner, only ends that no other attempt can
+    /// change are dealt with; they must not be lost with this owner.
     pub(crate) fn settle(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
         if self.relink {
             self.adopt_tasks(now);
         }
         self.note_results(now);
         self.judge_workers(now, out);
+        let held = self.is_held(now);
         for GoneTask { vm, id, end } in std::mem::take(&mut self.gone) {
-            self.settle_gone(now, vm, &id, end, out);
+            let is_final = match end {
+                GoneEnd::NotStarted => false,
+                GoneEnd::Lost => self.is_final(&id, TaskState::Stopped),
+                GoneEnd::Ended(state) => self.is_final(&id, state),
+            };
+            if held && !is_final {
+                self.gone.push(GoneTask { vm, id, end });
+            } else {
+                self.settle_gone(now, vm, &id, end, out);
+            }
+        }
+        self.settle_ended(now, held, out);
+        if !held {
+            self.settle_may_have_run(now, out);
         }
-        self.settle_ended(now, out);
-        self.settle_may_have_run(now, out);
         self.end_again(now, out);
     }
 
@@ -155,9 +169,14 @@
         out: &mut Vec<SchedulerDecision>,
     ) {
         let Some(job_id) = self.queue.id(&id.job) else { return };
-        let current = JobState::Active { vm, attempt: id.attempt };
         let Some(job) = self.queue.get_mut(job_id) else { return };
-        if job.state != current {
+        let is_current = match job.state {
+            JobState::Active { attempt, .. } => attempt == id.attempt,
+            // The task came and went before the job was connected with it.
+            JobState::Queued => end != GoneEnd::NotStarted && job.settled < Some(id.attempt),
+            JobState::Ending { .. } => false,
+        };
+        if !is_current && end != GoneEnd::Ended(TaskState::Succeeded) {
             return;
         }
         match end {
@@ -177,13 +196,25 @@
         }
     }
 
-    fn settle_ended(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
+    /// True if no other attempt can change what this end means for the job.
+    fn is_final(&self, id: &TaskId, state: TaskState) -> bool {
+        let repeatable = self.queue.by_name(&id.job).is_none_or(|job| job.spec.repeatable);
+        match state {
+            TaskState::Succeeded => true,
+            TaskState::Failed | TaskState::Stopped => !repeatable,
+            TaskState::Running | TaskState::Throttled | TaskState::Checkpointed => false,
+        }
+    }
+
+    fn settle_ended(&mut self, now: TimeMs, held: bool, out: &mut Vec<SchedulerDecision>) {
         let ended: Vec<(VmId, TaskId, TaskState)> = self
             .workers
             .iter()
             .flat_map(|(vm, worker)| worker.tasks.iter().map(|(id, task)| (*vm, id, task.phase)))
             .filter_map(|(vm, id, phase)| match phase {
-                TaskPhase::Reported(state) if !state.is_live() => Some((vm, id.clone(), state)),
+                TaskPhase::Reported(state) if !state.is_live() => {
+                    (!held || self.is_final(id, state)).then(|| (vm, id.clone(), state))
+                }
                 TaskPhase::Reported(_) | TaskPhase::Starting => None,
             })
             .collect();
@@ -232,6 +263,9 @@
         out: &mut Vec<SchedulerDecision>,
     ) {
         let Some(job) = self.queue.get_mut(job_id) else { return };
+        if matches!(job.state, JobState::Ending { .. }) {
+            return;
+        }
         job.settled = job.settled.max(Some(id.attempt));
         let repeatable = job.spec.repeatable;
         let (outcome, reason) = match state {
@@ -275,8 +309,8 @@
         task.is_some_and(|task| task.stop_sent)
     }
 
-    /// Ends jobs that may have run on a worker that left before it told what
-    /// it ran for the former owner, and that must not run twice.
+    /// Ends jobs that may have run on a worker that left or restarted before it
+    /// told what it ran for the former owner, and that must not run twice.
     fn settle_may_have_run(&mut self, now: TimeMs, out: &mut Vec<SchedulerDecision>) {
         if !std::mem::take(&mut self.unanswered_left) {
             return;
--- a/lib/src/protos/cowslipport.platform.rs
+++ b/lib/src/protos/cowslipport.platform.rs
@@ -88,6 +88,10 @@
     pub ticket: u64,
     #[prost(message, repeated, tag = "4")]
     pub tasks: ::prost::alloc::vec::Vec<TaskReport>,
+    /// Time in milliseconds since the worker started; it has forgotten all tasks
+    /// from before. Zero if it does not tell.
+    #[prost(uint64, tag = "5")]
+    pub up_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskReport {
--- a/lib/src/scheduler_decision.rs
+++ b/lib/src/scheduler_decision.rs
@@ -186,8 +186,9 @@
     StoppedForGood,
     /// The worker was lost and the job may not be started again.
     WorkerLost,
-    /// A worker left before it could tell whether a former owner's start of
-    /// the job took effect, and the job may not be started again.
+    /// A worker left or restarted before it could tell whether a former
+    /// owner's start of the job took effect, and the job may not be started
+    /// again.
     MayHaveRun,
     /// The key was revoked.
     KeyRevoked,
--- a/lib/src/scheduler_event.rs
+++ b/lib/src/scheduler_event.rs
@@ -27,6 +27,8 @@
     OwnershipGained {
         /// Fencing token of the ownership.
         epoch: Epoch,
+        /// Time since the former owner was last known to work.
+        former_silent_ms: u64,
     },
     /// The process owns the partition no longer. Everything is forgotten.
     OwnershipLost,
@@ -161,6 +163,9 @@
     pub polled_at: TimeMs,
     /// Number that the next start must name.
     pub ticket: u64,
+    /// Time since the worker started, if it tells. It has forgotten all tasks
+    /// from before.
+    pub up_ms: Option<u64>,
     /// All tasks that the worker knows.
     pub tasks: Vec<TaskReport>,
 }
--- a/lib/src/worker_health.rs
+++ b/lib/src/worker_health.rs
@@ -103,6 +103,8 @@
 pub struct HealthTable {
     results: BTreeMap<VmId, BTreeMap<JobRef, JobResult>>,
     quarantines: BTreeMap<VmId, Quarantine>,
+    /// Workers that are judged again, since their failures changed.
+    changed: BTreeSet<VmId>,
 }
 
 impl HealthTable {
@@ -117,6 +119,9 @@
             }
             return;
         }
+        if failed {
+            self.changed.insert(vm);
+        }
         let results = self.results.entry(vm).or_default();
         results.insert(job.clone(), JobResult { class: class.clone(), failed, at: now });
         if results.len() > MAX_RESULTS {
@@ -173,13 +178,14 @@
     /// in quarantine: if more of them fail, the cause is more likely something
     /// that they share, and quarantine would only take away the capacity.
     pub fn judge(&mut self, now: TimeMs, workers: usize) -> Vec<HealthChange> {
-        self.forget_old(now);
         let mut changes = self.judge_probes(now);
-        let suspects: Vec<VmId> =
-            self.results.keys().filter(|vm| !self.quarantines.contains_key(vm)).copied().collect();
-        for vm in suspects {
-            if self.quarantines.len() >= (workers / 2).max(1) {
-                break;
+        if !self.changed.is_empty() {
+            self.forget_old(now);
+        }
+        for vm in std::mem::take(&mut self.changed) {
+            let is_full = self.quarantines.len() >= (workers / 2).max(1);
+            if is_full || self.quarantines.contains_key(&vm) {
+                continue;
             }
             let Some(failed_jobs) = self.jobs_against(vm) else { continue };
             self.quarantine(now, vm, QUARANTINE_MS);
