placement: scenarios for throttling, spreading, idle grant and lost workers

Cause: no test noticed when throttling, the spread over racks, the return of idle grant or the handling of lost workers was missing.

--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -7,6 +7,7 @@
 use cowslipport_lib::job::JobOutcome;
 use cowslipport_lib::job::JobRef;
 use cowslipport_lib::job::JobSpec;
+use cowslipport_lib::job::TaskAction;
 use cowslipport_lib::resources::Resources;
 use cowslipport_lib::scheduler_decision::EndReason;
 use cowslipport_lib::scheduler_decision::SchedulerDecision;
@@ -121,6 +122,78 @@
     check_urgent_start(fleet, 32);
 }
 
+fn count_actions(fleet: &Fleet, wanted: TaskAction) -> usize {
+    let is_wanted = |decision: &SchedulerDecision| matches!(decision, SchedulerDecision::Control { action, .. } if *action == wanted);
+    fleet.decisions.iter().filter(|(_, decision)| is_wanted(decision)).count()
+}
+
+/// Guards against tasks that are ended where throttling them would do, and
+/// against tasks that stay throttled after the urgent job is done.
+#[test]
+fn throttling_comes_first_and_ends() {
+    let mut fleet = Fleet::new(21, 2, 2);
+    let light = Resources { memory_bytes: 1 << 30, ..cores(8) };
+    for index in 0..8 {
+        let truth = Truth { used: light, ..runs(600_000, 8) };
+        fleet.submit(job(0, &format!("fill-{index}"), light), truth);
+    }
+    fleet.run(10_000);
+    let spec = JobSpec { urgent: true, ..job(1, "urgent", light) };
+    fleet.submit(spec, Truth { used: light, ..runs(3_000, 8) });
+    fleet.run(2_900);
+    assert!(fleet.first_start.contains_key(&name(1, "urgent")));
+    let throttled = count_actions(&fleet, TaskAction::Throttle);
+    assert!(throttled > 0);
+    fleet.run(10_000);
+    assert_eq!(count_actions(&fleet, TaskAction::Unthrottle), throttled);
+    assert_eq!(count_actions(&fleet, TaskAction::Checkpoint), 0);
+    assert_eq!(fleet.live_on(0) + fleet.live_on(1), 8);
+}
+
+/// Guards against a team that loses all its tasks with one rack.
+#[test]
+fn tasks_of_a_team_are_spread() {
+    let mut fleet = Fleet::new(22, 24, 1);
+    submit(&mut fleet, 0, "job", 24, 8, runs(600_000, 8));
+    fleet.run(5_000);
+    for rack in 0..6 {
+        let tasks: usize = (rack * 4..rack * 4 + 4).map(|vm| fleet.live_on(vm)).sum();
+        assert!((2..=6).contains(&tasks), "rack {rack} runs {tasks} of 24 tasks");
+    }
+}
+
+/// Guards against a limit that is idle because a partition keeps grant that it
+/// does not use.
+#[test]
+fn unused_grant_is_returned() {
+    let mut fleet = Fleet::new(23, 8, 1);
+    submit(&mut fleet, 0, "job", 16, 8, runs(3_000, 8));
+    fleet.run(2_000);
+    assert!(cores(128).fits_in(fleet.teams[&TeamId(0)].0.grant));
+    fleet.run(10_000);
+    assert_eq!(fleet.teams[&TeamId(0)].0.grant, Resources::ZERO);
+}
+
+/// Guards against jobs that are lost with a worker although they may be
+/// started again, and against others that are started again.
+#[test]
+fn jobs_of_a_lost_worker() {
+    let mut fleet = Fleet::new(24, 2, 1);
+    for index in 0..8 {
+        let spec = JobSpec { repeatable: index < 4, ..job(0, &format!("job-{index}"), cores(8)) };
+        fleet.submit(spec, runs(45_000, 8));
+    }
+    fleet.run(5_000);
+    fleet.workers.get_mut(&VmId(1)).expect("the worker exists").reachable = false;
+    fleet.run(120_000);
+    assert_eq!(fleet.open.len(), 0);
+    let lost = fleet.outcomes.iter().filter(|(_, end)| end.0 == JobOutcome::Lost);
+    assert!(lost.clone().count() > 0);
+    let repeatable = ["job-0", "job-1", "job-2", "job-3"];
+    assert!(lost.clone().all(|(job, _)| !repeatable.contains(&job.name.as_str())));
+    assert_eq!(succeeded(&fleet), 8 - lost.count());
+}
+
 /// Guards against urgent work that waits behind its own team's limit.
 #[test]
 fn urgent_job_takes_the_place_of_its_own_team() {
