placement: reports that overtake each other

Cause: 4,000 random histories found that a poll which overtook a start made the task count as gone after another report had listed it, so that the job ran twice; that a late report revived a task whose end was known; and that an owner replaced while it waited for workers left its doubts unrecorded.

Change: only a poll sent after the last report of a task can tell that it is gone. Tasks whose end was told are not revived. former_silent_ms counts from the last owner that lived longer than a task lease.

--- a/lib/src/job_queue.rs
+++ b/lib/src/job_queue.rs
@@ -36,6 +36,8 @@
     pub(crate) wait: WaitReason,
     /// Last attempt whose end was dealt with.
     pub(crate) settled: Option<AttemptId>,
+    /// Last attempt of which the worker told the end.
+    pub(crate) ended: Option<AttemptId>,
     /// Number of attempts that failed.
     pub(crate) failures: u32,
     /// Time before which it is not started again.
@@ -98,6 +100,7 @@
             state: JobState::Queued,
             wait: WaitReason::New,
             settled: None,
+            ended: None,
             failures: 0,
             not_before: now,
             too_large_since: None,
--- a/lib/src/placement_settle.rs
+++ b/lib/src/placement_settle.rs
@@ -99,11 +99,20 @@
     /// Connects live tasks with their jobs. The latest attempt is the one that
     /// counts.
     fn adopt_tasks(&mut self, now: TimeMs) {
+        for worker in self.workers.values_mut() {
+            // A report may be older than the end that another one told.
+            let queue = &self.queue;
+            worker.tasks.retain(|id, task| {
+                let ended = queue.by_name(&id.job).and_then(|job| job.ended);
+                !task.is_live() || ended < Some(id.attempt)
+            });
+        }
         for (vm, worker) in &self.workers {
             for (id, _) in worker.live_tasks() {
                 let Some(job_id) = self.queue.id(&id.job) else { continue };
                 let Some(job) = self.queue.get(job_id) else { continue };
                 let adopts = match job.state {
+                    // Also a task that counted as lost and shows up again.
                     JobState::Queued => true,
                     JobState::Active { attempt, .. } => id.attempt > attempt,
                     JobState::Ending { .. } => false,
@@ -267,6 +276,7 @@
             return;
         }
         job.settled = job.settled.max(Some(id.attempt));
+        job.ended = job.ended.max(Some(id.attempt));
         let repeatable = job.spec.repeatable;
         let (outcome, reason) = match state {
             TaskState::Succeeded => (JobOutcome::Succeeded, EndReason::TaskSucceeded),
--- a/lib/src/scheduler_event.rs
+++ b/lib/src/scheduler_event.rs
@@ -27,7 +27,9 @@
     OwnershipGained {
         /// Fencing token of the ownership.
         epoch: Epoch,
-        /// Time since the former owner was last known to work.
+        /// Time since the last former owner was known to work that had owned
+        /// the partition for longer than [`TASK_LEASE_MS`]. Owners after it
+        /// may have left what they learned from the workers unrecorded.
         former_silent_ms: u64,
     },
     /// The process owns the partition no longer. Everything is forgotten.
--- a/lib/src/worker_view.rs
+++ b/lib/src/worker_view.rs
@@ -210,7 +210,7 @@
         for entry in report.tasks {
             let known = absent.remove(&entry.task);
             let phase = known.as_ref().map(|task| task.phase);
-            let task = merge(now, report.polled_at, known, &entry, classes);
+            let task = merge(now, known, &entry, classes);
             *changed |= phase != Some(task.phase);
             self.tasks.insert(entry.task, task);
         }
@@ -230,20 +230,14 @@
     }
 }
 
-fn merge(
-    now: TimeMs,
-    polled_at: TimeMs,
-    known: Option<Task>,
-    entry: &TaskReport,
-    classes: &mut ClassTable,
-) -> Task {
+fn merge(now: TimeMs, known: Option<Task>, entry: &TaskReport, classes: &mut ClassTable) -> Task {
     let mut task = known.unwrap_or_else(|| Task {
         request: entry.request,
         class: JobClass::from(&entry.task.job),
         phase: TaskPhase::Reported(entry.state),
         used: None,
         started_at: now.minus(entry.age_ms),
-        known_at: polled_at,
+        known_at: now,
         pending: None,
         stop_sent: false,
         sampled: false,
@@ -255,7 +249,9 @@
     if !stale {
         task.phase = TaskPhase::Reported(entry.state);
     }
-    task.known_at = task.known_at.max(polled_at);
+    // Polls may overtake each other on their way to the worker, so only one
+    // that is sent from now on can tell that the task is gone.
+    task.known_at = now;
     task.used = Some(entry.used);
     if entry.state == TaskState::Running && entry.age_ms >= SETTLED_USE_MS {
         classes.observe(&task.class, entry.request, entry.used, !task.sampled);
