--- a/lib/src/protos/cowslipport.platform.rs
+++ b/lib/src/protos/cowslipport.platform.rs
@@ -91,6 +91,10 @@
     /// Differs after each restart of the worker.
     #[prost(uint64, tag = "5")]
     pub incarnation: u64,
+    /// Time in milliseconds since the worker started; it has forgotten all tasks
+    /// from before. Zero if it does not tell.
+    #[prost(uint64, tag = "6")]
+    pub up_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskReport {
--- a/lib/src/scheduler_event.rs
+++ b/lib/src/scheduler_event.rs
@@ -27,6 +27,10 @@
     OwnershipGained {
         /// Fencing token of the ownership.
         epoch: Epoch,
+        /// Time since the last former owner was known to work that had owned
+        /// the partition for longer than [`TASK_LEASE_MS`]. Owners after it
+        /// may have left what they learned from the workers unrecorded.
+        former_silent_ms: u64,
     },
     /// The process owns the partition no longer. Everything is forgotten.
     OwnershipLost,
@@ -161,6 +165,9 @@
     pub polled_at: TimeMs,
     /// Number that the next start must name.
     pub ticket: u64,
+    /// Time since the worker started, if it tells. It has forgotten all tasks
+    /// from before.
+    pub up_ms: Option<u64>,
     /// All tasks that the worker knows.
     pub tasks: Vec<TaskReport>,
 }
