--- a/bench/src/roll_out_bound.rs
+++ b/bench/src/roll_out_bound.rs
@@ -25,11 +25,7 @@
     let durations: Vec<f64> =
         (0..profile.vms).map(|vm| out_of_service_ms(profile, trace, vm) as f64).collect();
     let steps = earliest_steps(profile, &durations);
-    let soak = profile.soak_ms as f64;
-    // The VMs that are under way at the end need not be proven.
-    let unproven = f64::from(profile.max_width) * soak;
-    let all = durations.iter().map(|duration| duration + soak).sum::<f64>() - unproven;
-    let fleet = time_for(&steps, f64::from(profile.max_width), all);
+    let fleet = fleet_time(profile, &steps, &durations);
     let longest = durations.iter().copied().fold(0.0, f64::max);
     domain_work(profile, trace)
         .into_iter()
@@ -37,6 +33,21 @@
         .fold(fleet.max(longest), f64::max)
 }
 
+/// Time of the whole fleet. In the steps before the widest, every VM that
+/// proves a step takes its soak time out of the width, so no more is done than
+/// maintaining these VMs; the rest is done by as many as all budgets of pools
+/// allow together.
+fn fleet_time(profile: &Profile, steps: &[(f64, f64)], durations: &[f64]) -> f64 {
+    let mut sorted = durations.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let narrow = &steps[..steps.len() - 1];
+    let proven: f64 = narrow.iter().map(|(width, _)| width).sum();
+    let narrow_time: f64 = narrow.iter().map(|(_, duration)| duration).sum();
+    let rest: f64 = sorted.iter().skip(proven as usize).sum();
+    let pools = f64::from((profile.services + 1) * profile.pool_budget);
+    narrow_time + rest / pools.min(f64::from(profile.max_width))
+}
+
 /// Width and duration of each step at its earliest; the last has no end.
 fn earliest_steps(profile: &Profile, durations: &[f64]) -> Vec<(f64, f64)> {
     let mut sorted = durations.to_vec();
