fold: a VM that leaves proves no step

Cause: a VM that came back and left the fleet within its soak time was watched on and never healthy, so its wave neither widened nor finished.

Change: the fold drops it from the watched VMs.

Result: the new test fails without the change and passes with it.

--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -399,6 +399,7 @@
     fn remove_vm(&mut self, offset: Offset, id: VmId) -> Option<ControlChange> {
         let vm = self.vms.remove(id)?;
         self.vm_names.remove(&vm.joined.name);
+        self.forget_in_waves(id);
         self.freed_vms.push_back((offset, id));
         Some(ControlChange::Vm(id))
     }
--- a/lib/src/fold_vms.rs
+++ b/lib/src/fold_vms.rs
@@ -178,6 +178,14 @@
         }
     }
 
+    /// A VM that leaves proves nothing; watched on, it would never be healthy
+    /// and the step never complete.
+    pub(crate) fn forget_in_waves(&mut self, vm: VmId) {
+        for (_, wave) in self.waves.iter_mut() {
+            wave.step_done.retain(|done| *done != vm);
+        }
+    }
+
     /// Only an operator resumes a halted wave. A planner proposes twice the
     /// width that it saw, which is more than a halted wave has, so a proposal
     /// that arrives after the halt is void.
--- a/lib/tests/test_waves.rs
+++ b/lib/tests/test_waves.rs
@@ -15,6 +15,7 @@
 use cowslipport_lib::record::DrainPurpose;
 use cowslipport_lib::record::Health;
 use cowslipport_lib::record::RecordBody;
+use cowslipport_lib::record::VmObservation;
 use cowslipport_lib::record::VmStep;
 use cowslipport_lib::record::WavePhase;
 use cowslipport_lib::wave::WavePlanner;
@@ -265,6 +266,21 @@
     assert_eq!(drained, 2);
 }
 
+/// Guards against a wave that waits for ever for a VM that came back and then
+/// left the fleet to stay healthy.
+#[test]
+fn vm_that_leaves_in_its_soak_time_does_not_stop_the_wave() {
+    let mut fleet = fleet_with_wave(1, 1);
+    let mut planners = [planner()];
+    while fleet.state.waves.get(WAVE).unwrap().step_done.is_empty() {
+        step(&mut fleet, &mut planners, false);
+    }
+    let vm = fleet.state.waves.get(WAVE).unwrap().step_done[0];
+    fleet.apply_valid(RecordBody::VmBatch(vec![VmObservation::Left { vm }]));
+    run(&mut fleet, &mut planners, 2000);
+    assert_eq!(phase(&fleet), WavePhase::Finished);
+}
+
 /// Guards against a VM of a data centre that is out counting as failed.
 #[test]
 fn reboot_timeout_does_not_run_in_a_data_centre_that_is_out() {
