--- a/bench/src/measure.rs
+++ b/bench/src/measure.rs
@@ -5,7 +5,7 @@
 
 /// Form of the output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub(crate) enum Format {
+pub enum Format {
     /// One line a measure, for people.
     Text,
     /// One object a line.
@@ -15,11 +15,16 @@
 /// What is measured. The target of each is stated by the design page.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub(crate) enum Measure {
+pub enum Measure {
+    /// VM-hours that pools of services hold beyond the work of their VMs.
     BufferVmHours,
+    /// Time until a wave has maintained the last VM.
     RollOutTimeMs,
+    /// VMs that changed their pool.
     Moves,
+    /// Drains that broke a budget.
     BudgetViolations,
+    /// Work that waited too long for a slot.
     LateWorkPermille,
 }
 
@@ -75,11 +80,15 @@
 
 /// One measure of one run.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub(crate) struct Row {
-    pub(crate) measure: Measure,
-    pub(crate) ours: f64,
-    pub(crate) baseline: f64,
-    pub(crate) bound: f64,
+pub struct Row {
+    /// What is measured.
+    pub measure: Measure,
+    /// Figure of the decision modules.
+    pub ours: f64,
+    /// Figure of a fixed split without moves, or of one VM at a time.
+    pub baseline: f64,
+    /// Figure that no policy can beat.
+    pub bound: f64,
 }
 
 impl Row {
@@ -88,7 +97,8 @@
         Self { measure, ours: round(ours), baseline: round(baseline), bound: round(bound) }
     }
 
-    pub(crate) fn render(&self, format: Format) -> String {
+    /// The row in a form.
+    pub fn render(&self, format: Format) -> String {
         match format {
             Format::Json => serde_json::to_string(self).expect("a row has only plain fields"),
             Format::Text => self.text(),
--- a/bench/src/profile.rs
+++ b/bench/src/profile.rs
@@ -5,7 +5,7 @@
 
 /// Name of a profile.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub(crate) enum ProfileName {
+pub enum ProfileName {
     /// Booking services in four data centres.
     Predah,
     /// Booth rental in three data centres.
