moves: test that racing moves keep pool sizes

Cause: with the check of min_vms off by one all tests passed.

Result: the new test fails with min_vms or max_vms off by one and passes without.

--- a/lib/tests/test_moves.rs
+++ b/lib/tests/test_moves.rs
@@ -203,6 +203,24 @@
     assert!(run.idle());
 }
 
+/// Guards against two movers that together leave a pool with too few VMs, or
+/// bring too many into another.
+#[test]
+fn second_move_that_breaks_a_pool_size_is_void() {
+    for (min_vms, max_vms, pool) in [(7, 50, PoolId(0)), (2, 9, PoolId(1))] {
+        let mut fleet = Fleet::new(2, 24, &[]);
+        let sizes = [fleet::pool("p0", false, min_vms, 50), fleet::pool("p1", false, 2, max_vms)];
+        fleet.commit(sizes.to_vec());
+        let purpose = DrainPurpose::Move(PoolId(1));
+        fleet.apply_valid(RecordBody::DrainBegin { vm: VmId(0), purpose });
+        let body = RecordBody::DrainBegin { vm: VmId(3), purpose };
+        let record = ControlRecord { id: fleet.next_id(), body };
+        let vms = if pool == PoolId(0) { 6 } else { 10 };
+        let reason = VoidReason::PoolSize { pool, vms };
+        assert_eq!(fleet.append(&record), Outcome::Void(reason));
+    }
+}
+
 /// Guards against a pool that no longer exists receiving a VM, which would
 /// then be in no pool.
 #[test]
