--- /dev/null
+++ b/daemon/src/router_task.rs
@@ -0,0 +1,245 @@
+//! The task that chooses an upstream for each request.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cowslipport_lib::control::ControlState;
+use cowslipport_lib::ejection::ExchangeResult;
+use cowslipport_lib::ids::SessionId;
+use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::ids::VmId;
+use cowslipport_lib::keys::KeyDigest;
+use cowslipport_lib::refusal::RefusalReason;
+use cowslipport_lib::replica::ControlFeed;
+use cowslipport_lib::replica::ReplicaChange;
+use cowslipport_lib::route_queue::RequestId;
+use cowslipport_lib::routing::RouteDecision;
+use cowslipport_lib::routing::RouteRequest;
+use cowslipport_lib::routing::Router;
+use cowslipport_lib::routing::RouterSettings;
+use metrics::counter;
+use slog::Logger;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::authority::View;
+use crate::clock::Clock;
+use crate::peer_task::PeerMessage;
+use crate::placement_log::vm_name;
+
+const MAILBOX_MESSAGES: usize = 4096;
+const IN_FLIGHT_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the deadlines of waiting requests are looked at.
+const QUEUE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Messages of the router task.
+pub(crate) enum RouterMessage {
+    /// The control state changed.
+    Control(ControlFeed),
+    /// The state of the view.
+    View(View),
+    /// Requests in flight from another process.
+    PeerInFlight { session: SessionId, in_flight: BTreeMap<VmId, u32> },
+    /// Asks for the team of a key.
+    Team { key: KeyDigest, reply: oneshot::Sender<Option<TeamId>> },
+    /// Asks for an upstream. A closed reply channel means that the caller is
+    /// gone.
+    Route { request: RouteRequest, reply: oneshot::Sender<RouteReply> },
+    /// The caller of a waiting request is gone.
+    Abandon(RequestId),
+    /// A request that was sent to a VM ended.
+    Finished { vm: VmId, result: ExchangeResult },
+}
+
+/// Answer to a request for an upstream.
+#[derive(Debug)]
+pub(crate) enum RouteReply {
+    /// Send the request here.
+    Send {
+        /// The VM.
+        vm: VmId,
+        /// Address of its upstream instance.
+        address: SocketAddr,
+    },
+    /// Refuse the request.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// Time after which a second try may succeed.
+        retry_after_ms: Option<u64>,
+    },
+}
+
+struct Waiting {
+    pool: String,
+    reply: oneshot::Sender<RouteReply>,
+}
+
+/// The mailbox of a router task that is about to start.
+pub(crate) fn mailbox() -> (mpsc::Sender<RouterMessage>, mpsc::Receiver<RouterMessage>) {
+    mpsc::channel(MAILBOX_MESSAGES)
+}
+
+/// Owner of the routing state.
+pub(crate) struct RouterTask {
+    clock: Clock,
+    logger: Logger,
+    peer: mpsc::Sender<PeerMessage>,
+    state: ControlState,
+    view: View,
+    router: Router,
+    waiting: BTreeMap<RequestId, Waiting>,
+}
+
+impl RouterTask {
+    /// Starts the task. It ends when its mailbox is closed.
+    pub(crate) fn spawn(
+        settings: RouterSettings,
+        clock: Clock,
+        logger: Logger,
+        peer: mpsc::Sender<PeerMessage>,
+        receiver: mpsc::Receiver<RouterMessage>,
+    ) {
+        let task = Self {
+            clock,
+            logger,
+            peer,
+            state: ControlState::default(),
+            view: View::STALE,
+            router: Router::new(settings),
+            waiting: BTreeMap::new(),
+        };
+        actix_rt::spawn(task.run(receiver));
+    }
+
+    async fn run(mut self, mut receiver: mpsc::Receiver<RouterMessage>) {
+        let mut reports = tokio::time::interval(IN_FLIGHT_INTERVAL);
+        let mut deadlines = tokio::time::interval(QUEUE_INTERVAL);
+        deadlines.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = receiver.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = reports.tick() => {
+                    let in_flight = self.router.in_flight().collect();
+                    // The next report carries newer counts.
+                    let _ = self.peer.try_send(PeerMessage::InFlight(in_flight));
+                }
+                _ = deadlines.tick(), if !self.waiting.is_empty() => {}
+            }
+            self.decide_waiting();
+        }
+    }
+
+    fn handle(&mut self, message: RouterMessage) {
+        let now = self.clock.now();
+        match message {
+            RouterMessage::Control(feed) => match self.state.follow(&feed) {
+                ReplicaChange::All => self.router.rebuild(now, &self.state),
+                ReplicaChange::Some(changes) => self.router.refresh(now, &self.state, &changes),
+            },
+            RouterMessage::View(view) => self.view = view,
+            RouterMessage::PeerInFlight { session, in_flight } => {
+                if self.state.sessions.contains_key(&session) {
+                    self.router.set_peer_in_flight(now, session, in_flight);
+                }
+            }
+            RouterMessage::Team { key, reply } => {
+                // The asker may be gone.
+                let _ = reply.send(self.router.team(&key));
+            }
+            RouterMessage::Route { request, reply } => self.route(request, reply),
+            RouterMessage::Abandon(id) => {
+                self.router.abandon(id);
+                self.waiting.remove(&id);
+            }
+            RouterMessage::Finished { vm, result } => self.router.finished(now, vm, result),
+        }
+    }
+
+    fn route(&mut self, request: RouteRequest, reply: oneshot::Sender<RouteReply>) {
+        let now = self.clock.now();
+        self.router.set_view(self.view.at(now));
+        let (id, pool) = (request.id, request.pool.clone());
+        let decision = self.router.route(now, request);
+        self.log(&pool, id, &decision);
+        if matches!(decision, RouteDecision::Queue { .. }) {
+            self.waiting.insert(id, Waiting { pool, reply });
+        } else {
+            self.answer(reply, &decision);
+        }
+    }
+
+    fn decide_waiting(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        self.router.set_view(self.view.at(now));
+        for event in self.router.expire(now) {
+            let Some(waiting) = self.waiting.remove(&event.id) else { continue };
+            self.log(&waiting.pool, event.id, &event.decision);
+            self.answer(waiting.reply, &event.decision);
+        }
+    }
+
+    fn answer(&mut self, reply: oneshot::Sender<RouteReply>, decision: &RouteDecision) {
+        let answer = match decision {
+            RouteDecision::Send { vm, .. } => {
+                match self.router.address(*vm).and_then(|address| address.parse().ok()) {
+                    Some(address) => RouteReply::Send { vm: *vm, address },
+                    None => {
+                        let result = ExchangeResult::ConnectFailed;
+                        self.router.finished(self.clock.now(), *vm, result);
+                        let reason = RefusalReason::NoUpstream;
+                        RouteReply::Refuse { reason, retry_after_ms: None }
+                    }
+                }
+            }
+            RouteDecision::Refuse { reason, retry_after_ms } => {
+                RouteReply::Refuse { reason: *reason, retry_after_ms: *retry_after_ms }
+            }
+            RouteDecision::Queue { .. } => return,
+        };
+        if let Err(RouteReply::Send { vm, .. }) = reply.send(answer) {
+            self.router.finished(self.clock.now(), vm, ExchangeResult::Abandoned);
+        }
+    }
+
+    fn log(&self, pool: &str, id: RequestId, decision: &RouteDecision) {
+        match decision {
+            RouteDecision::Send { vm, reason, eligible } => {
+                counter!("cowslipport_routing_decisions_total", "decision" => "send",
+                    "reason" => reason.name())
+                .increment(1);
+                let names = || -> Vec<String> {
+                    eligible.iter().map(|vm| vm_name(&self.state, *vm)).collect()
+                };
+                info!(self.logger, "request routed"; "subject" => pool, "request" => id.0,
+                    "decision" => "send", "choice" => vm_name(&self.state, *vm),
+                    "reason" => reason.name(),
+                    "eligible" => slog::FnValue(|_| names().join(",")));
+            }
+            RouteDecision::Queue { position } => {
+                counter!("cowslipport_routing_decisions_total", "decision" => "queue",
+                    "reason" => "no_free_slot")
+                .increment(1);
+                info!(self.logger, "request routed"; "subject" => pool, "request" => id.0,
+                    "decision" => "queue", "choice" => position, "reason" => "no_free_slot",
+                    "eligible" => "");
+            }
+            RouteDecision::Refuse { reason, .. } => {
+                counter!("cowslipport_routing_decisions_total", "decision" => "refuse",
+                    "reason" => reason.name())
+                .increment(1);
+                info!(self.logger, "request routed"; "subject" => pool, "request" => id.0,
+                    "decision" => "refuse", "choice" => "", "reason" => reason.name(),
+                    "eligible" => "");
+            }
+        }
+    }
+}
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use crate::arena::Arena;
 use crate::config::Budget;
@@ -26,6 +27,7 @@
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::ids::WaveId;
+use crate::name_index::NameIndex;
 use crate::record::DrainPurpose;
 use crate::record::Health;
 use crate::record::SessionOpen;
@@ -67,12 +69,16 @@
     pub sessions: BTreeMap<SessionId, Session>,
     /// Offset of the last record that changed the set of members.
     pub membership_epoch: Offset,
+    /// Offset of the last change of the members that a majority must have
+    /// applied before the next one.
+    pub quorum_epoch: Offset,
     /// Owner of each partition.
     pub owners: BTreeMap<PartitionId, Ownership>,
     /// Grants of teams in partitions. The sum for a team is at most its limit,
     /// except after the limit was lowered.
     pub grants: BTreeMap<(TeamId, PartitionId), Resources>,
-    pub(crate) vm_names: BTreeMap<String, VmId>,
+    pub(crate) vm_names: NameIndex<VmId>,
+    pub(crate) rack_names: NameIndex<RackId>,
     pub(crate) recent_ids: VecDeque<RecordId>,
     pub(crate) recent_id_set: BTreeSet<RecordId>,
     pub(crate) freed_vms: VecDeque<(Offset, VmId)>,
@@ -136,8 +142,9 @@
 /// A VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Vm {
-    /// What the VM list says. `pool` is the name at the time of joining.
-    pub joined: VmJoined,
+    /// What the VM list says. `pool` is the name at the time of joining. All
+    /// copies of the state in a process share it.
+    pub joined: Arc<VmJoined>,
     /// Offset at which it joined.
     pub joined_at: Offset,
     /// Its data centre.
@@ -181,6 +188,8 @@
     pub open: SessionOpen,
     /// Number of its last renewal.
     pub renewal: u64,
+    /// Offset of the next record that it would apply at that renewal.
+    pub next_offset: Offset,
     /// Offset at which it joined.
     pub opened_at: Offset,
 }
@@ -223,7 +232,15 @@
 
     /// The VM of a name.
     pub fn vm_by_name(&self, name: &str) -> Option<VmId> {
-        self.vm_names.get(name).copied()
+        self.vm_names.find(name, |id| self.vm_name(id)).ok()
+    }
+
+    pub(crate) fn vm_name(&self, id: VmId) -> &str {
+        self.vms.get(id).map_or("", |vm| &vm.joined.name)
+    }
+
+    pub(crate) fn rack_name(&self, id: RackId) -> &str {
+        self.racks.get(id).map_or("", String::as_str)
     }
 
     /// The partition that a VM is part of.
@@ -242,6 +259,17 @@
         vm.health == Health::Up && vm.operation.is_none() && self.data_centre_in_service(vm)
     }
 
+    /// True if new requests may be sent to the VM's upstream instance. A VM
+    /// whose worker does not answer may still serve requests; failures of the
+    /// requests themselves take it out of routing.
+    pub fn is_routable(&self, vm: &Vm) -> bool {
+        let may_serve = match vm.health {
+            Health::Up | Health::Unknown => true,
+            Health::Down | Health::Leaving => false,
+        };
+        may_serve && vm.operation.is_none() && self.data_centre_in_service(vm)
+    }
+
     /// True if the data centre of the VM is in service.
     pub fn data_centre_in_service(&self, vm: &Vm) -> bool {
         self.data_centres.get(vm.data_centre).is_some_and(|data_centre| data_centre.in_service)
@@ -266,6 +294,15 @@
         self.sessions.len() / 2 + 1
     }
 
+    /// True if a majority of the members has applied the last change of the
+    /// members, so that the next one may take effect. Majorities before and
+    /// after one change share a member; those before and after two need not.
+    pub fn membership_confirmed(&self) -> bool {
+        let has_applied = |session: &&Session| session.next_offset > self.quorum_epoch;
+        let count = self.sessions.values().filter(has_applied).count();
+        self.sessions.is_empty() || count >= self.majority()
+    }
+
     /// The manifest in force.
     pub fn manifest(&self) -> Manifest {
         let mut manifest = Manifest { policy: self.policy, ..Manifest::default() };
--- /dev/null
+++ b/lib/src/placement_start.rs
@@ -0,0 +1,324 @@
+//! Which waiting job is served next, and the start of its task.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::ids::DataCentreId;
+use crate::ids::JobId;
+use crate::ids::RackId;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::invariant::Violation;
+use crate::job::AttemptId;
+use crate::job::JobState;
+use crate::job::TaskId;
+use crate::job_class::JobClass;
+use crate::job_queue::LOOK_AHEAD;
+use crate::job_queue::QueueKey;
+use crate::placement::Scheduler;
+use crate::placement_choice::Choice;
+use crate::resources::Resources;
+use crate::scheduler_decision::SchedulerDecision;
+use crate::scheduler_decision::StartReason;
+use crate::scheduler_decision::WaitReason;
+use crate::scheduler_event::WorkerSpec;
+use crate::share;
+use crate::share::ServiceRank;
+use crate::time::TimeMs;
+use crate::worker_health::WorkerHealth;
+use crate::worker_view::Task;
+use crate::worker_view::TaskPhase;
+
+/// A job that has waited this long is considered together with urgent ones.
+const AGED_MS: u64 = 600_000;
+
+/// Room that becomes free on a worker for one waiting job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Promise {
+    pub(crate) vm: VmId,
+    pub(crate) job: JobId,
+    pub(crate) size: Resources,
+    pub(crate) urgent: bool,
+    pub(crate) since: TimeMs,
+}
+
+/// State of one decision about starts.
+pub(crate) struct Round {
+    /// Declared sizes of the live tasks of each team.
+    pub(crate) used: BTreeMap<TeamId, Resources>,
+    /// What the live tasks of each team really use.
+    sizes: BTreeMap<TeamId, Resources>,
+    /// Capacity of the workers that take new work.
+    pub(crate) total: Resources,
+    /// Room on each worker that takes new work.
+    pub(crate) free: BTreeMap<VmId, Resources>,
+    /// Live tasks of each team in each rack and data centre.
+    pub(crate) in_rack: BTreeMap<(TeamId, RackId), u32>,
+    pub(crate) in_data_centre: BTreeMap<(TeamId, DataCentreId), u32>,
+    /// Sizes that found no room.
+    full: Vec<Resources>,
+    /// Teams whose first job waits for grant that later ones must not use.
+    pub(crate) blocked: BTreeSet<TeamId>,
+}
+
+/// What became of the attempt to start a job.
+pub(crate) enum Attempt {
+    Started,
+    Ended,
+    Waits(WaitReason),
+}
+
+/// Which jobs a phase considers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Urgent,
+    /// Those that waited too long.
+    Aged,
+    Other,
+}
+
+/// A job of one team that is looked at, and how many were before.
+#[derive(Clone, Copy, Debug)]
+struct Cursor {
+    key: QueueKey,
+    count: usize,
+}
+
+type Cursors = BTreeMap<TeamId, Cursor>;
+
+impl Round {
+    fn count(&mut self, team: TeamId, spec: &WorkerSpec) {
+        *self.in_rack.entry((team, spec.rack)).or_default() += 1;
+        *self.in_data_centre.entry((team, spec.data_centre)).or_default() += 1;
+    }
+}
+
+impl Scheduler {
+    /// Starts waiting jobs: urgent and aged ones first, then by fair share.
+    pub(crate) fn start_jobs(
+        &mut self,
+        now: TimeMs,
+        round: &mut Round,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
+        self.drop_promises(now);
+        let mut looked_at = Cursors::new();
+        self.start_phase(now, round, Phase::Urgent, &mut looked_at, out);
+        looked_at.clear();
+        self.start_phase(now, round, Phase::Aged, &mut looked_at, out);
+        self.start_phase(now, round, Phase::Other, &mut looked_at, out);
+        self.reserve_for_starved(now, round);
+        self.unthrottle(now, round, out);
+    }
+
+    pub(crate) fn new_round(&self, now: TimeMs) -> Round {
+        let mut round = Round {
+            used: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            total: Resources::ZERO,
+            free: BTreeMap::new(),
+            in_rack: BTreeMap::new(),
+            in_data_centre: BTreeMap::new(),
+            full: Vec::new(),
+            blocked: BTreeSet::new(),
+        };
+        for (vm, worker) in &self.workers {
+            let mut on_worker = Resources::ZERO;
+            for (id, task) in worker.live_tasks() {
+                let team = id.job.team;
+                let task_size = task.size(&self.classes);
+                on_worker = on_worker.saturating_add(task_size);
+                let used = round.used.entry(team).or_default();
+                *used = used.saturating_add(task.request);
+                let size = round.sizes.entry(team).or_default();
+                *size = size.saturating_add(task_size);
+                round.count(team, &worker.spec);
+            }
+            if worker.is_open() {
+                round.total = round.total.saturating_add(worker.spec.capacity);
+                round.free.insert(*vm, worker.free(now, on_worker));
+            }
+        }
+        round
+    }
+
+    /// Tries the waiting jobs of a phase, from where `looked_at` says on.
+    fn start_phase(
+        &mut self,
+        now: TimeMs,
+        round: &mut Round,
+        phase: Phase,
+        looked_at: &mut Cursors,
+        out: &mut Vec<SchedulerDecision>,
+    ) {
+        let mut open: BTreeMap<ServiceRank, Cursor> = self
+            .queue
+            .waiting_teams()
+            .filter_map(|team| {
+                let done = looked_at.get(&team).copied();
+                let cursor = self.next_in_phase(now, team, phase, done)?;
+                Some((self.service_rank(team, round), cursor))
+            })
+            .collect();
+        while let Some((mut rank, cursor)) = open.pop_first() {
+            let team = rank.team;
+            if round.blocked.contains(&team) {
+                continue;
+            }
+            looked_at.insert(team, cursor);
+            let id = cursor.key.1;
+            match self.try_start(now, id, round, out) {
+                Attempt::Started => rank = self.service_rank(team, round),
+                Attempt::Ended => {}
+                Attempt::Waits(reason) => {
+                    if let Some(job) = self.queue.get_mut(id) {
+                        job.wait = reason;
+                    }
+                }
+            }
+            if let Some(next) = self.next_in_phase(now, team, phase, Some(cursor)) {
+                open.insert(rank, next);
+            }
+        }
+    }
+
+    /// Place of a team in the order of service.
+    fn service_rank(&self, team: TeamId, round: &Round) -> ServiceRank {
+        let used = round.sizes.get(&team).copied().unwrap_or_default();
+        let view = self.teams.get(&team).and_then(|state| state.view.as_ref());
+        let share_milli = view.map_or(0, |view| view.share_milli);
+        share::service_rank(team, share_milli, used, round.total)
+    }
+
+    /// The waiting job of a team after `done`, if it belongs to the phase.
+    /// Aged jobs are in front of all others that are not urgent.
+    fn next_in_phase(
+        &self,
+        now: TimeMs,
+        team: TeamId,
+        phase: Phase,
+        done: Option<Cursor>,
+    ) -> Option<Cursor> {
+        let count = done.map_or(1, |cursor| cursor.count + 1);
+        let after = done.map(|cursor| cursor.key);
+        let key = self.queue.next_waiting(team, phase == Phase::Urgent, after)?;
+        let belongs = match phase {
+            Phase::Urgent | Phase::Other => true,
+            Phase::Aged => is_aged(now, self.queue.get(key.1)?.accepted_at),
+        };
+        (belongs && count <= LOOK_AHEAD).then_some(Cursor { key, count })
+    }
+
+    fn try_start(
+        &mut self,
+        now: TimeMs,
+        id: JobId,
+        round: &mut Round,
+        out: &mut Vec<SchedulerDecision>,
+    ) -> Attempt {
+        if let Err(attempt) = self.check_job(now, id, out) {
+            return attempt;
+        }
+        if let Some(reason) = self.check_grant(now, id, round, out) {
+            return Attempt::Waits(reason);
+        }
+        if let Some(ended) = self.check_fits_any(now, id, out) {
+            return ended;
+        }
+        let Some(job) = self.queue.get(id) else { return Attempt::Ended };
+        let size = self.classes.estimate(&job.class, job.spec.request);
+        let urgent = job.spec.urgent;
+        if !urgent && round.full.iter().any(|full| full.fits_in(size)) {
+            return Attempt::Waits(WaitReason::NoRoom);
+        }
+        match self.choose_worker(now, id, round) {
+            Some(choice) => match self.start(now, id, choice, round, out) {
+                Ok(()) => Attempt::Started,
+                Err(violation) => {
+                    out.push(SchedulerDecision::Refused(violation));
+                    Attempt::Waits(WaitReason::NoWorker)
+                }
+            },
+            None if round.free.is_empty() => Attempt::Waits(WaitReason::NoWorker),
+            None if urgent => Attempt::Waits(self.make_room(now, id, round, out)),
+            None => {
+                round.full.push(size);
+                Attempt::Waits(WaitReason::NoRoom)
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: TimeMs,
+        id: JobId,
+        choice: Choice,
+        round: &mut Round,
+        out: &mut Vec<SchedulerDecision>,
+    ) -> Result<(), Violation> {
+        self.check_start(now, id, choice.vm, round)?;
+        let (Some(epoch), Some(job)) = (self.epoch, self.queue.get(id)) else { return Ok(()) };
+        let attempt = AttemptId { epoch, sequence: self.next_attempt };
+        let task = TaskId { job: job.spec.job.clone(), attempt };
+        let (class, request, payload) =
+            (job.class.clone(), job.spec.request, job.spec.payload.clone());
+        let reason = match self.health.health(now, choice.vm) {
+            WorkerHealth::Probation => StartReason::Probe,
+            WorkerHealth::Good | WorkerHealth::Quarantined { .. } if job.spec.urgent => {
+                StartReason::Urgent
+            }
+            WorkerHealth::Good | WorkerHealth::Quarantined { .. } => {
+                if is_aged(now, job.accepted_at) {
+                    StartReason::Aged
+                } else {
+                    StartReason::FairShare
+                }
+            }
+        };
+        let Some(worker) = self.workers.get_mut(&choice.vm) else { return Ok(()) };
+        self.next_attempt += 1;
+        worker.tasks.insert(task.clone(), new_task(now, class, request));
+        let ticket = worker.ticket;
+        round.count(task.job.team, &worker.spec);
+        self.queue.set_state(now, id, JobState::Active { vm: choice.vm, attempt });
+        self.promises.retain(|promise| promise.job != id);
+        let team = task.job.team;
+        let used = round.used.entry(team).or_default();
+        *used = used.saturating_add(request);
+        let size = round.sizes.entry(team).or_default();
+        *size = size.saturating_add(choice.size);
+        let free = round.free.entry(choice.vm).or_default();
+        *free = free.saturating_sub(choice.size);
+        let (vm, candidates) = (choice.vm, choice.others);
+        out.push(SchedulerDecision::Start {
+            task,
+            vm,
+            epoch,
+            ticket,
+            request,
+            payload,
+            reason,
+            candidates,
+        });
+        Ok(())
+    }
+}
+
+fn is_aged(now: TimeMs, accepted_at: TimeMs) -> bool {
+    now.since(accepted_at) >= AGED_MS
+}
+
+fn new_task(now: TimeMs, class: JobClass, request: Resources) -> Task {
+    Task {
+        request,
+        class,
+        phase: TaskPhase::Starting,
+        used: None,
+        started_at: now,
+        known_at: now,
+        pending: None,
+        stop_sent: false,
+        sampled: false,
+        survived: false,
+    }
+}
--- a/lib/src/protos/cowslipport.peer.rs
+++ b/lib/src/protos/cowslipport.peer.rs
@@ -35,6 +35,20 @@
     /// Requests in flight from the member to each VM.
     #[prost(message, repeated, tag = "8")]
     pub in_flight: ::prost::alloc::vec::Vec<VmInFlight>,
+    /// Workers of VMs that have an operation, at the owner of their partition.
+    #[prost(message, repeated, tag = "9")]
+    pub workers: ::prost::alloc::vec::Vec<WorkerView>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WorkerView {
+    #[prost(uint32, tag = "1")]
+    pub vm: u32,
+    /// Tasks in the last answer; absent if the worker does not answer.
+    #[prost(uint32, optional, tag = "2")]
+    pub tasks: ::core::option::Option<u32>,
+    /// Time in milliseconds for which it has answered since its last restart.
+    #[prost(uint64, tag = "3")]
+    pub answering_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct VmInFlight {
@@ -194,6 +208,9 @@
     /// Time in milliseconds since the state was entered.
     #[prost(uint64, tag = "7")]
     pub age_ms: u64,
+    /// Number of the region of the job's partition.
+    #[prost(uint32, tag = "8")]
+    pub region: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CommitRequest {
@@ -251,6 +268,7 @@
     #[prost(message, repeated, tag = "2")]
     pub members: ::prost::alloc::vec::Vec<MemberProgress>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberProgress {
     #[prost(string, tag = "1")]
@@ -276,6 +294,7 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StatusReply {
     #[prost(uint64, tag = "1")]
@@ -299,6 +318,7 @@
     #[prost(string, repeated, tag = "10")]
     pub degraded: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PoolStatus {
     #[prost(string, tag = "1")]
@@ -312,6 +332,7 @@
     #[prost(string, tag = "5")]
     pub owner: ::prost::alloc::string::String,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TeamStatus {
     #[prost(string, tag = "1")]
@@ -323,6 +344,7 @@
     #[prost(message, optional, tag = "4")]
     pub granted: ::core::option::Option<super::control::Resources>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DataCentreStatus {
     #[prost(string, tag = "1")]
@@ -334,6 +356,7 @@
     #[prost(uint32, tag = "4")]
     pub vms: u32,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WaveStatus {
     #[prost(string, tag = "1")]
@@ -349,6 +372,7 @@
     #[prost(uint32, tag = "6")]
     pub total: u32,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberStatus {
     #[prost(string, tag = "1")]
@@ -370,11 +394,13 @@
     #[prost(string, tag = "2")]
     pub name: ::prost::alloc::string::String,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExplainReply {
     #[prost(message, repeated, tag = "1")]
     pub lines: ::prost::alloc::vec::Vec<ExplainLine>,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ExplainLine {
     /// Time in milliseconds before now.
@@ -470,6 +496,8 @@
     QueueFull = 5,
     Conflict = 6,
     KeyWithdrawn = 7,
+    /// A job of the name ended a short time ago.
+    EndedBefore = 8,
 }
 impl SubmitResult {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -486,6 +514,7 @@
             Self::QueueFull => "SUBMIT_RESULT_QUEUE_FULL",
             Self::Conflict => "SUBMIT_RESULT_CONFLICT",
             Self::KeyWithdrawn => "SUBMIT_RESULT_KEY_WITHDRAWN",
+            Self::EndedBefore => "SUBMIT_RESULT_ENDED_BEFORE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -499,6 +528,7 @@
             "SUBMIT_RESULT_QUEUE_FULL" => Some(Self::QueueFull),
             "SUBMIT_RESULT_CONFLICT" => Some(Self::Conflict),
             "SUBMIT_RESULT_KEY_WITHDRAWN" => Some(Self::KeyWithdrawn),
+            "SUBMIT_RESULT_ENDED_BEFORE" => Some(Self::EndedBefore),
             _ => None,
         }
     }
@@ -843,6 +873,27 @@
                 .insert(GrpcMethod::new("cowslipport.peer.Peer", "ListJobs"));
             self.inner.unary(req, path, codec).await
         }
+        pub async fn explain_here(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ExplainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ExplainReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/cowslipport.peer.Peer/ExplainHere",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("cowslipport.peer.Peer", "ExplainHere"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -909,6 +960,10 @@
             &self,
             request: tonic::Request<super::ListJobsRequest>,
         ) -> std::result::Result<tonic::Response<super::ListJobsReply>, tonic::Status>;
+        async fn explain_here(
+            &self,
+            request: tonic::Request<super::ExplainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ExplainReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -1379,6 +1434,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/cowslipport.peer.Peer/ExplainHere" => {
+                    #[allow(non_camel_case_types)]
+                    struct ExplainHereSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::ExplainRequest>
+                    for ExplainHereSvc<T> {
+                        type Response = super::ExplainReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ExplainRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::explain_here(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ExplainHereSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
