--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -306,6 +306,7 @@
         names.remove(self.vm_name(id), |id| self.vm_name(id));
         self.vm_names = names;
         self.vms.remove(id);
+        self.forget_in_waves(id);
         self.freed_vms.push_back((offset, id));
         Some(ControlChange::Vm(id))
     }
