daemon: tests of the request path and of idempotency keys over sockets

Guard against a cut answer that looks whole, 'not run' for a request that was sent, half requests that reach an upstream or keep a connection, leaked slots, and a second run of a key through another process.

--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -9,6 +9,9 @@
 use cowslipport_daemon::app::Daemon;
 use cowslipport_daemon::app::DaemonConfig;
 use cowslipport_daemon::app::PlatformEdges;
+use cowslipport_daemon::edges::ListedVm;
+use cowslipport_daemon::edges::VmList;
+use cowslipport_daemon::edges::VmListError;
 use cowslipport_daemon::platform_client::GrpcLog;
 use cowslipport_daemon::platform_client::GrpcVmList;
 use cowslipport_daemon::worker_client::GrpcWorkers;
@@ -17,6 +20,8 @@
 use cowslipport_lib::protos::peer as raw;
 use cowslipport_lib::protos::peer::CommitResult;
 use cowslipport_lib::protos::peer::admin_client::AdminClient;
+use cowslipport_lib::record::VmJoined;
+use cowslipport_lib::resources::Resources;
 use cowslipport_lib::settings::Limits;
 use cowslipport_standin::fleet;
 use cowslipport_standin::fleet::Fleet;
@@ -86,9 +91,8 @@
     "127.0.0.1:0".parse().expect("the address is valid")
 }
 
-/// A process on the platform.
-pub(crate) async fn start_daemon(name: &str, fleet: &Fleet) -> Daemon {
-    let config = DaemonConfig {
+fn config(name: &str) -> DaemonConfig {
+    DaemonConfig {
         name: name.to_owned(),
         data_centre: "dc1".to_owned(),
         callers: loopback(),
@@ -98,13 +102,17 @@
         peer_token: "peer".to_owned(),
         operator_token: "operator".to_owned(),
         limits: Limits { shutdown_timeout_ms: 3_000, ..Limits::default() },
-    };
+    }
+}
+
+/// A process on the platform.
+pub(crate) async fn start_daemon(name: &str, fleet: &Fleet) -> Daemon {
     let platform = PlatformEdges {
         log: GrpcLog::new(fleet.log.address()),
         vm_list: GrpcVmList::new(fleet.vm_list.address()),
         workers: GrpcWorkers,
     };
-    Daemon::start(config, platform, None, Logger::root(Discard, o!()))
+    Daemon::start(config(name), platform, None, Logger::root(Discard, o!()))
         .await
         .expect("the process starts")
 }
@@ -200,3 +208,51 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// A list with one VM for each upstream.
+#[derive(Clone)]
+pub(crate) struct FixedList {
+    upstreams: Vec<String>,
+}
+
+impl VmList for FixedList {
+    async fn list(&self) -> Result<Vec<ListedVm>, VmListError> {
+        let listed = |(index, upstream): (usize, &String)| ListedVm {
+            vm: VmJoined {
+                name: format!("vm-{index}"),
+                data_centre: "dc1".to_owned(),
+                rack: "r1".to_owned(),
+                pool: "booking".to_owned(),
+                worker_address: "127.0.0.1:9".to_owned(),
+                upstream_address: upstream.clone(),
+                capacity: Resources::ZERO,
+            },
+            leaving: false,
+        };
+        Ok(self.upstreams.iter().enumerate().map(listed).collect())
+    }
+
+    async fn reboot(&self, _vm: &str, _token: &str) -> Result<(), VmListError> {
+        Ok(())
+    }
+}
+
+/// A process with small limits on a log, with a VM for each upstream.
+pub(crate) async fn start_on(log: SocketAddr, upstreams: &[String]) -> Daemon {
+    let limits = Limits {
+        max_body_bytes: 1000,
+        max_connections: 4,
+        request_read_timeout_ms: 400,
+        shutdown_timeout_ms: 500,
+        ..Limits::default()
+    };
+    let platform = PlatformEdges {
+        log: GrpcLog::new(log),
+        vm_list: FixedList { upstreams: upstreams.to_vec() },
+        workers: GrpcWorkers,
+    };
+    let config = DaemonConfig { limits, ..config("entry-1") };
+    Daemon::start(config, platform, None, Logger::root(Discard, o!()))
+        .await
+        .expect("the process starts")
+}
