routing, daemon: assertions of invariants 3, 6, 8 and 9 on the request path

A send with a key that its team does not hold, to an instance out of service, of a request that was sent and is not repeatable, and an answer shorter than its head says are refused, logged and counted; builds with debug assertions panic. A caller is told connect_failed in place of retry_budget: what failed, not why it was not tried again. The test of refused connections failed in one of three runs over it, as the reason depended on the budget that was left.

Measured: 16 lib tests and 7 daemon tests of the request path pass.

--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -7,7 +7,6 @@
 use actix_http::HttpMessage;
 use actix_http::HttpService;
 use actix_http::KeepAlive;
-use actix_http::Method;
 use actix_http::Request;
 use actix_http::Response;
 use actix_http::ResponseBuilder;
@@ -40,15 +39,16 @@
 use tokio::task::JoinSet;
 use tokio_io_timeout::TimeoutStream;
 
+use crate::answer_copy::BodyPart;
 use crate::edges::Upstream;
 use crate::edges::UpstreamRequest;
 use crate::exchange;
-use crate::exchange::BodyPart;
 use crate::exchange::CallerRequest;
 use crate::exchange::ExchangeContext;
 use crate::exchange::Reply;
 use crate::job_front;
 use crate::jobs_task::JobsMessage;
+use crate::upstream_client::has_body;
 use crate::upstream_client::remove_hop_headers;
 
 const KEEP_ALIVE: Duration = Duration::from_secs(15);
@@ -171,7 +171,7 @@
         deadline,
         request: upstream_request(&request, path, body),
     };
-    let is_bodyless = *request.method() == Method::HEAD;
+    let method = request.method().clone();
     match exchange::spawn(context.exchange, caller_request).await {
         Ok(Reply::Answer(answer)) => local_answer(&answer),
         Ok(Reply::Upstream { status, headers, length, body }) => {
@@ -179,7 +179,7 @@
             for (name, value) in &headers {
                 builder.append_header((name.clone(), value.clone()));
             }
-            with_body(&mut builder, status, is_bodyless, length, body)
+            with_body(&mut builder, has_body(&method, status), length, body)
         }
         // The task of the request failed after it may have been sent.
         Err(_) => Response::build(StatusCode::INTERNAL_SERVER_ERROR)
@@ -254,12 +254,11 @@
 
 fn with_body(
     builder: &mut ResponseBuilder,
-    status: StatusCode,
-    is_bodyless: bool,
+    has_body: bool,
     length: Option<u64>,
     body: mpsc::Receiver<BodyPart>,
 ) -> Response<BoxBody> {
-    if is_bodyless || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+    if !has_body {
         if let Some(length) = length {
             builder.no_chunking(length);
         }
--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -6,12 +6,13 @@
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use bytes::Bytes;
 use cowslipport_lib::ejection::ExchangeResult;
 use cowslipport_lib::idempotency::AttemptId;
 use cowslipport_lib::idempotency::AttemptState;
 use cowslipport_lib::idempotency::KeyHash;
 use cowslipport_lib::ids::VmId;
+use cowslipport_lib::invariant;
+use cowslipport_lib::invariant::Invariant;
 use cowslipport_lib::keys::KeyDigest;
 use cowslipport_lib::refusal::Answer;
 use cowslipport_lib::refusal::RefusalReason;
@@ -30,14 +31,20 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::answer_copy::BodyPart;
+use crate::answer_copy::Copied;
+use crate::answer_copy::copy;
+use crate::answer_copy::is_gateway_failure;
+use crate::answer_copy::is_leaving;
 use crate::clock::Clock;
 use crate::edges::Upstream;
-use crate::edges::UpstreamBody;
 use crate::edges::UpstreamError;
 use crate::edges::UpstreamRequest;
 use crate::edges::UpstreamResponse;
 use crate::router_task::RouteReply;
 use crate::router_task::RouterMessage;
+use crate::upstream_client::has_body;
+use crate::violation;
 use crate::witness_task::BeginReply;
 use crate::witness_task::WitnessMessage;
 
@@ -83,15 +90,6 @@
     pub(crate) request: UpstreamRequest,
 }
 
-/// Part of an answer's body. A channel that closes before `End` means that
-/// the answer was cut.
-pub(crate) enum BodyPart {
-    /// Bytes.
-    Data(Bytes),
-    /// The body is whole.
-    End,
-}
-
 /// What a caller gets.
 pub(crate) enum Reply {
     /// An answer in place of an upstream.
@@ -236,7 +234,7 @@
                 }
             };
             let started = self.context.clock.now();
-            if recorded.is_some_and(|recorded| started > recorded.dispatch_before) {
+            if !self.may_send(&phase, recorded, started) {
                 self.finished(slot.vm, ExchangeResult::Abandoned).await;
                 let reason = RefusalReason::WitnessesUnavailable;
                 return ForwardEnd::GaveUp(phase.give_up(reason, None, cause));
@@ -284,6 +282,18 @@
         }
     }
 
+    /// False once the record of the attempt is too old, or if the request was
+    /// sent and is not repeatable.
+    fn may_send(&self, phase: &RequestPhase, recorded: Option<Recorded>, now: TimeMs) -> bool {
+        let checked = invariant::check(Invariant::DispatchOnce, phase.may_dispatch(), || {
+            format!("request {} to {}", self.request.id.0, self.request.pool)
+        });
+        if let Err(violation) = &checked {
+            violation::report(&self.context.logger, violation);
+        }
+        checked.is_ok() && recorded.is_none_or(|recorded| now <= recorded.dispatch_before)
+    }
+
     async fn route(
         &self,
         caller: &mut oneshot::Sender<Reply>,
@@ -308,6 +318,10 @@
         };
         match routed {
             RouteReply::Send { vm, address } => Ok(Slot { vm, address }),
+            // The caller is told what failed, not that it is not tried again.
+            RouteReply::Refuse { reason: RefusalReason::RetryBudget, retry_after_ms } => {
+                Err((RefusalReason::ConnectFailed, retry_after_ms))
+            }
             RouteReply::Refuse { reason, retry_after_ms } => Err((reason, retry_after_ms)),
         }
     }
@@ -327,8 +341,9 @@
         // A caller that is gone makes the first part fail.
         let _ = caller.send(Reply::Upstream { status, headers, length, body: receiver });
         let left = self.request.deadline.since(self.context.clock.now());
+        let expected = length.filter(|_| has_body(&self.request.request.method, status));
         let copied =
-            tokio::time::timeout(Duration::from_millis(left), copy(&mut body, &parts, length));
+            tokio::time::timeout(Duration::from_millis(left), copy(&mut body, &parts, expected));
         let copied = copied.await.unwrap_or(Copied::TimedOut);
         let result = match copied {
             Copied::Whole if is_leaving => ExchangeResult::Leaving,
@@ -378,47 +393,3 @@
     Answered { status: StatusCode, response: UpstreamResponse<B>, vm: VmId, started: TimeMs },
     GaveUp(Answer),
 }
-
-#[derive(Clone, Copy)]
-enum Copied {
-    Whole,
-    Cut,
-    TimedOut,
-    CallerGone,
-}
-
-/// Copies a body. A body that is shorter or longer than its head says is cut.
-async fn copy<B>(body: &mut B, parts: &mpsc::Sender<BodyPart>, length: Option<u64>) -> Copied
-where
-    B: UpstreamBody,
-{
-    let mut copied: u64 = 0;
-    loop {
-        match body.next().await {
-            Ok(Some(data)) => {
-                copied += data.len() as u64;
-                if length.is_some_and(|length| copied > length) {
-                    return Copied::Cut;
-                }
-                if parts.send(BodyPart::Data(data)).await.is_err() {
-                    return Copied::CallerGone;
-                }
-            }
-            Ok(None) => return Copied::Whole,
-            Err(_) => return Copied::Cut,
-        }
-    }
-}
-
-fn is_leaving<B>(response: &UpstreamResponse<B>) -> bool {
-    response.status == StatusCode::SERVICE_UNAVAILABLE && response.closes
-}
-
-/// True for an answer that says that the instance, not the request, is at
-/// fault.
-fn is_gateway_failure(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
-    )
-}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admin_server;
 mod admin_status;
+mod answer_copy;
 pub mod app;
 mod append;
 mod authority;
@@ -36,6 +37,7 @@
 mod subscriber;
 mod token;
 mod upstream_client;
+mod violation;
 mod witness_client;
 mod witness_task;
 mod witness_wire;
--- a/daemon/src/router_task.rs
+++ b/daemon/src/router_task.rs
@@ -28,6 +28,7 @@
 use crate::clock::Clock;
 use crate::peer_task::PeerMessage;
 use crate::placement_log::vm_name;
+use crate::violation;
 
 const MAILBOX_MESSAGES: usize = 4096;
 const IN_FLIGHT_INTERVAL: Duration = Duration::from_millis(250);
@@ -203,6 +204,9 @@
             RouteDecision::Refuse { reason, retry_after_ms } => {
                 RouteReply::Refuse { reason: *reason, retry_after_ms: *retry_after_ms }
             }
+            RouteDecision::Violated(_) => {
+                RouteReply::Refuse { reason: RefusalReason::NoUpstream, retry_after_ms: None }
+            }
             RouteDecision::Queue { .. } => return,
         };
         if let Err(RouteReply::Send { vm, .. }) = reply.send(answer) {
@@ -232,6 +236,7 @@
                     "decision" => "queue", "choice" => position, "reason" => "no_free_slot",
                     "eligible" => "");
             }
+            RouteDecision::Violated(violation) => violation::report(&self.logger, violation),
             RouteDecision::Refuse { reason, .. } => {
                 counter!("cowslipport_routing_decisions_total", "decision" => "refuse",
                     "reason" => reason.name())
--- a/daemon/src/upstream_client.rs
+++ b/daemon/src/upstream_client.rs
@@ -70,6 +70,13 @@
     headers.remove("keep-alive");
 }
 
+/// True if an answer has a body, which may be empty.
+pub(crate) fn has_body(method: &Method, status: StatusCode) -> bool {
+    *method != Method::HEAD
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED
+}
+
 /// The real client.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HttpUpstream;
@@ -147,9 +154,7 @@
         .headers
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    let has_body = *method != Method::HEAD
-        && status != StatusCode::NO_CONTENT
-        && status != StatusCode::NOT_MODIFIED;
+    let has_body = has_body(method, status);
     let is_chunked = response.headers.contains_key(header::TRANSFER_ENCODING);
     // The end of a body that only the close of the connection marks cannot be
     // told from a cut.
--- a/lib/src/invariant.rs
+++ b/lib/src/invariant.rs
@@ -25,6 +25,14 @@
     GrantWithinLimit,
     /// A partition returns only grant that no task uses.
     GrantReturnUnused,
+    /// A request is routed only with a key that its team holds.
+    RouteKeyValid,
+    /// A request is routed only to an instance that is in service.
+    RouteInstanceInService,
+    /// A request that is not repeatable is sent once at most.
+    DispatchOnce,
+    /// An answer that is passed on as whole has the length of its head.
+    AnswerWhole,
 }
 
 impl Invariant {
@@ -40,6 +48,10 @@
             Self::JobOneAttempt => "job-one-attempt",
             Self::GrantWithinLimit => "grant-within-limit",
             Self::GrantReturnUnused => "grant-return-unused",
+            Self::RouteKeyValid => "route-key-valid",
+            Self::RouteInstanceInService => "route-instance-in-service",
+            Self::DispatchOnce => "dispatch-once",
+            Self::AnswerWhole => "answer-whole",
         }
     }
 }
--- a/lib/src/keys.rs
+++ b/lib/src/keys.rs
@@ -9,7 +9,7 @@
 use crate::ids::TeamId;
 
 /// SHA-256 of a presented key.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -169,6 +169,14 @@
         }
     }
 
+    /// True if the request may be sent to an upstream now.
+    pub fn may_dispatch(&self) -> bool {
+        match self {
+            Self::Undispatched(_) => true,
+            Self::Dispatched(dispatched) => dispatched.repeatability == Repeatability::Repeatable,
+        }
+    }
+
     /// True if another upstream may be tried after one failed.
     pub fn may_try_again(&self) -> bool {
         match self {
--- a/lib/src/route_select.rs
+++ b/lib/src/route_select.rs
@@ -5,7 +5,12 @@
 use crate::ejection::Admission;
 use crate::ids::PoolId;
 use crate::ids::SessionId;
+use crate::ids::TeamId;
 use crate::ids::VmId;
+use crate::invariant;
+use crate::invariant::Invariant;
+use crate::invariant::Violation;
+use crate::keys::KeyDigest;
 use crate::routing::Choice;
 use crate::routing::Instance;
 use crate::routing::PEER_COUNTS_MS;
@@ -226,13 +231,13 @@
     }
 
     /// Takes the slot of a choice.
-    pub(crate) fn take(&mut self, choice: Choice) -> RouteDecision {
+    pub(crate) fn take(&mut self, choice: Choice, team: TeamId, key: &KeyDigest) -> RouteDecision {
         let Choice { vm, reason, eligible } = choice;
+        let checked = self.check_key(team, key).and_then(|()| self.check_in_service(vm));
+        if let Err(violation) = checked {
+            return RouteDecision::Violated(violation);
+        }
         if let Some(instance) = self.instances.get_mut(&vm) {
-            assert!(
-                instance.in_service,
-                "VM {vm} is out of service and gets no new request (invariant 9)"
-            );
             instance.own += 1;
             match reason {
                 RouteReason::LocalHomeSlot | RouteReason::HomeSlot => {}
@@ -245,4 +250,16 @@
         }
         RouteDecision::Send { vm, reason, eligible }
     }
+
+    fn check_key(&self, team: TeamId, key: &KeyDigest) -> Result<(), Violation> {
+        let holder = self.keys.team(key);
+        invariant::check(Invariant::RouteKeyValid, holder == Some(team), || {
+            format!("request of team {team}, key of {holder:?}")
+        })
+    }
+
+    fn check_in_service(&self, vm: VmId) -> Result<(), Violation> {
+        let in_service = self.instances.get(&vm).is_some_and(|instance| instance.in_service);
+        invariant::check(Invariant::RouteInstanceInService, in_service, || format!("VM {vm}"))
+    }
 }
--- a/lib/src/route_waiting.rs
+++ b/lib/src/route_waiting.rs
@@ -91,7 +91,8 @@
                 return;
             };
             let choice = self.select(now, pool_id, &waiting.tried).unwrap_or(choice);
-            events.push(QueueEvent { id: waiting.id, decision: self.take(choice) });
+            let decision = self.take(choice, waiting.team, &waiting.key);
+            events.push(QueueEvent { id: waiting.id, decision });
         }
     }
 }
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -20,6 +20,7 @@
 use crate::ids::SessionId;
 use crate::ids::TeamId;
 use crate::ids::VmId;
+use crate::invariant::Violation;
 use crate::keys::KeyDigest;
 use crate::keys::TeamKeys;
 use crate::refusal::RefusalReason;
@@ -117,6 +118,8 @@
         /// Time after which a second try may succeed.
         retry_after_ms: Option<u64>,
     },
+    /// Refuse it, as sending it would break an invariant.
+    Violated(Violation),
 }
 
 /// A decision on a request that was queued: `Send` or `Refuse`.
@@ -251,7 +254,7 @@
         self.note_use(now, pool_id);
         let waits = self.pools.get(&pool_id).is_some_and(|pool| !pool.queue.is_empty());
         if !waits && let Some(choice) = self.select(now, pool_id, &request.tried) {
-            return self.take(choice);
+            return self.take(choice, team, &request.key);
         }
         if self.serving(now, pool_id) == 0 {
             return refuse(RefusalReason::NoUpstream, Some(1000));
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -51,14 +51,18 @@
 fn refusal(decision: &RouteDecision) -> Option<RefusalReason> {
     match decision {
         RouteDecision::Refuse { reason, .. } => Some(*reason),
-        RouteDecision::Send { .. } | RouteDecision::Queue { .. } => None,
+        RouteDecision::Send { .. } | RouteDecision::Queue { .. } | RouteDecision::Violated(_) => {
+            None
+        }
     }
 }
 
 fn sent_to(decision: &RouteDecision) -> Option<VmId> {
     match decision {
         RouteDecision::Send { vm, .. } => Some(*vm),
-        RouteDecision::Refuse { .. } | RouteDecision::Queue { .. } => None,
+        RouteDecision::Refuse { .. } | RouteDecision::Queue { .. } | RouteDecision::Violated(_) => {
+            None
+        }
     }
 }
 
@@ -263,7 +267,7 @@
                     match router.route(now, request(id, &key, now.0 + u64::from(ms))) {
                         RouteDecision::Send { vm, .. } => in_flight.push(vm),
                         RouteDecision::Queue { .. } => { waiting.insert(RequestId(id)); }
-                        RouteDecision::Refuse { .. } => {}
+                        RouteDecision::Refuse { .. } | RouteDecision::Violated(_) => {}
                     }
                 }
                 Op::Finish(index, code) if !in_flight.is_empty() => {
--- a/lib/tests/test_routing_load.rs
+++ b/lib/tests/test_routing_load.rs
@@ -137,7 +137,9 @@
                     self.totals.queued_while_free += 1;
                 }
             }
-            RouteDecision::Refuse { .. } => self.totals.refused += 1,
+            RouteDecision::Refuse { .. } | RouteDecision::Violated(_) => {
+                self.totals.refused += 1;
+            }
         }
     }
 
@@ -150,7 +152,9 @@
             self.totals.queued_ms += self.now.since(queued_at);
             match event.decision {
                 RouteDecision::Send { vm, .. } => self.send(process, vm),
-                RouteDecision::Refuse { .. } => self.totals.refused += 1,
+                RouteDecision::Refuse { .. } | RouteDecision::Violated(_) => {
+                    self.totals.refused += 1;
+                }
                 RouteDecision::Queue { .. } => panic!("a queue event is a decision"),
             }
         }
