--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -133,6 +133,8 @@
     pub tasks: Vec<TaskReport>,
     /// Differs after each restart of the worker.
     pub incarnation: u64,
+    /// Time since the worker started, if it tells.
+    pub up_ms: Option<u64>,
 }
 
 /// The agent that runs tasks on a VM.
--- a/daemon/src/partition.rs
+++ b/daemon/src/partition.rs
@@ -51,6 +51,11 @@
 use crate::worker_task::WorkerMessage;
 use crate::worker_task::WorkerRole;
 
+/// How long the former owner is taken to have been silent. It is not tracked,
+/// so the longest outage of the design is assumed: a job that must not run
+/// twice ends in doubt if its worker restarted within that time.
+const FORMER_SILENT_MS: u64 = 3_600_000;
+
 /// An open job and what it does.
 #[derive(Clone, Debug)]
 pub(crate) struct JobView {
@@ -133,7 +138,13 @@
             let origin = JobOrigin::Inherited;
             self.scheduler.handle(now, SchedulerEvent::JobAccepted { job, origin });
         }
-        self.scheduler.handle(now, SchedulerEvent::OwnershipGained { epoch: self.epoch });
+        self.scheduler.handle(
+            now,
+            SchedulerEvent::OwnershipGained {
+                epoch: self.epoch,
+                former_silent_ms: FORMER_SILENT_MS,
+            },
+        );
     }
 
     /// Passes an event to the scheduler.
--- a/daemon/src/worker_client.rs
+++ b/daemon/src/worker_client.rs
@@ -57,8 +57,9 @@
         }
         // A task of a name that is not ours was not started by this system.
         let tasks = reply.tasks.iter().filter_map(|task| TaskReport::try_from(task).ok());
+        let up_ms = (reply.up_ms != 0).then_some(reply.up_ms);
         let (ticket, incarnation) = (reply.ticket, reply.incarnation);
-        Ok(PollAnswer { ticket, tasks: tasks.collect(), incarnation })
+        Ok(PollAnswer { ticket, tasks: tasks.collect(), incarnation, up_ms })
     }
 
     async fn start(&mut self, start: &TaskStart) -> (StartAnswer, Option<u64>) {
--- a/daemon/src/worker_task.rs
+++ b/daemon/src/worker_task.rs
@@ -140,7 +140,12 @@
             Ok(answer) => {
                 self.missed = 0;
                 self.acknowledged.clear();
-                let report = WorkerReport { polled_at, ticket: answer.ticket, tasks: answer.tasks };
+                let report = WorkerReport {
+                    polled_at,
+                    ticket: answer.ticket,
+                    up_ms: answer.up_ms,
+                    tasks: answer.tasks,
+                };
                 let WorkerRole { partition, epoch, vm } = self.role;
                 let incarnation = answer.incarnation;
                 let message =
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -11,9 +11,12 @@
 use cowslipport_daemon::app::Daemon;
 use cowslipport_daemon::app::DaemonConfig;
 use cowslipport_daemon::app::PlatformEdges;
+use cowslipport_daemon::edges::ListedVm;
 use cowslipport_daemon::edges::LogError;
 use cowslipport_daemon::edges::LogService;
 use cowslipport_daemon::edges::ReadBatch;
+use cowslipport_daemon::edges::VmList;
+use cowslipport_daemon::edges::VmListError;
 use cowslipport_daemon::platform_client::GrpcLog;
 use cowslipport_daemon::platform_client::GrpcVmList;
 use cowslipport_daemon::worker_client::GrpcWorkers;
@@ -23,6 +26,8 @@
 use cowslipport_lib::protos::peer as raw;
 use cowslipport_lib::protos::peer::CommitResult;
 use cowslipport_lib::protos::peer::admin_client::AdminClient;
+use cowslipport_lib::record::VmJoined;
+use cowslipport_lib::resources::Resources;
 use cowslipport_lib::settings::Limits;
 use cowslipport_standin::fleet;
 use cowslipport_standin::fleet::Fleet;
@@ -201,13 +206,12 @@
 
 /// A process on the platform.
 pub(crate) async fn start_daemon(name: &str, fleet: &Fleet) -> Daemon {
-    let config = config(name);
     let platform = PlatformEdges {
         log: GrpcLog::new(fleet.log.address()),
         vm_list: GrpcVmList::new(fleet.vm_list.address()),
         workers: GrpcWorkers,
     };
-    Daemon::start(config, platform, None, Logger::root(Discard, o!()))
+    Daemon::start(config(name), platform, None, Logger::root(Discard, o!()))
         .await
         .expect("the process starts")
 }
@@ -342,3 +346,51 @@
 {
     call(entry, Method::GET, "/pools/booking/slots", key, "").await
 }
+
+/// A list with one VM for each upstream.
+#[derive(Clone)]
+pub(crate) struct FixedList {
+    upstreams: Vec<String>,
+}
+
+impl VmList for FixedList {
+    async fn list(&self) -> Result<Vec<ListedVm>, VmListError> {
+        let listed = |(index, upstream): (usize, &String)| ListedVm {
+            vm: VmJoined {
+                name: format!("vm-{index}"),
+                data_centre: "dc1".to_owned(),
+                rack: "r1".to_owned(),
+                pool: "booking".to_owned(),
+                worker_address: "127.0.0.1:9".to_owned(),
+                upstream_address: upstream.clone(),
+                capacity: Resources::ZERO,
+            },
+            leaving: false,
+        };
+        Ok(self.upstreams.iter().enumerate().map(listed).collect())
+    }
+
+    async fn reboot(&self, _vm: &str, _token: &str) -> Result<(), VmListError> {
+        Ok(())
+    }
+}
+
+/// A process with small limits on a log, with a VM for each upstream.
+pub(crate) async fn start_on(log: SocketAddr, upstreams: &[String]) -> Daemon {
+    let limits = Limits {
+        max_body_bytes: 1000,
+        max_connections: 4,
+        request_read_timeout_ms: 400,
+        shutdown_timeout_ms: 500,
+        ..Limits::default()
+    };
+    let platform = PlatformEdges {
+        log: GrpcLog::new(log),
+        vm_list: FixedList { upstreams: upstreams.to_vec() },
+        workers: GrpcWorkers,
+    };
+    let config = DaemonConfig { limits, ..config("entry-1") };
+    Daemon::start(config, platform, None, Logger::root(Discard, o!()))
+        .await
+        .expect("the process starts")
+}
--- a/standin/src/worker_server.rs
+++ b/standin/src/worker_server.rs
@@ -72,6 +72,7 @@
     let task = WorkerTask {
         agent: WorkerAgent::new(settings, first_ticket),
         incarnation: first_ticket,
+        started_at: clock.now(),
         clock,
         reporter,
         reported: 0,
@@ -128,6 +129,7 @@
 struct WorkerTask {
     agent: WorkerAgent,
     incarnation: u64,
+    started_at: TimeMs,
     clock: Clock,
     reporter: Reporter,
     /// Number of samples of the history that the recorder has.
@@ -219,6 +221,7 @@
                 ticket: answer.ticket,
                 tasks: answer.tasks.into_iter().map(report_to_raw).collect(),
                 incarnation: self.incarnation,
+                up_ms: now.since(self.started_at),
             },
             None => raw::PollReply { highest_epoch, ..raw::PollReply::default() },
         }
