--- a/cli/src/admin.rs
+++ b/cli/src/admin.rs
@@ -18,7 +18,8 @@
 use crate::error::CliError;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Above the time for which a daemon waits for the log service.
+/// A change whose append the log service does not answer ends here, with an
+/// unknown outcome.
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// A daemon that is called as an operator.
--- a/cli/src/commands/watch.rs
+++ b/cli/src/commands/watch.rs
@@ -83,7 +83,7 @@
     facts.insert("revision".to_owned(), format!("{} by {}", status.revision, status.author));
     facts.insert("view".to_owned(), status.freshness.clone());
     for reason in &status.degraded {
-        facts.insert(format!("degraded {reason}"), "true".to_owned());
+        facts.insert(format!("degraded: {reason}"), "yes".to_owned());
     }
     for entry in &status.data_centres {
         let state = if entry.in_service { "in service" } else { "out" };
--- a/cli/tests/test_operate.rs
+++ b/cli/tests/test_operate.rs
@@ -143,7 +143,7 @@
 status 0
 -- stdout
 data centre dc1: in service
-degraded wave w1 is halted: true
+degraded: wave w1 is halted: yes
 pool web: 4 VMs, 0 unavailable
 process entry-1: log reachable
 revision: 3 by ana
@@ -161,7 +161,7 @@
 status 0
 -- stdout
 {"subject":"data centre dc1","before":null,"after":"in service"}
-{"subject":"degraded wave w1 is halted","before":null,"after":"true"}
+{"subject":"degraded: wave w1 is halted","before":null,"after":"yes"}
 {"subject":"pool web","before":null,"after":"4 VMs, 0 unavailable"}
 {"subject":"process entry-1","before":null,"after":"log reachable"}
 {"subject":"revision","before":null,"after":"3 by ana"}
--- a/gen/src/pages.rs
+++ b/gen/src/pages.rs
@@ -116,7 +116,7 @@
         (Type::String, Label::Optional | Label::Required) => "text",
         (Type::Bool, _) => "`true` or `false`",
         (Type::Uint32, _) => "number up to 2^32 - 1",
-        (Type::Uint64, _) => "number up to 2^63 - 1",
+        (Type::Uint64, _) => "number up to 2^64 - 1",
         (
             Type::Double
             | Type::Float
