cli: waits longer than the daemon for an append

During an outage of the log the tool gave up after 15 s, before the daemon named the reason (8 s of retries and 10 s of waiting).

Before: `the outcome is unknown: Timeout expired` after 15 s.

--- a/cli/src/admin.rs
+++ b/cli/src/admin.rs
@@ -18,9 +18,9 @@
 use crate::error::CliError;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
-/// A change whose append the log service does not answer ends here, with an
-/// unknown outcome.
-const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Above the 18 s after which a daemon gives up an append that the log service
+/// does not answer, so that its reason is heard.
+const CALL_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// A daemon that is called as an operator.
 pub(crate) struct Admin {
