--- a/lib/tests/test_decoders.rs
+++ b/lib/tests/test_decoders.rs
@@ -4,9 +4,18 @@
 use cowslipport_lib::config::Manifest;
 use cowslipport_lib::control::ControlState;
 use cowslipport_lib::file_kind::FileKind;
+use cowslipport_lib::ids::Epoch;
+use cowslipport_lib::ids::Offset;
 use cowslipport_lib::ids::RecordId;
 use cowslipport_lib::ids::Revision;
+use cowslipport_lib::ids::TeamId;
 use cowslipport_lib::ids::VmId;
+use cowslipport_lib::job::JobEnd;
+use cowslipport_lib::job::JobOutcome;
+use cowslipport_lib::job::JobRecord;
+use cowslipport_lib::job::JobRecordBody;
+use cowslipport_lib::job::JobRef;
+use cowslipport_lib::job_log::JobLog;
 use cowslipport_lib::record::ControlRecord;
 use cowslipport_lib::record::Health;
 use cowslipport_lib::record::RecordBody;
@@ -124,6 +133,13 @@
     state.encode()
 }
 
+fn sample_job_record() -> Vec<u8> {
+    let job = JobRef { team: TeamId(1), name: "night-run".to_owned() };
+    let end = JobEnd { job: job.clone(), outcome: JobOutcome::Succeeded };
+    let id = RecordId { writer: 1, sequence: 1 };
+    JobRecord { id, epoch: Epoch(1), body: JobRecordBody::Ended(vec![end]) }.encode()
+}
+
 fn bytes_like(samples: Vec<Vec<u8>>) -> impl Strategy<Value = Vec<u8>> {
     let damaged = (
         prop::sample::select(samples),
@@ -157,6 +173,14 @@
         }
     }
 
+    #[test]
+    fn any_job_record_is_decoded_or_refused(bytes in bytes_like(vec![sample_job_record()])) {
+        if let Ok(record) = JobRecord::decode(&bytes) {
+            JobLog::default().apply(Offset(0), &record);
+            assert_eq!(JobRecord::decode(&record.encode()), Ok(record));
+        }
+    }
+
     #[test]
     fn any_snapshot_is_decoded_or_refused(bytes in bytes_like(vec![sample_snapshot()])) {
         if let Ok(state) = ControlState::decode(&bytes) {
