--- a/cli/tests/test_operate.rs
+++ b/cli/tests/test_operate.rs
@@ -143,7 +143,7 @@
 status 0
 -- stdout
 data centre dc1: in service
-degraded wave w1 is halted: true
+degraded: wave w1 is halted: yes
 pool web: 4 VMs, 0 unavailable
 process entry-1: log reachable
 revision: 3 by ana
@@ -161,7 +161,7 @@
 status 0
 -- stdout
 {"subject":"data centre dc1","before":null,"after":"in service"}
-{"subject":"degraded wave w1 is halted","before":null,"after":"true"}
+{"subject":"degraded: wave w1 is halted","before":null,"after":"yes"}
 {"subject":"pool web","before":null,"after":"4 VMs, 0 unavailable"}
 {"subject":"process entry-1","before":null,"after":"log reachable"}
 {"subject":"revision","before":null,"after":"3 by ana"}
@@ -175,6 +175,24 @@
 "#);
 }
 
+/// Guards against a watch that ends while a daemon is replaced.
+#[test]
+fn watch_goes_on_when_the_daemon_is_away() {
+    let mut looks = 0;
+    let fake = FakeDaemon::start(move |_| {
+        looks += 1;
+        if looks == 2 { Err(Status::unavailable("away")) } else { Ok(Reply::Status(status(3, 0))) }
+    });
+    let run = Run::new("watch --count 3 --interval-ms 1").operator(&fake.address);
+    let output = run.output();
+    let changes: Vec<&str> = output.lines().filter(|line| line.starts_with("server")).collect();
+    insta::assert_snapshot!(changes.join("\n"), @r#"
+server: reachable
+server: cannot reach [server]: away (was reachable)
+server: reachable (was cannot reach [server]: away)
+"#);
+}
+
 /// Guards against a decision without its reason, and a wrong name that looks
 /// like a quiet one.
 #[test]
