standin, daemon: gRPC servers do not delay trailers

Cause: the servers accept connections without TCP_NODELAY. A reply above 256 bytes is written as body and trailers, and the trailers wait for the caller's delayed acknowledgement.

Change: stand-ins and the daemon's server set TCP_NODELAY. cowslipport-capacity measures sizes of messages, and bytes, processor time and duration of calls against the stand-ins.

--- a/bench/src/bin/capacity/main.rs
+++ b/bench/src/bin/capacity/main.rs
@@ -11,9 +11,11 @@
 
 mod cost;
 mod fold_cost;
+mod message_size;
 mod model;
 mod report;
 mod state_cost;
+mod wire_cost;
 
 #[global_allocator]
 static GLOBAL: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
@@ -38,13 +40,15 @@
 enum Error {
     #[error("cannot write the report: {0}")]
     Write(#[from] std::io::Error),
+    #[error("cannot measure calls: {0}")]
+    Calls(#[from] wire_cost::Error),
     #[error("cannot encode the report: {0}")]
     Encode(#[from] serde_json::Error),
 }
 
 fn main() -> Result<(), Error> {
     let arguments = Arguments::parse();
-    let report = report::measure();
+    let report = report::measure()?;
     let text = match arguments.format {
         Format::Text => report.to_string(),
         Format::Json => serde_json::to_string_pretty(&report)?,
--- a/bench/src/bin/capacity/model.rs
+++ b/bench/src/bin/capacity/model.rs
@@ -19,6 +19,7 @@
 use cowslipport_lib::ids::RegionId;
 use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::ids::TeamId;
+use cowslipport_lib::protos::control as raw;
 use cowslipport_lib::record::ControlRecord;
 use cowslipport_lib::record::GrantChange;
 use cowslipport_lib::record::GrantDirection;
@@ -176,21 +177,27 @@
 
 /// What the VM list says of a VM.
 pub(crate) fn join(index: usize, pools: usize) -> VmObservation {
+    VmObservation::Joined(vm(index, pools).into())
+}
+
+/// What the VM list says of a VM, as the platform encodes it.
+pub(crate) fn raw_join(index: usize, pools: usize) -> raw::VmJoined {
+    (&vm(index, pools)).into()
+}
+
+fn vm(index: usize, pools: usize) -> VmJoined {
     let rack = index / VMS_PER_RACK;
     let data_centre = rack % DATA_CENTRES;
     let (high, low) = (index / 250, index % 250);
-    VmObservation::Joined(
-        VmJoined {
-            name: format!("vm-{data_centre:02}-{index:05}"),
-            data_centre: data_centre_name(data_centre),
-            rack: format!("rack-{rack:04}"),
-            pool: pool_name(index % pools),
-            worker_address: format!("10.{data_centre}.{high}.{low}:7800"),
-            upstream_address: format!("10.{data_centre}.{high}.{low}:8080"),
-            capacity: Resources { cpu_milli: 32_000, memory_bytes: 128 << 30, accelerators: 0 },
-        }
-        .into(),
-    )
+    VmJoined {
+        name: format!("vm-{data_centre:02}-{index:05}"),
+        data_centre: data_centre_name(data_centre),
+        rack: format!("rack-{rack:04}"),
+        pool: pool_name(index % pools),
+        worker_address: format!("10.{data_centre}.{high}.{low}:7800"),
+        upstream_address: format!("10.{data_centre}.{high}.{low}:8080"),
+        capacity: Resources { cpu_milli: 32_000, memory_bytes: 128 << 30, accelerators: 0 },
+    }
 }
 
 /// A team as the manifest has it, with two keys.
--- a/bench/src/bin/capacity/report.rs
+++ b/bench/src/bin/capacity/report.rs
@@ -8,11 +8,15 @@
 use crate::cost::as_f64;
 use crate::fold_cost;
 use crate::fold_cost::RecordCost;
+use crate::message_size;
+use crate::message_size::MessageSize;
 use crate::model::FULL;
 use crate::model::FleetSize;
 use crate::model::Model;
 use crate::state_cost;
 use crate::state_cost::StateCost;
+use crate::wire_cost;
+use crate::wire_cost::CallCost;
 
 /// Configuration changes a second, on an ordinary day and in a burst.
 const COMMITS_PER_SECOND: [f64; 2] = [0.6, 60.0];
@@ -48,26 +52,42 @@
     sizes: Vec<SizeCost>,
     lines: Vec<Line>,
     commit_loads: Vec<CommitLoad>,
+    messages: Vec<MessageSize>,
+    calls: Vec<CallCost>,
 }
 
 /// Measures everything.
-pub(crate) fn measure() -> Report {
-    let workers = [1000, 5000, 20_000].map(|workers| FleetSize { workers, ..FULL });
-    let teams = FleetSize { teams: 72, ..FULL };
-    let pools = FleetSize { pools: 15, ..FULL };
-    let sessions = FleetSize { sessions: 8, ..FULL };
-    let sizes: Vec<SizeCost> =
-        workers.into_iter().chain([teams, pools, sessions]).map(measure_size).collect();
-    let mut lines = Vec::new();
-    let [small, middle, full, few_teams, few_pools, few_sessions] = &sizes[..] else {
-        return Report { sizes, lines, commit_loads: Vec::new() };
+pub(crate) fn measure() -> Result<Report, wire_cost::Error> {
+    let calls = wire_cost::measure()?;
+    let sizes: Vec<SizeCost> = [
+        FleetSize { workers: 1000, ..FULL },
+        FleetSize { workers: 5000, ..FULL },
+        FULL,
+        FleetSize { teams: 72, ..FULL },
+        FleetSize { pools: 15, ..FULL },
+        FleetSize { sessions: 8, ..FULL },
+    ]
+    .map(measure_size)
+    .into();
+    Ok(Report {
+        lines: lines(&sizes),
+        commit_loads: sizes.iter().flat_map(commit_loads).collect(),
+        sizes,
+        messages: message_size::measure(),
+        calls,
+    })
+}
+
+/// Lines over each dimension, through the sizes that differ in it alone.
+fn lines(sizes: &[SizeCost]) -> Vec<Line> {
+    let [small, middle, full, few_teams, few_pools, few_sessions] = sizes else {
+        return Vec::new();
     };
-    lines.extend(fit("workers", &[small, middle, full], |size| size.workers));
+    let mut lines = fit("workers", &[small, middle, full], |size| size.workers);
     lines.extend(fit("teams", &[few_teams, full], |size| size.teams));
     lines.extend(fit("pools", &[few_pools, full], |size| size.pools));
     lines.extend(fit("sessions", &[few_sessions, full], |size| size.sessions));
-    let commit_loads = sizes.iter().flat_map(commit_loads).collect();
-    Report { sizes, lines, commit_loads }
+    lines
 }
 
 fn measure_size(size: FleetSize) -> SizeCost {
@@ -144,6 +164,18 @@
                 load.commits_per_second, load.core_permille
             )?;
         }
+        writeln!(f, "\nmessages, bytes without frames")?;
+        for MessageSize { message, bytes } in &self.messages {
+            writeln!(f, "  {message:<48} {bytes:>6}")?;
+        }
+        writeln!(f, "\ncalls, with frames, without TCP headers")?;
+        for call in &self.calls {
+            writeln!(
+                f,
+                "  {:<34} {:>5.0} B sent {:>5.0} B received, caller {:>6.0} ns, {:>8.0} ns in all",
+                call.call, call.sent_bytes, call.received_bytes, call.caller_ns, call.wall_ns
+            )?;
+        }
         Ok(())
     }
 }
--- a/daemon/src/app.rs
+++ b/daemon/src/app.rs
@@ -19,8 +19,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 
 use crate::admin_server::AdminService;
 use crate::callers;
@@ -374,7 +374,8 @@
     let server = Server::builder()
         .add_service(PeerServer::with_interceptor(peer_service, peer_check))
         .add_service(AdminServer::with_interceptor(admin_service, operator_check))
-        .serve_with_incoming(TcpListenerStream::new(listener));
+        // Without it, trailers wait 40 ms for a delayed acknowledgement.
+        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)));
     let logger = logger.clone();
     actix_rt::spawn(async move {
         if let Err(error) = server.await {
--- a/standin/src/serve.rs
+++ b/standin/src/serve.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tonic::Status;
+use tonic::transport::server::TcpIncoming;
 
 /// Messages that a stand-in's mailbox holds.
 pub(crate) const MAILBOX_MESSAGES: usize = 256;
@@ -83,6 +84,12 @@
     bound.await.map_err(|source| Error::Bind { address, source })
 }
 
+/// Connections of a gRPC server. Without `TCP_NODELAY` the trailers of a reply
+/// wait for a delayed acknowledgement of its body, 40 ms.
+pub(crate) fn incoming(listener: TcpListener) -> TcpIncoming {
+    TcpIncoming::from(listener).with_nodelay(Some(true))
+}
+
 /// Sends a message with a reply channel to a stand-in's task and waits for
 /// the reply.
 pub(crate) async fn ask<M, T, F>(mailbox: &mpsc::Sender<M>, message: F) -> Result<T, Status>
--- a/standin/src/worker_server.rs
+++ b/standin/src/worker_server.rs
@@ -5,7 +5,6 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -83,7 +82,7 @@
     let service = WorkerServer::new(WorkerService { mailbox: mailbox.clone() });
     let server = actix_rt::spawn(async move {
         let shutdown = async move { drop(stopped.await) };
-        let incoming = TcpListenerStream::new(listener);
+        let incoming = serve::incoming(listener);
         // An error of the listener ends the stand-in; its clients see that.
         let _ = Server::builder()
             .add_service(service)
--- a/standin/tests/test_log_server.rs
+++ b/standin/tests/test_log_server.rs
@@ -3,6 +3,8 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use tokio::time::Duration;
+use tokio::time::Instant;
 use tonic::Code;
 
 use cowslipport_lib::protos::platform::AppendRequest;
@@ -22,11 +24,11 @@
 }
 
 fn record(byte: u8) -> AppendRequest {
-    AppendRequest { stream: "control".to_owned(), record: vec![byte] }
+    AppendRequest { stream: "control".to_owned(), record: vec![byte; 60] }
 }
 
 fn read(from_offset: u64, wait_ms: u32) -> ReadRequest {
-    ReadRequest { stream: "control".to_owned(), from_offset, max_records: 10, wait_ms }
+    ReadRequest { stream: "control".to_owned(), from_offset, max_records: 30, wait_ms }
 }
 
 /// Guards against a long poll that misses the record it waits for.
@@ -57,3 +59,19 @@
     let cut = poll.await.expect("it ends").expect_err("the log is gone");
     assert_eq!(cut.code(), Code::Unavailable);
 }
+
+/// Guards against a server without `TCP_NODELAY`, whose longer replies wait
+/// 40 ms for a delayed acknowledgement each. The bound is half of that.
+#[actix_rt::test]
+async fn replies_do_not_wait_for_acknowledgements() {
+    let (handle, mut client) = started().await;
+    for byte in 0..30 {
+        client.append(record(byte)).await.expect("the log is up");
+    }
+    let begun = Instant::now();
+    for _ in 0..50 {
+        client.read(read(0, 0)).await.expect("the log is up");
+    }
+    assert!(begun.elapsed() < 50 * Duration::from_millis(20), "{:?}", begun.elapsed());
+    handle.shutdown().await;
+}
