--- a/bench/src/bin/capacity/message_size.rs
+++ b/bench/src/bin/capacity/message_size.rs
@@ -80,6 +80,7 @@
 }
 
 fn poll_reply(tasks: usize) -> platform::PollReply {
+        up_ms: 3_600_000,
     let size = Some(model::task_size().into());
     let report = |index| platform::TaskReport {
         task: task_name(index),
--- a/bench/src/bin/capacity/role_cost.rs
+++ b/bench/src/bin/capacity/role_cost.rs
@@ -92,7 +92,7 @@
             let vm = VmId(number(index));
             partition.tell(SchedulerEvent::WorkerPut { vm, spec: worker(index) });
         }
-        partition.tell(SchedulerEvent::OwnershipGained { epoch: Epoch(7) });
+        partition.tell(SchedulerEvent::OwnershipGained { epoch: Epoch(7), former_silent_ms: 0 });
         partition.tell(SchedulerEvent::StartsAllowed(true));
         for index in 0..workers * TASKS_PER_WORKER + WAITING_JOBS {
             let (job, origin) = (job(index), JobOrigin::New);
@@ -100,7 +100,7 @@
         }
         // A worker without tasks is told of its first poll, then of starts.
         for index in 0..workers {
-            let report = WorkerReport { polled_at: partition.now, ticket: 1, tasks: Vec::new() };
+            let report = WorkerReport { polled_at: partition.now, ticket: 1, up_ms: None, tasks: Vec::new() };
             partition.reports.insert(VmId(number(index)), report);
         }
         for _ in 0..20 {
