fold, placement: workers are fenced across a move of their VM

Cause: the epochs of two partitions are offsets of different records, so a worker that moved without a reboot could hold a higher epoch than its new owner and refuse it for ever. Found by review, not by a test.

Change: the fold keeps the offset at which a VM came into its pool; owners use the higher of it and their epoch as the fencing token. InForce also counts the offset that a renewal carries.

--- a/bench/src/bin/capacity/message_size.rs
+++ b/bench/src/bin/capacity/message_size.rs
@@ -80,7 +80,6 @@
 }
 
 fn poll_reply(tasks: usize) -> platform::PollReply {
-        up_ms: 3_600_000,
     let size = Some(model::task_size().into());
     let report = |index| platform::TaskReport {
         task: task_name(index),
@@ -96,6 +95,7 @@
         ticket: 1 << 33,
         tasks: (0..tasks).map(report).collect(),
         incarnation: 1 << 33,
+        up_ms: 3_600_000,
     }
 }
 
--- a/bench/src/bin/capacity/role_cost.rs
+++ b/bench/src/bin/capacity/role_cost.rs
@@ -100,7 +100,12 @@
         }
         // A worker without tasks is told of its first poll, then of starts.
         for index in 0..workers {
-            let report = WorkerReport { polled_at: partition.now, ticket: 1, up_ms: None, tasks: Vec::new() };
+            let report = WorkerReport {
+                polled_at: partition.now,
+                ticket: 1,
+                up_ms: None,
+                tasks: Vec::new(),
+            };
             partition.reports.insert(VmId(number(index)), report);
         }
         for _ in 0..20 {
--- a/daemon/src/partition.rs
+++ b/daemon/src/partition.rs
@@ -297,7 +297,8 @@
                 continue;
             }
             let Some(client) = connector.connect(&entry.joined.worker_address) else { continue };
-            let role = WorkerRole { partition: self.id, epoch: self.epoch, vm };
+            let fence = worker_epoch(self.epoch, entry);
+            let role = WorkerRole { partition: self.id, epoch: self.epoch, fence, vm };
             let sender = worker_task::spawn(client, role, clock, placement.clone());
             self.workers.insert(vm, sender);
         }
@@ -411,6 +412,13 @@
     }
 }
 
+/// Fencing token for a worker. Epochs of different partitions are not ordered
+/// by a move, so a VM that came from another pool is fenced from its former
+/// owners by the offset of the move.
+fn worker_epoch(epoch: Epoch, vm: &Vm) -> Epoch {
+    epoch.max(Epoch(vm.pool_since.0))
+}
+
 fn is_rebooting(vm: &Vm) -> bool {
     match vm.operation.map(|operation| operation.phase) {
         Some(OperationPhase::Rebooting) => true,
--- a/daemon/src/peer_task.rs
+++ b/daemon/src/peer_task.rs
@@ -489,11 +489,13 @@
         let member = |(id, session): (&SessionId, &cowslipport_lib::control::Session)| {
             let report = self.freshness.members().get(id);
             let is_me = *id == self.me;
-            let next_offset = match report {
+            let said = match report {
                 _ if is_me => self.state.next_offset,
                 Some(report) => report.next_offset,
                 None => Offset(0),
             };
+            // A renewal in the log may tell more than the last exchange.
+            let next_offset = said.max(session.next_offset);
             let age_ms = match report {
                 _ if is_me => 0,
                 Some(report) => now.since(report.said_at),
--- a/daemon/src/worker_task.rs
+++ b/daemon/src/worker_task.rs
@@ -46,8 +46,10 @@
 pub(crate) struct WorkerRole {
     /// Partition of the owner.
     pub(crate) partition: PartitionId,
-    /// Fencing token of the owner.
+    /// Epoch of the ownership.
     pub(crate) epoch: Epoch,
+    /// Fencing token for the worker.
+    pub(crate) fence: Epoch,
     /// VM of the worker.
     pub(crate) vm: VmId,
 }
@@ -108,7 +110,7 @@
             WorkerMessage::Control { task, action } => {
                 // The next report shows whether it took effect; the owner
                 // repeats it if not.
-                let _ = self.worker.control(self.role.epoch, &task, action).await;
+                let _ = self.worker.control(self.role.fence, &task, action).await;
                 self.hurry();
             }
             WorkerMessage::Acknowledge(task) => self.acknowledged.push(task),
@@ -120,7 +122,8 @@
         self.next_poll = self.next_poll.min(Instant::now() + URGENT_POLL_INTERVAL);
     }
 
-    async fn start(&mut self, start: TaskStart) {
+    async fn start(&mut self, mut start: TaskStart) {
+        start.epoch = self.role.fence;
         let (answer, ticket) = self.worker.start(&start).await;
         let vm = self.role.vm;
         let event = SchedulerEvent::StartAnswered { vm, task: start.task, answer, ticket };
@@ -134,7 +137,7 @@
         // leases if it hears polls and its answers are lost.
         let lease_ms = if self.missed >= SILENT_AFTER_POLLS { 0 } else { TASK_LEASE_MS };
         let renew_ms = u32::try_from(lease_ms).unwrap_or(u32::MAX);
-        let answer = self.worker.poll(self.role.epoch, renew_ms, &self.acknowledged).await;
+        let answer = self.worker.poll(self.role.fence, renew_ms, &self.acknowledged).await;
         self.next_poll = Instant::now() + POLL_INTERVAL;
         match answer {
             Ok(answer) => {
@@ -146,7 +149,7 @@
                     up_ms: answer.up_ms,
                     tasks: answer.tasks,
                 };
-                let WorkerRole { partition, epoch, vm } = self.role;
+                let WorkerRole { partition, epoch, vm, .. } = self.role;
                 let incarnation = answer.incarnation;
                 let message =
                     PlacementMessage::Polled { partition, epoch, vm, incarnation, report };
@@ -166,7 +169,7 @@
     }
 
     async fn tell(&self, event: SchedulerEvent) {
-        let WorkerRole { partition, epoch, vm: _ } = self.role;
+        let WorkerRole { partition, epoch, .. } = self.role;
         self.send(PlacementMessage::Scheduler { partition, epoch, event }).await;
     }
 
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -153,6 +153,8 @@
     pub rack: RackId,
     /// The one pool that it is in.
     pub pool: PoolId,
+    /// Offset at which it came into the pool.
+    pub pool_since: Offset,
     /// Its health.
     pub health: Health,
     /// The operation that is under way.
--- a/lib/src/fold.rs
+++ b/lib/src/fold.rs
@@ -203,7 +203,7 @@
             RecordBody::VmBatch(observations) => self.apply_observations(offset, observations),
             RecordBody::DrainBegin { vm, purpose } => self.begin_drain(offset, *vm, *purpose),
             RecordBody::VmOperation { vm, operation, step } => {
-                self.step_operation(*vm, *operation, *step)
+                self.step_operation(offset, *vm, *operation, *step)
             }
             RecordBody::GrantBatch(changes) => self.apply_grants(changes),
             RecordBody::WaveUpdate { wave, phase, width } => {
@@ -251,6 +251,7 @@
         let vm = Vm {
             joined: Arc::clone(joined),
             joined_at: offset,
+            pool_since: offset,
             data_centre,
             rack,
             pool,
--- a/lib/src/fold_vms.rs
+++ b/lib/src/fold_vms.rs
@@ -80,6 +80,7 @@
 
     pub(crate) fn step_operation(
         &mut self,
+        offset: Offset,
         id: VmId,
         operation_id: OperationId,
         step: VmStep,
@@ -98,6 +99,7 @@
                 // The pool may have been removed while the VM drained.
                 self.pools.get(pool).ok_or_else(|| missing("pool", &pool.to_string()))?;
                 vm.pool = pool;
+                vm.pool_since = offset;
                 Some(OperationPhase::Moved)
             }
             (OperationPhase::Rebooting | OperationPhase::Moved, VmStep::Done, _) => None,
--- a/lib/src/protos/cowslipport.control.rs
+++ b/lib/src/protos/cowslipport.control.rs
@@ -416,6 +416,9 @@
     pub rack: u32,
     #[prost(uint32, tag = "10")]
     pub pool: u32,
+    /// Offset at which the VM came into the pool.
+    #[prost(uint64, tag = "11")]
+    pub pool_since: u64,
     #[prost(oneof = "vm_state::Purpose", tags = "6, 7")]
     pub purpose: ::core::option::Option<vm_state::Purpose>,
 }
--- a/lib/src/snapshot.rs
+++ b/lib/src/snapshot.rs
@@ -309,6 +309,7 @@
         let vm = Vm {
             joined: Arc::new(joined.into()),
             joined_at: Offset(entry.joined_at),
+            pool_since: Offset(entry.pool_since),
             data_centre: DataCentreId(entry.data_centre),
             rack: RackId(entry.rack),
             pool: PoolId(entry.pool),
--- a/lib/src/snapshot_encode.rs
+++ b/lib/src/snapshot_encode.rs
@@ -143,6 +143,7 @@
         joined: Some((&*vm.joined).into()),
         health: raw::Health::from(vm.health).into(),
         joined_at: vm.joined_at.0,
+        pool_since: vm.pool_since.0,
         operation: vm.operation.map_or(0, |operation| operation.id.0.0),
         phase: phase.into(),
         purpose: vm.operation.map(|operation| match operation.purpose {
--- a/lib/tests/test_fold.rs
+++ b/lib/tests/test_fold.rs
@@ -274,7 +274,11 @@
     let purpose = DrainPurpose::Move(PoolId(1));
     fold.apply_valid(RecordBody::DrainBegin { vm: VmId(3), purpose });
     let step = |step| RecordBody::VmOperation { vm: VmId(3), operation, step };
+    let moved_at = fold.state.next_offset;
     fold.apply_valid(step(VmStep::Move));
+    // Owners fence a worker by this offset, since the epochs of its former
+    // partition may be higher than those of the new one.
+    assert_eq!(fold.state.vms.get(VmId(3)).unwrap().pool_since, moved_at);
     assert!(matches!(fold.apply(step(VmStep::Move)), Outcome::Void(_)));
     fold.apply_valid(step(VmStep::Done));
     assert!(matches!(fold.apply(step(VmStep::Move)), Outcome::Void(_)));
