placement: sharper scenarios

Change: workers whose checkpoints hang, a fleet with nothing but failing jobs, small jobs of different run times, and a report that comes while the job waits.

--- a/lib/tests/placement_fake/mod.rs
+++ b/lib/tests/placement_fake/mod.rs
@@ -73,6 +73,8 @@
 pub(crate) struct FakeWorker {
     pub(crate) spec: WorkerSpec,
     pub(crate) fails_everything: bool,
+    /// True if checkpoints never come to an end.
+    pub(crate) checkpoint_hangs: bool,
     /// False while nothing reaches the worker.
     pub(crate) reachable: bool,
     highest_epoch: Epoch,
--- a/lib/tests/placement_fake/worker.rs
+++ b/lib/tests/placement_fake/worker.rs
@@ -18,6 +18,7 @@
             on_data_centre_out: DataCentreOutPolicy::Finish,
         },
         fails_everything: false,
+        checkpoint_hangs: false,
         reachable: true,
         highest_epoch: Epoch(0),
         tickets: BTreeMap::new(),
@@ -267,6 +268,9 @@
     action: TaskAction,
     progress: &mut BTreeMap<JobRef, u64>,
 ) {
+    if action == TaskAction::Checkpoint && worker.checkpoint_hangs {
+        return;
+    }
     let Some(task) = worker.tasks.get_mut(id).filter(|task| task.state.is_live()) else { return };
     task.state = match action {
         TaskAction::Throttle => TaskState::Throttled,
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -93,8 +93,9 @@
 #[test]
 fn large_job_is_not_starved_by_small_ones() {
     let mut fleet = Fleet::new(3, 4, 2);
-    for round in 0..200 {
-        submit(&mut fleet, 0, &format!("small-{round}"), 4, 4, runs(5_000, 4));
+    for round in 0..200_u64 {
+        let run_ms = 3_000 + (round * 7 % 50) * 100;
+        submit(&mut fleet, 0, &format!("small-{round}"), 4, 4, runs(run_ms, 4));
         if round == 10 {
             submit(&mut fleet, 1, "large", 1, 32, runs(1_000, 32));
         }
@@ -104,7 +105,8 @@
 }
 
 /// Guards against urgent work that waits for running tasks to end: tasks that
-/// can be throttled, tasks of full memory, and tasks that may not be repeated.
+/// can be throttled, tasks of full memory, tasks whose checkpoint hangs, and
+/// tasks that may not be repeated.
 #[test]
 fn urgent_job_starts_in_time_on_a_full_fleet() {
     for (size, used) in [(4, 4), (16, 16), (32, 32)] {
@@ -114,6 +116,13 @@
         check_urgent_start(fleet, 16);
     }
     let mut fleet = Fleet::new(4, 8, 2);
+    for worker in fleet.workers.values_mut() {
+        worker.checkpoint_hangs = true;
+    }
+    submit(&mut fleet, 0, "fill", 100, 8, runs(600_000, 8));
+    fleet.run(10_000);
+    check_urgent_start(fleet, 32);
+    let mut fleet = Fleet::new(4, 8, 2);
     for index in 0..64 {
         let spec = JobSpec { repeatable: false, ..job(0, &format!("once-{index}"), cores(8)) };
         fleet.submit(spec, runs(600_000, 8));
@@ -288,6 +297,20 @@
     assert_eq!(succeeded(&fleet), 300);
 }
 
+/// Guards against workers blamed for a class of jobs that fails everywhere,
+/// while nothing else runs that would speak for them.
+#[test]
+fn jobs_that_fail_everywhere_quarantine_no_worker() {
+    let mut fleet = Fleet::new(25, 12, 1);
+    submit(&mut fleet, 0, "bad", 300, 8, Truth { fails: true, ..runs(1_000, 8) });
+    // 300 jobs with five attempts each on 48 places, each of which takes up
+    // to one poll of 2 s, need about 80 s.
+    fleet.run(120_000);
+    let vms: Vec<u32> = fleet.quarantined.iter().map(|vm| vm.0).collect();
+    assert_eq!(vms, []);
+    assert_eq!(fleet.outcomes.len(), 300);
+}
+
 /// Guards against a repaired worker that stays out for ever, and against one
 /// that is released although it still fails.
 #[test]
--- a/lib/tests/test_placement_reports.rs
+++ b/lib/tests/test_placement_reports.rs
@@ -114,10 +114,10 @@
 #[test]
 fn report_of_a_running_task_may_be_older_than_its_end() {
     let (mut scheduler, task) = scheduler_with_start();
+    scheduler.handle(TimeMs(1_400), SchedulerEvent::StartsAllowed(false));
     report(&mut scheduler, 1_500, 1_400, &[(&task, TaskState::Checkpointed)]);
-    let again = started(&mut scheduler, 1_510).expect("the job continues");
+    assert_eq!(started(&mut scheduler, 1_510), None);
     report(&mut scheduler, 1_600, 1_450, &[(&task, TaskState::Running)]);
-    assert_eq!(started(&mut scheduler, 1_700), None);
-    let state = scheduler.job_status(TimeMs(1_700), &again.job).map(|status| status.state);
-    assert_eq!(state, Some(JobState::Active { vm: VM, attempt: again.attempt }));
+    scheduler.handle(TimeMs(1_600), SchedulerEvent::StartsAllowed(true));
+    assert!(started(&mut scheduler, 1_610).is_some(), "the job continues");
 }
