placement: reserve room for the team that is served next

Cause: room was promised to the job that had waited longest. With a long queue that is a small job of a team which has its share, so a large job of a team that runs nothing waited behind the whole queue. The scenario did not show it, as its small jobs were so short that workers emptied between two polls.

Change: the promise goes to the first job without room of the team that is served next. The scenario uses longer tasks and a full fleet.

--- a/lib/src/placement_choice.rs
+++ b/lib/src/placement_choice.rs
@@ -130,8 +130,10 @@
             .fold(free, |free, promise| free.saturating_sub(promise.size))
     }
 
-    /// Promises the worker with the most room to the job that has waited
-    /// longest for room, so that smaller jobs do not keep it out for ever.
+    /// Promises the worker with the most room to a job that has waited long for
+    /// room, so that smaller jobs do not keep it out for ever. It is the first
+    /// one of the team that is served next; the job that has waited longest may
+    /// be one of a long queue that is served as its share allows.
     pub(crate) fn reserve_for_starved(&mut self, now: TimeMs, round: &Round) {
         if self.promises.iter().any(|promise| !promise.urgent) {
             return;
@@ -140,7 +142,7 @@
             .queue
             .first_waiting(STARVED_LOOK_AHEAD)
             .filter(|(_, job)| job.wait == WaitReason::NoRoom && now.since(job.since) >= STARVED_MS)
-            .min_by_key(|(_, job)| (job.accepted_at, job.order));
+            .min_by_key(|(_, job)| (self.service_rank(job.spec.job.team, round), job.order));
         let Some((id, job)) = starved else { return };
         let candidates = self
             .workers
--- a/lib/src/placement_start.rs
+++ b/lib/src/placement_start.rs
@@ -183,7 +183,7 @@
     }
 
     /// Place of a team in the order of service.
-    fn service_rank(&self, team: TeamId, round: &Round) -> ServiceRank {
+    pub(crate) fn service_rank(&self, team: TeamId, round: &Round) -> ServiceRank {
         let used = round.sizes.get(&team).copied().unwrap_or_default();
         let view = self.teams.get(&team).and_then(|state| state.view.as_ref());
         let share_milli = view.map_or(0, |view| view.share_milli);
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -94,9 +94,9 @@
 fn large_job_is_not_starved_by_small_ones() {
     let mut fleet = Fleet::new(3, 4, 2);
     for round in 0..200_u64 {
-        let run_ms = 3_000 + (round * 7 % 50) * 100;
+        let run_ms = 15_000 + (round * 7 % 50) * 200;
         submit(&mut fleet, 0, &format!("small-{round}"), 4, 4, runs(run_ms, 4));
-        if round == 10 {
+        if round == 60 {
             submit(&mut fleet, 1, "large", 1, 32, runs(1_000, 32));
         }
         fleet.run(500);
