--- a/lib/tests/test_idempotency.rs
+++ b/lib/tests/test_idempotency.rs
@@ -337,6 +337,27 @@
     assert_eq!(attempt.answered(witnesses[2], None), AttemptStep::Unavailable);
 }
 
+/// Guards against a witness that answers, or hands its entries to another, while
+/// two members that may be all that know an attempt were not pulled from.
+#[test]
+fn witness_that_misses_two_members_waits() {
+    let members = |ids: &[u64]| ids.iter().copied().map(SessionId).collect();
+    let (start, window_over) = (TimeMs(0), TimeMs(2 * WINDOW_MS));
+    let mut witness = Witness::new(SessionId(1), WINDOW_MS);
+    witness.members_changed(start, Offset(1), members(&[1, 2, 3, 4]), true);
+    assert!(witness.is_ready(start), "the first start needs no wait");
+    witness.members_changed(start, Offset(2), members(&[1, 3, 4]), true);
+    witness.members_changed(start, Offset(3), members(&[1, 3, 4, 5]), true);
+    witness.pulled(start, SessionId(3), Offset(3), &[]);
+    witness.pulled(start, SessionId(4), Offset(1), &[]);
+    assert!(!witness.is_ready(start));
+    assert_eq!(witness.pull(start, Offset(3)), None);
+    assert!(witness.pull(start, Offset(2)).is_some());
+    assert!(witness.clone().is_ready(window_over));
+    witness.pulled(start, SessionId(4), Offset(2), &[]);
+    assert!(witness.is_ready(start));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 150,
