daemon: renewals end with the ownership; demand of pools reaches the planner

Cause: an owner cut off from log and majority went on renewing the leases of its tasks, while a successor that cannot reach the worker counts them as ended after 30 s, so a team could exceed its limit (found in review). The planner of moves got no demand, so no VM ever moved.

Change: polls renew only until the owner's authority ends, and by 25 s, so that a last renewal is over before a successor counts the task as gone. Members say how many requests wait for each pool; the planner samples slots occupied and waited for once a second.

Moves over sockets are not run yet.

--- a/bench/src/bin/capacity/message_size.rs
+++ b/bench/src/bin/capacity/message_size.rs
@@ -55,6 +55,7 @@
 /// to some VMs.
 fn exchange_reply(members: usize, vms: usize) -> peer::ExchangeReply {
     let view = |index| peer::MemberView {
+        waiting: Vec::new(),
         session: model::session_id(index).0,
         next_offset: OFFSET,
         log_reachable: true,
--- a/daemon/src/maintenance_task.rs
+++ b/daemon/src/maintenance_task.rs
@@ -42,6 +42,8 @@
 use crate::peer_task::MemberLoad;
 
 const TICK: Duration = Duration::from_millis(500);
+/// Demand is sampled once a second, as the buffers expect.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 const MAILBOX_MESSAGES: usize = 256;
 
 /// Messages of the maintenance task.
@@ -110,6 +112,8 @@
     async fn run(mut self, mut receiver: mpsc::Receiver<MaintenanceMessage>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut samples = tokio::time::interval(SAMPLE_INTERVAL);
+        samples.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 message = receiver.recv() => match message {
@@ -117,6 +121,7 @@
                     None => return,
                 },
                 _ = ticks.tick() => self.plan(),
+                _ = samples.tick() => self.sample_demand(),
             }
         }
     }
@@ -139,6 +144,29 @@
         }
     }
 
+    /// Slots that the requests of all members occupy or wait for. Every member
+    /// samples, so that the next planner need not learn the demand anew.
+    fn sample_demand(&mut self) {
+        let mut slots: BTreeMap<PoolId, u32> = BTreeMap::new();
+        for load in self.members.values() {
+            for (vm, requests) in &load.in_flight {
+                if let Some(vm) = self.state.vms.get(*vm) {
+                    *slots.entry(vm.pool).or_insert(0) += requests;
+                }
+            }
+            for (pool, requests) in &load.waiting {
+                *slots.entry(*pool).or_insert(0) += requests;
+            }
+        }
+        let pools = &self.state.pools;
+        self.demand.pools.retain(|pool, _| pools.get(*pool).is_some());
+        for (id, pool) in pools.iter().filter(|(_, pool)| !pool.spec.spare) {
+            let offered = slots.get(&id).copied().unwrap_or(0);
+            let tracker = self.demand.pools.entry(id).or_default();
+            tracker.record(offered, pool.spec.slots_per_vm);
+        }
+    }
+
     fn note_reboots(&mut self) {
         let now = self.config.clock.now();
         let rebooting: BTreeMap<VmId, OperationId> = self
--- a/daemon/src/partition.rs
+++ b/daemon/src/partition.rs
@@ -26,7 +26,6 @@
 use cowslipport_lib::scheduler_decision::SchedulerDecision;
 use cowslipport_lib::scheduler_event::JobOrigin;
 use cowslipport_lib::scheduler_event::SchedulerEvent;
-use cowslipport_lib::scheduler_event::TASK_LEASE_MS;
 use cowslipport_lib::scheduler_event::TeamView;
 use cowslipport_lib::scheduler_event::WorkerReport;
 use cowslipport_lib::scheduler_event::WorkerService;
@@ -48,6 +47,7 @@
 use crate::placement_log;
 use crate::placement_task::PlacementMessage;
 use crate::worker_task;
+use crate::worker_task::WORKER_LEASE_MS;
 use crate::worker_task::WorkerMessage;
 use crate::worker_task::WorkerRole;
 
@@ -304,6 +304,14 @@
         }
     }
 
+    /// Lets polls renew the leases of tasks until `until`.
+    pub(crate) fn renew_until(&self, until: TimeMs) {
+        for worker in self.workers.values() {
+            // The next message comes before the present time is over.
+            let _ = worker.try_send(WorkerMessage::RenewUntil(until));
+        }
+    }
+
     /// Passes a message to the jobs stream; gives it back if the stream cannot
     /// take it.
     pub(crate) fn forward(&self, message: JobStreamMessage) -> Result<(), JobStreamMessage> {
@@ -353,7 +361,7 @@
     ) {
         match decision {
             SchedulerDecision::Start { task, vm, epoch, ticket, request, payload, .. } => {
-                let lease_ms = u32::try_from(TASK_LEASE_MS).unwrap_or(u32::MAX);
+                let lease_ms = WORKER_LEASE_MS;
                 let start = TaskStart { epoch, ticket, task, request, payload, lease_ms };
                 self.start(now, vm, start);
             }
--- a/daemon/src/peer_task.rs
+++ b/daemon/src/peer_task.rs
@@ -11,6 +11,7 @@
 use cowslipport_lib::freshness::MemberReport;
 use cowslipport_lib::freshness::ViewState;
 use cowslipport_lib::ids::Offset;
+use cowslipport_lib::ids::PoolId;
 use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::ids::VmId;
 use cowslipport_lib::record::RecordBody;
@@ -62,8 +63,8 @@
     FetchDone,
     /// Another process asks what this one knows.
     Exchange(oneshot::Sender<Vec<MemberEntry>>),
-    /// Requests in flight from this process to each VM.
-    InFlight(BTreeMap<VmId, u32>),
+    /// Requests of this process.
+    InFlight(OwnLoad),
     /// Workers of VMs that have an operation, in partitions of this process.
     Workers(Vec<WorkerEntry>),
     /// Asks which members have applied an offset.
@@ -74,6 +75,15 @@
     Close(oneshot::Sender<()>),
 }
 
+/// Requests of this process.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnLoad {
+    /// Requests in flight to each VM.
+    pub(crate) in_flight: BTreeMap<VmId, u32>,
+    /// Requests that wait for a slot, by pool.
+    pub(crate) waiting: BTreeMap<PoolId, u32>,
+}
+
 /// What a member said of its requests and workers.
 #[derive(Clone, Debug)]
 pub(crate) struct MemberLoad {
@@ -83,6 +93,8 @@
     pub(crate) next_offset: Offset,
     /// Requests in flight from the member to each VM.
     pub(crate) in_flight: BTreeMap<VmId, u32>,
+    /// Requests of the member that wait for a slot, by pool.
+    pub(crate) waiting: BTreeMap<PoolId, u32>,
     /// Workers of VMs that have an operation.
     pub(crate) workers: Vec<WorkerEntry>,
 }
@@ -162,7 +174,7 @@
     state: ControlState,
     freshness: FreshnessTracker,
     view: ViewState,
-    in_flight: BTreeMap<VmId, u32>,
+    load: OwnLoad,
     workers: Vec<WorkerEntry>,
     others: BTreeMap<SessionId, MemberLoad>,
     digest: Option<(Offset, StateDigest)>,
@@ -185,7 +197,7 @@
             state: ControlState::default(),
             freshness: FreshnessTracker::default(),
             view: ViewState::Stale,
-            in_flight: BTreeMap::new(),
+            load: OwnLoad::default(),
             workers: Vec::new(),
             others: BTreeMap::new(),
             digest: None,
@@ -221,7 +233,7 @@
             PeerMessage::Exchange(reply) => {
                 let _ = reply.send(self.entries());
             }
-            PeerMessage::InFlight(in_flight) => self.in_flight = in_flight,
+            PeerMessage::InFlight(load) => self.load = load,
             PeerMessage::Workers(workers) => self.workers = workers,
             PeerMessage::Progress { offset, reply } => {
                 let _ = reply.send(self.progress(offset));
@@ -362,6 +374,7 @@
                     said_at: sent_at,
                     next_offset: entry.next_offset,
                     in_flight: in_flight.clone(),
+                    waiting: entry.waiting,
                     workers: entry.workers,
                 };
                 self.others.insert(session, load);
@@ -399,7 +412,8 @@
         let own = MemberLoad {
             said_at: now,
             next_offset: self.state.next_offset,
-            in_flight: self.in_flight.clone(),
+            in_flight: self.load.in_flight.clone(),
+            waiting: self.load.waiting.clone(),
             workers: self.workers.clone(),
         };
         members.insert(self.me, own);
@@ -419,7 +433,8 @@
             confirmed_age_ms: self.freshness.confirmed_at().map(|at| now.since(at)),
             age_ms: 0,
             digest: self.digest,
-            in_flight: self.in_flight.clone(),
+            in_flight: self.load.in_flight.clone(),
+            waiting: self.load.waiting.clone(),
             workers: self.workers.clone(),
         }]
     }
--- a/daemon/src/peer_wire.rs
+++ b/daemon/src/peer_wire.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cowslipport_lib::ids::Offset;
+use cowslipport_lib::ids::PoolId;
 use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::ids::VmId;
 use cowslipport_lib::protos::peer as raw;
@@ -28,6 +29,8 @@
     pub(crate) digest: Option<(Offset, StateDigest)>,
     /// Requests in flight from the member to each VM.
     pub(crate) in_flight: BTreeMap<VmId, u32>,
+    /// Requests of the member that wait for a slot, by pool.
+    pub(crate) waiting: BTreeMap<PoolId, u32>,
     /// Workers of VMs that have an operation, in partitions of the member.
     pub(crate) workers: Vec<WorkerEntry>,
 }
@@ -47,6 +50,10 @@
     fn from(entry: &MemberEntry) -> Self {
         let in_flight =
             |(vm, requests): (&VmId, &u32)| raw::VmInFlight { vm: vm.0, requests: *requests };
+        let waiting = |(pool, requests): (&PoolId, &u32)| raw::PoolWaiting {
+            pool: pool.0,
+            requests: *requests,
+        };
         let worker = |worker: &WorkerEntry| raw::WorkerView {
             vm: worker.vm.0,
             tasks: worker.tasks,
@@ -61,6 +68,7 @@
             digest: entry.digest.map(|(_, digest)| digest.to_vec()).unwrap_or_default(),
             digest_offset: entry.digest.map_or(0, |(offset, _)| offset.0),
             in_flight: entry.in_flight.iter().map(in_flight).collect(),
+            waiting: entry.waiting.iter().map(waiting).collect(),
             workers: entry.workers.iter().map(worker).collect(),
         }
     }
@@ -78,6 +86,7 @@
             age_ms: raw.age_ms,
             digest: digest.map(|digest| (Offset(raw.digest_offset), digest)),
             in_flight: raw.in_flight.iter().map(|entry| (VmId(entry.vm), entry.requests)).collect(),
+            waiting: raw.waiting.iter().map(|entry| (PoolId(entry.pool), entry.requests)).collect(),
             workers: raw
                 .workers
                 .iter()
--- a/daemon/src/placement_task.rs
+++ b/daemon/src/placement_task.rs
@@ -190,6 +190,21 @@
         });
     }
 
+    /// Tasks of a partition are renewed while this process may own it. After
+    /// that a successor counts on their leases to end.
+    fn allow_renewals(&self, now: TimeMs) {
+        for (id, partition) in &self.partitions {
+            match self.authority.at(now, *id) {
+                StartAuthority::Granted | StartAuthority::TakeoverWait => {
+                    partition.renew_until(self.authority.valid_until);
+                }
+                StartAuthority::NotOwner
+                | StartAuthority::StaleView
+                | StartAuthority::LeaseEnded => {}
+            }
+        }
+    }
+
     /// Tells the peer task of workers whose VMs have an operation, for the
     /// process that plans it.
     fn tell_workers(&mut self) {
@@ -198,6 +213,7 @@
             return;
         }
         self.workers_told_at = now;
+        self.allow_renewals(now);
         let state = &self.state;
         let workers: Vec<WorkerEntry> = self
             .partitions
--- a/daemon/src/router_task.rs
+++ b/daemon/src/router_task.rs
@@ -6,6 +6,7 @@
 
 use cowslipport_lib::control::ControlState;
 use cowslipport_lib::ejection::ExchangeResult;
+use cowslipport_lib::ids::PoolId;
 use cowslipport_lib::ids::SessionId;
 use cowslipport_lib::ids::TeamId;
 use cowslipport_lib::ids::VmId;
@@ -26,6 +27,7 @@
 
 use crate::authority::View;
 use crate::clock::Clock;
+use crate::peer_task::OwnLoad;
 use crate::peer_task::PeerMessage;
 use crate::placement_log::vm_name;
 use crate::violation;
@@ -127,8 +129,9 @@
                 },
                 _ = reports.tick() => {
                     let in_flight = self.router.in_flight().collect();
+                    let load = OwnLoad { in_flight, waiting: self.waiting_by_pool() };
                     // The next report carries newer counts.
-                    let _ = self.peer.try_send(PeerMessage::InFlight(in_flight));
+                    let _ = self.peer.try_send(PeerMessage::InFlight(load));
                 }
                 _ = deadlines.tick(), if !self.waiting.is_empty() => {}
             }
@@ -136,6 +139,16 @@
         }
     }
 
+    fn waiting_by_pool(&self) -> BTreeMap<PoolId, u32> {
+        let mut counts = BTreeMap::new();
+        for waiting in self.waiting.values() {
+            if let Some(pool) = self.state.pool_by_name(&waiting.pool) {
+                *counts.entry(pool).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
     fn handle(&mut self, message: RouterMessage) {
         let now = self.clock.now();
         match message {
--- a/daemon/src/worker_task.rs
+++ b/daemon/src/worker_task.rs
@@ -10,6 +10,7 @@
 use cowslipport_lib::scheduler_event::SchedulerEvent;
 use cowslipport_lib::scheduler_event::TASK_LEASE_MS;
 use cowslipport_lib::scheduler_event::WorkerReport;
+use cowslipport_lib::time::TimeMs;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -27,6 +28,11 @@
 /// Polls in a row without an answer after which a worker is silent.
 const SILENT_AFTER_POLLS: u32 = 3;
 
+/// Lease that a start or a poll gives. A successor counts
+/// [`TASK_LEASE_MS`] from when it gained the partition; the former owner may
+/// still renew for 2.0 s on its last confirmation, and the call may take 1.0 s.
+pub(crate) const WORKER_LEASE_MS: u32 = TASK_LEASE_MS as u32 - 5_000;
+
 const MAILBOX_MESSAGES: usize = 256;
 
 /// Messages to the task of a worker.
@@ -39,6 +45,8 @@
     Acknowledge(TaskId),
     /// Polls soon.
     Hurry,
+    /// Polls renew the leases of tasks until this time.
+    RenewUntil(TimeMs),
 }
 
 /// The worker that a task talks to, and for whom.
@@ -61,6 +69,7 @@
     placement: mpsc::WeakSender<PlacementMessage>,
     acknowledged: Vec<TaskId>,
     missed: u32,
+    renew_until: TimeMs,
     next_poll: Instant,
 }
 
@@ -82,6 +91,7 @@
         placement,
         acknowledged: Vec::new(),
         missed: 0,
+        renew_until: TimeMs(0),
         next_poll: Instant::now(),
     };
     actix_rt::spawn(task.run(receiver));
@@ -115,6 +125,7 @@
             }
             WorkerMessage::Acknowledge(task) => self.acknowledged.push(task),
             WorkerMessage::Hurry => self.hurry(),
+            WorkerMessage::RenewUntil(until) => self.renew_until = until,
         }
     }
 
@@ -135,8 +146,8 @@
         let polled_at = self.clock.now();
         // A silent worker gets no renewal, so that its tasks end by their
         // leases if it hears polls and its answers are lost.
-        let lease_ms = if self.missed >= SILENT_AFTER_POLLS { 0 } else { TASK_LEASE_MS };
-        let renew_ms = u32::try_from(lease_ms).unwrap_or(u32::MAX);
+        let renews = self.missed < SILENT_AFTER_POLLS && polled_at < self.renew_until;
+        let renew_ms = if renews { WORKER_LEASE_MS } else { 0 };
         let answer = self.worker.poll(self.role.fence, renew_ms, &self.acknowledged).await;
         self.next_poll = Instant::now() + POLL_INTERVAL;
         match answer {
--- a/daemon/tests/test_faults.rs
+++ b/daemon/tests/test_faults.rs
@@ -4,13 +4,18 @@
 
 use std::time::Duration;
 
+use awc::http::Method;
+use cowslipport_lib::ids::TeamId;
 use cowslipport_lib::protos::peer::CommitResult;
+use cowslipport_lib::scheduler_event::TASK_LEASE_MS;
 use cowslipport_standin::fleet::Fleet;
 use cowslipport_standin::log_server::LogMessage;
 use cowslipport_standin::log_store::LogFaults;
+use cowslipport_standin::recorder::RecorderMessage;
 use support::KEY;
 use support::MANIFEST;
 use support::Process;
+use support::call;
 use support::commit;
 use support::get;
 use support::set_data_centre;
@@ -18,6 +23,7 @@
 use support::start_three_processes;
 use support::status;
 use support::wait_until;
+use tokio::sync::oneshot;
 
 /// Bound of the design for an accepted change on a process that is cut off.
 const IN_FORCE: Duration = Duration::from_secs(4);
@@ -99,13 +105,31 @@
     .await;
 }
 
+async fn running_cpu_milli(fleet: &Fleet) -> u64 {
+    let (reply, samples) = oneshot::channel();
+    let message = RecorderMessage::Samples { team: TeamId(0), reply };
+    assert!(fleet.recorder.send(message).await.is_ok(), "the recorder runs");
+    let samples = samples.await.expect("the recorder answers");
+    samples.last().map_or(0, |sample| sample.requested.cpu_milli)
+}
+
 /// Guards against a process that is cut off from the log and from the majority
-/// and goes on taking work.
+/// and goes on taking work, or keeps tasks alive that a successor counts as
+/// ended when their leases are over.
 #[actix_rt::test]
-async fn process_without_log_and_majority_refuses_new_work() {
+async fn process_without_log_and_majority_refuses_new_work_and_renews_no_task() {
     let fleet = start_fleet().await;
     let mut processes = start_three_processes(&fleet).await;
-    let alone = processes.remove(0);
+    wait_until(Duration::from_secs(20), "a job runs", || async {
+        let job = r#"{"name":"long","pool":"booking","cpu_milli":1000,"memory_bytes":1000000,"payload":"run_ms=600000"}"#;
+        let (code, _) = call(&processes[0], Method::POST, "/jobs", KEY, job).await;
+        code < 300 && running_cpu_milli(&fleet).await == 1000
+    })
+    .await;
+    let owner = status(&processes[0]).await.pools[0].owner.clone();
+    let names = ["entry-1", "entry-2", "entry-3"];
+    let alone = names.iter().position(|name| *name == owner).expect("a process owns the pool");
+    let alone = processes.remove(alone);
     alone.cut_log(true);
     processes.into_iter().for_each(Process::kill);
     wait_until(IN_FORCE, "it refuses requests", || async {
@@ -113,6 +137,10 @@
         status == 503 && body.contains("not_run")
     })
     .await;
+    wait_until(Duration::from_millis(TASK_LEASE_MS), "the task ends by its lease", || async {
+        running_cpu_milli(&fleet).await == 0
+    })
+    .await;
 }
 
 /// Guards against a killed process that keeps the others from serving or from
--- a/lib/src/protos/cowslipport.peer.rs
+++ b/lib/src/protos/cowslipport.peer.rs
@@ -35,11 +35,21 @@
     /// Requests in flight from the member to each VM.
     #[prost(message, repeated, tag = "8")]
     pub in_flight: ::prost::alloc::vec::Vec<VmInFlight>,
+    /// Requests of the member that wait for a slot, by pool.
+    #[prost(message, repeated, tag = "10")]
+    pub waiting: ::prost::alloc::vec::Vec<PoolWaiting>,
     /// Workers of VMs that have an operation, at the owner of their partition.
     #[prost(message, repeated, tag = "9")]
     pub workers: ::prost::alloc::vec::Vec<WorkerView>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PoolWaiting {
+    #[prost(uint32, tag = "1")]
+    pub pool: u32,
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WorkerView {
     #[prost(uint32, tag = "1")]
     pub vm: u32,
