--- a/daemon/src/jobs_task.rs
+++ b/daemon/src/jobs_task.rs
@@ -13,6 +13,9 @@
 use cowslipport_lib::ids::TeamId;
 use cowslipport_lib::job::JobRef;
 use cowslipport_lib::job::JobSpec;
+use cowslipport_lib::keys::KeyDigest;
+use cowslipport_lib::keys::KeyGrant;
+use cowslipport_lib::keys::TeamKeys;
 use cowslipport_lib::protos::peer as raw;
 use cowslipport_lib::rendezvous;
 use cowslipport_lib::replica::ControlFeed;
@@ -21,7 +24,6 @@
 use sha2::Sha256;
 use slog::Logger;
 use slog::info;
-use subtle::ConstantTimeEq;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -175,17 +177,13 @@
         if self.view.at(self.config.clock.now()) == ViewState::Stale {
             return Err(JobsRefusal::ViewStale);
         }
-        let digest = Sha256::digest(presented.as_bytes());
-        let mut found = None;
-        // Every key is compared, so that the time does not tell which matched.
-        for (id, team) in self.state.teams.iter().filter(|(_, team)| !team.removed) {
-            for key in &team.spec.keys {
-                if bool::from(key.sha256.as_slice().ct_eq(digest.as_slice())) {
-                    found = Some((id, key.name.clone()));
-                }
-            }
-        }
-        found.ok_or(JobsRefusal::KeyNotGranted)
+        let digest = KeyDigest::of(presented.as_bytes());
+        let grant = TeamKeys::of(&self.state).grant(&digest);
+        let named = grant.and_then(|KeyGrant { team, index }| {
+            let key = self.state.teams.get(team)?.spec.keys.get(index as usize)?;
+            Some((team, key.name.clone()))
+        });
+        named.ok_or(JobsRefusal::KeyNotGranted)
     }
 
     fn submit(
--- a/lib/src/keys.rs
+++ b/lib/src/keys.rs
@@ -19,34 +19,48 @@
     }
 }
 
+/// A key that is granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyGrant {
+    /// Team that holds the key.
+    pub team: TeamId,
+    /// Index of the key among those of its team.
+    pub index: u32,
+}
+
 /// The keys that are granted now.
 #[derive(Clone, Debug, Default)]
 pub struct TeamKeys {
-    keys: Vec<([u8; 32], TeamId)>,
+    keys: Vec<([u8; 32], KeyGrant)>,
 }
 
 impl TeamKeys {
     /// All keys of the teams in force.
     pub fn of(state: &ControlState) -> Self {
-        let keys = state
-            .teams
-            .iter()
-            .filter(|(_, team)| !team.removed)
-            .flat_map(|(id, team)| team.spec.keys.iter().map(move |key| (key.sha256, id)))
-            .collect();
+        let mut keys = Vec::new();
+        for (team, entry) in state.teams.iter().filter(|(_, team)| !team.removed) {
+            for (index, key) in (0..).zip(&entry.spec.keys) {
+                keys.push((key.sha256, KeyGrant { team, index }));
+            }
+        }
         Self { keys }
     }
 
-    /// The team whose key was presented. Compares against every key in
-    /// constant time, so the duration does not tell which key matched.
-    pub fn team(&self, presented: &KeyDigest) -> Option<TeamId> {
-        let mut team = 0_u32;
-        let mut found = 0_u32;
+    /// The grant of a presented key. Compares against every key in constant
+    /// time, so the duration does not tell which key matched.
+    pub fn grant(&self, presented: &KeyDigest) -> Option<KeyGrant> {
+        let (mut team, mut index, mut found) = (0_u32, 0_u32, 0_u32);
         for (sha256, candidate) in &self.keys {
             let equal = sha256.as_slice().ct_eq(presented.0.as_slice());
-            team.conditional_assign(&candidate.0, equal);
+            team.conditional_assign(&candidate.team.0, equal);
+            index.conditional_assign(&candidate.index, equal);
             found.conditional_assign(&1, equal);
         }
-        (found == 1).then_some(TeamId(team))
+        (found == 1).then_some(KeyGrant { team: TeamId(team), index })
+    }
+
+    /// The team whose key was presented.
+    pub fn team(&self, presented: &KeyDigest) -> Option<TeamId> {
+        Some(self.grant(presented)?.team)
     }
 }
