job_class: no margin on observed processor time

Cause: the margin of 20% kept tasks that use nearly what they declare at their declared size, which left processor time idle.

Change: the margin is for memory only; too little processor time only slows tasks down.

--- a/lib/src/job_class.rs
+++ b/lib/src/job_class.rs
@@ -10,11 +10,12 @@
 /// below the declared size.
 const MIN_TASKS: u32 = 5;
 
-/// Estimates below the declared size are this much above the highest use seen
-/// lately, in thousandths, since reports lag and use varies between polls. The
-/// margin does not lift an estimate above the declared size: with tasks that
-/// use what they declare, a sixth of each worker stayed idle.
-const MARGIN_MILLI: u64 = 1_200;
+/// Estimates of memory below the declared size are this much above the highest
+/// use seen lately, in thousandths, since reports lag and use varies between
+/// polls. The margin does not lift an estimate above the declared size: with
+/// tasks that use what they declare, a sixth of each worker stayed idle.
+/// Processor time has no margin, since too little of it only slows tasks down.
+const MEMORY_MARGIN_MILLI: u64 = 1_200;
 
 /// Smallest estimate of processor time, in thousandths of the declared size.
 /// A task that suddenly uses what it declared then overloads a worker at most
@@ -100,12 +101,10 @@
         } else {
             (1_000, 1_000)
         };
-        let factor = |peak: u64, min: u64| {
-            let with_margin = (peak * MARGIN_MILLI / 1_000).min(peak.max(1_000));
-            with_margin.clamp(min, MAX_MILLI)
-        };
-        let cpu = factor(usage.peak.cpu_milli, min_cpu);
-        let memory = factor(usage.peak.memory_milli, min_memory);
+        let cpu = usage.peak.cpu_milli.clamp(min_cpu, MAX_MILLI);
+        let peak = usage.peak.memory_milli;
+        let with_margin = (peak * MEMORY_MARGIN_MILLI / 1_000).min(peak.max(1_000));
+        let memory = with_margin.clamp(min_memory, MAX_MILLI);
         Resources {
             cpu_milli: declared.scaled_up(cpu, 1_000).cpu_milli,
             memory_bytes: declared.scaled_up(memory, 1_000).memory_bytes,
