placement: room for an urgent job is made while its team's grant is freed

Cause: an urgent job of a team at its limit first waited for grant and then for room on a worker, each a checkpoint and a report long.

Change: both are started at once. docs/policy.md has the rounds.

--- a/lib/src/placement_check.rs
+++ b/lib/src/placement_check.rs
@@ -86,7 +86,9 @@
             // Smaller jobs of the team would take the grant that is freed.
             round.blocked.insert(team);
             self.free_own_grant(now, team, needed.saturating_sub(reach), out);
-            return Some(WaitReason::Preempting);
+            // Room on one worker is made at the same time, since freeing the
+            // grant first and the room then takes twice as long.
+            return Some(self.make_room(now, id, round, out));
         }
         if starved && request.fits_in(reach) {
             round.blocked.insert(team);
