--- a/cli/src/admin.rs
+++ b/cli/src/admin.rs
@@ -19,7 +19,7 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Above the 18 s after which a daemon gives up an append that the log service
-/// does not answer, so that its reason is heard.
+/// does not answer, so that its reason is received.
 const CALL_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// A daemon that is called as an operator.
--- a/daemon/src/control_task.rs
+++ b/daemon/src/control_task.rs
@@ -196,7 +196,7 @@
             ControlMessage::Append { body, reply } => self.append(body, reply),
             ControlMessage::AppendDone { id, result } => self.append_done(id, result),
             ControlMessage::State(reply) => {
-                // The asker may have gone away.
+                // The receiver may be closed.
                 let _ = reply.send(self.shared_state());
             }
             ControlMessage::Records { from, max, reply } => {
@@ -251,8 +251,8 @@
         self.shared = None;
         self.records_since_snapshot += applied.len() as u64;
         self.send_feed(&ControlFeed::Records(Arc::new(applied))).await;
-        // Who asked for an append hears of it after the tasks that follow the
-        // state.
+        // Appends are answered after the tasks that follow the state have the
+        // records.
         for (reply, outcome) in answers {
             let _ = reply.send(outcome);
         }
--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -1,4 +1,4 @@
-//! Where the process meets the platform: traits that the real clients and the
+//! Interfaces to the platform: traits that the real clients and the
 //! fakes of tests implement.
 
 use std::future::Future;
--- a/daemon/src/job_stream.rs
+++ b/daemon/src/job_stream.rs
@@ -271,7 +271,7 @@
                 let origin = JobOrigin::New;
                 self.tell_scheduler(SchedulerEvent::JobAccepted { job, origin }).await;
             }
-            // The submitter may have gone away; its job is recorded all the same.
+            // The receiver may be closed; the job is recorded in any case.
             let _ = reply.send(answer);
         }
     }
--- a/daemon/src/subscriber.rs
+++ b/daemon/src/subscriber.rs
@@ -13,7 +13,7 @@
 use crate::router_task::RouterMessage;
 use crate::witness_task::WitnessMessage;
 
-/// What a read of the log told about the log.
+/// Result of a read with respect to the state of the log service.
 #[derive(Clone, Debug)]
 pub(crate) enum LogContact {
     /// The log answered.
@@ -32,7 +32,7 @@
 
 /// A task that follows the control state.
 pub(crate) enum Subscriber {
-    /// The peer task, which also hears of contacts with the log.
+    /// The peer task, which also receives contacts with the log.
     Peer(mpsc::Sender<PeerMessage>),
     /// The router task.
     Router(mpsc::Sender<RouterMessage>),
--- a/daemon/src/worker_task.rs
+++ b/daemon/src/worker_task.rs
@@ -145,7 +145,7 @@
     async fn poll(&mut self) {
         let polled_at = self.clock.now();
         // A silent worker gets no renewal, so that its tasks end by their
-        // leases if it hears polls and its answers are lost.
+        // leases if it receives polls and its answers are lost.
         let renews = self.missed < SILENT_AFTER_POLLS && polled_at < self.renew_until;
         let renew_ms = if renews { WORKER_LEASE_MS } else { 0 };
         let answer = self.worker.poll(self.role.fence, renew_ms, &self.acknowledged).await;
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -146,7 +146,7 @@
         Self { addresses, arbiter, cut }
     }
 
-    /// Ends the process without a word to anybody.
+    /// Ends the process without an orderly stop.
     pub(crate) fn kill(self) {
         self.arbiter.stop();
         self.arbiter.join().expect("the thread ends");
--- a/daemon/tests/test_logging.rs
+++ b/daemon/tests/test_logging.rs
@@ -119,7 +119,7 @@
 }
 
 /// Guards against a task that waits for a destination which takes no lines,
-/// and against lost lines that nobody hears of.
+/// and against lost lines that are not reported.
 #[test]
 fn a_stuck_destination_does_not_block_and_drops_are_counted() {
     let log = Log::start(&Logging::default());
--- a/lib/src/drain.rs
+++ b/lib/src/drain.rs
@@ -46,7 +46,7 @@
 /// What is known about a VM that is being drained.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DrainReport {
-    /// Reports of all processes that have been heard, also of those without
+    /// Reports of all processes that have answered, also of those without
     /// an open session, as they serve requests too.
     pub sessions: BTreeMap<SessionId, SessionReport>,
     /// Tasks on the VM.
@@ -122,7 +122,7 @@
 /// What a drain waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DrainWait {
-    /// A process has not been heard since the drain, or has not applied it.
+    /// A process has not answered since the drain, or has not applied it.
     NotApplied(SessionId),
     /// A process has requests in flight.
     RequestsInFlight {
--- a/lib/src/fold_sessions.rs
+++ b/lib/src/fold_sessions.rs
@@ -120,7 +120,8 @@
                 continue;
             }
             let no_owner_before = current.is_none_or(|ownership| ownership.owner.is_none());
-            // A pause between two owners keeps the word on the one before it.
+            // If the partition had no owner for a while, what counts is whether the
+            // last owner released it.
             let released = match current {
                 Some(ownership) if no_owner_before => ownership.released,
                 Some(ownership) => {
--- a/lib/src/freshness.rs
+++ b/lib/src/freshness.rs
@@ -111,7 +111,7 @@
         if self.has_outage_evidence(now, me, state) { ViewState::Outage } else { ViewState::Stale }
     }
 
-    /// Until when this process may act on its view if nothing more is heard.
+    /// Until when this process may act on its view if no further report arrives.
     /// A confirmation that is about to be too old is covered by evidence of an
     /// outage, so that there is no gap between the two.
     pub fn valid_until(&self, now: TimeMs, me: SessionId, state: &ControlState) -> TimeMs {
--- a/lib/src/job_queue.rs
+++ b/lib/src/job_queue.rs
@@ -36,7 +36,7 @@
     pub(crate) wait: WaitReason,
     /// Last attempt whose end was dealt with.
     pub(crate) settled: Option<AttemptId>,
-    /// Last attempt of which the worker told the end.
+    /// Last attempt whose end the worker reported.
     pub(crate) ended: Option<AttemptId>,
     /// Number of attempts that failed.
     pub(crate) failures: u32,
--- a/lib/src/route_select.rs
+++ b/lib/src/route_select.rs
@@ -87,7 +87,7 @@
         lends
     }
 
-    /// Drops the counts of processes that were not heard for a while.
+    /// Drops the counts of processes that have not reported for a while.
     pub(crate) fn drop_silent_peers(&mut self, now: TimeMs) {
         let silent: Vec<_> = self
             .peers
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -33,7 +33,7 @@
 use crate::slots::InFlight;
 use crate::time::TimeMs;
 
-/// Counts of a process that has not been heard for this time are dropped.
+/// Counts of a process that has not reported for this time are dropped.
 pub(crate) const PEER_COUNTS_MS: u64 = 3000;
 /// Service time of a pool before the first answer.
 const FIRST_SERVICE_MS: u64 = 50;
--- a/lib/src/scheduler_event.rs
+++ b/lib/src/scheduler_event.rs
@@ -1,4 +1,4 @@
-//! What the scheduler of a partition is told.
+//! Events that the scheduler of a partition handles.
 
 use std::collections::BTreeSet;
 
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SchedulerEvent {
     /// The process owns the partition. Teams, grants, workers and inherited
-    /// jobs are told before; nothing starts before [`Self::StartsAllowed`].
+    /// jobs come before; nothing starts before [`Self::StartsAllowed`].
     OwnershipGained {
         /// Fencing token of the ownership.
         epoch: Epoch,
--- a/lib/src/worker_view.rs
+++ b/lib/src/worker_view.rs
@@ -36,7 +36,7 @@
 pub(crate) enum TaskPhase {
     /// The start was sent and its effect is not known.
     Starting,
-    /// The worker told the state.
+    /// The worker reported the state.
     Reported(TaskState),
 }
 
--- a/standin/src/vm_list_server.rs
+++ b/standin/src/vm_list_server.rs
@@ -52,7 +52,7 @@
         /// Name of the VM.
         vm: String,
     },
-    /// Ends the processes of a VM without a word on the list.
+    /// Ends the processes of a VM without a change of the list.
     PowerOff {
         /// Name of the VM.
         vm: String,
