daemon, lib: the wave test samples the budget; two files split by job

Change: the test asserts at most one unavailable VM at each round of the wave; wire_entities.rs and worker_spec.rs; one log line in usual terms.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -43,4 +43,5 @@
 mod witness_task;
 mod witness_wire;
 pub mod worker_client;
+mod worker_spec;
 mod worker_task;
--- a/daemon/src/partition.rs
+++ b/daemon/src/partition.rs
@@ -4,9 +4,7 @@
 use std::collections::BTreeSet;
 
 use cowslipport_lib::control::ControlState;
-use cowslipport_lib::control::OperationPhase;
 use cowslipport_lib::control::Team;
-use cowslipport_lib::control::Vm;
 use cowslipport_lib::fold::ControlChange;
 use cowslipport_lib::ids::Epoch;
 use cowslipport_lib::ids::PartitionId;
@@ -28,7 +26,6 @@
 use cowslipport_lib::scheduler_event::SchedulerEvent;
 use cowslipport_lib::scheduler_event::TeamView;
 use cowslipport_lib::scheduler_event::WorkerReport;
-use cowslipport_lib::scheduler_event::WorkerService;
 use cowslipport_lib::scheduler_event::WorkerSpec;
 use cowslipport_lib::time::TimeMs;
 use slog::Logger;
@@ -46,6 +43,9 @@
 use crate::peer_wire::WorkerEntry;
 use crate::placement_log;
 use crate::placement_task::PlacementMessage;
+use crate::worker_spec::is_rebooting;
+use crate::worker_spec::worker_epoch;
+use crate::worker_spec::worker_spec;
 use crate::worker_task;
 use crate::worker_task::WORKER_LEASE_MS;
 use crate::worker_task::WorkerMessage;
@@ -406,7 +406,7 @@
     fn tell_worker(&self, vm: VmId, message: WorkerMessage) {
         let sent = self.workers.get(&vm).is_some_and(|worker| worker.try_send(message).is_ok());
         if !sent {
-            warn!(self.logger, "worker cannot be told now; it is told again"; "vm" => vm.0);
+            warn!(self.logger, "worker task is busy; the action is repeated"; "vm" => vm.0);
         }
     }
 
@@ -419,35 +419,3 @@
         GrantChange { team, partition: self.id, owner: self.session, direction, amount }
     }
 }
-
-/// Fencing token for a worker. Epochs of different partitions are not ordered
-/// by a move, so a VM that came from another pool is fenced from its former
-/// owners by the offset of the move.
-fn worker_epoch(epoch: Epoch, vm: &Vm) -> Epoch {
-    epoch.max(Epoch(vm.pool_since.0))
-}
-
-fn is_rebooting(vm: &Vm) -> bool {
-    match vm.operation.map(|operation| operation.phase) {
-        Some(OperationPhase::Rebooting) => true,
-        Some(OperationPhase::Draining | OperationPhase::Moved) | None => false,
-    }
-}
-
-fn worker_spec(state: &ControlState, vm: &Vm) -> Option<WorkerSpec> {
-    let pool = state.pools.get(vm.pool)?;
-    let service = match vm.health {
-        _ if vm.operation.is_some() => WorkerService::Draining,
-        Health::Up => WorkerService::Open,
-        Health::Leaving => WorkerService::Draining,
-        Health::Down | Health::Unknown => WorkerService::Closed,
-    };
-    Some(WorkerSpec {
-        capacity: vm.joined.capacity,
-        data_centre: vm.data_centre,
-        rack: vm.rack,
-        service,
-        data_centre_in_service: state.data_centre_in_service(vm),
-        on_data_centre_out: pool.spec.on_data_centre_out,
-    })
-}
--- a/daemon/tests/test_waves.rs
+++ b/daemon/tests/test_waves.rs
@@ -37,19 +37,18 @@
     .await;
     let reply = commit(&daemons[1], 1, &format!("{MANIFEST}{WAVE}")).await;
     assert_eq!(reply.revision, 2, "{reply:?}");
-    let (mut served, mut most_unavailable) = (0, 0);
     wait_until(Duration::from_secs(90), "the wave finishes", || async {
         for daemon in &daemons {
             let (code, body) = call(daemon, Method::GET, "/pools/booking/slots", KEY, "").await;
             assert_eq!(code, 200, "{body}");
         }
-        status(&daemons[0]).await.waves.iter().all(|wave| wave.phase == "finished")
+        let report = status(&daemons[0]).await;
+        assert!(report.pools[0].unavailable <= 1, "{report:?}");
+        report.waves.iter().all(|wave| wave.phase == "finished")
     })
     .await;
     let report = status(&daemons[2]).await;
-    served += report.waves[0].done;
-    most_unavailable = most_unavailable.max(report.pools[0].unavailable);
-    assert_eq!((served, most_unavailable), (4, 0), "{report:?}");
+    assert_eq!((report.waves[0].done, report.pools[0].unavailable), (4, 0), "{report:?}");
     let summary = fleet.summary().await;
     assert_eq!((summary.interrupted_requests, summary.interrupted_tasks), (0, 0), "{summary:?}");
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -68,6 +68,7 @@
 mod wire_config;
 mod wire_config_encode;
 mod wire_control;
+mod wire_entities;
 mod wire_job;
 mod wire_settings;
 pub mod witness;
