workload: the log tells why steps wait and what pools have

One line a second for each pool, and one for a step that has waited 2 s, again each time the wait has doubled, at most eight a second. The balances of pools move to a module of their own.

--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -1,7 +1,9 @@
 //! Log lines and counters of what the owner decides.
 
+use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::notice::Notice;
+use cowslipport_lib::workload::pool_balance::PoolBalance;
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::report::TaskEnd;
 use slog::Logger;
@@ -9,7 +11,7 @@
 use slog::warn;
 
 /// Logs and counts what has changed since the last call.
-pub(crate) fn log(logger: &Logger, dispatcher: &mut Dispatcher) {
+pub(crate) fn log(logger: &Logger, catalog: &Catalog, dispatcher: &mut Dispatcher) {
     for notice in dispatcher.take_notices() {
         match notice {
             Notice::Placed { task, attempt, worker, waited_ms } => {
@@ -55,12 +57,41 @@
                 warn!(logger, "worker fails what it starts and is avoided";
                     "worker" => dispatcher.worker_name(worker), "until" => %until);
             }
+            Notice::PoolMeasured { pool, balance } => {
+                log_pool(logger, catalog.pool_name(pool), &balance);
+            }
+            Notice::StepWaits { job, occurrence, step, tasks, waited_ms, obstacles } => {
+                info!(logger, "tasks wait"; "job" => %job, "occurrence" => occurrence,
+                    "step" => step, "tasks" => tasks, "waited_ms" => waited_ms,
+                    "over_limit" => obstacles.over_limit, "leaving" => obstacles.leaving,
+                    "unreached" => obstacles.unreached, "cordoned" => obstacles.cordoned,
+                    "avoided" => obstacles.avoided, "unsuited" => obstacles.unsuited,
+                    "spread" => obstacles.spread, "without_ticket" => obstacles.without_ticket,
+                    "full" => obstacles.full, "kept" => obstacles.kept);
+            }
         }
     }
 }
 
-/// Milliseconds as a value of a histogram; exact far beyond any real wait.
-#[expect(clippy::cast_precision_loss, reason = "waits are far below 2^52 ms")]
-fn as_float(value_ms: u64) -> f64 {
-    value_ms as f64
+fn log_pool(logger: &Logger, pool: &str, balance: &PoolBalance) {
+    let gauge = |name: &'static str, value: u64| {
+        metrics::gauge!(name, "pool" => pool.to_owned()).set(as_float(value));
+    };
+    gauge("cowslipport_pool_capacity_cpu_milli", balance.capacity_cpu_milli);
+    gauge("cowslipport_pool_used_cpu_milli", balance.used_cpu_milli);
+    gauge("cowslipport_pool_waiting_cpu_milli", balance.waiting_cpu_milli);
+    gauge("cowslipport_pool_need_cpu_milli", balance.need_cpu_milli);
+    info!(logger, "pool is measured"; "pool" => pool, "workers" => balance.workers,
+        "capacity_cpu_milli" => balance.capacity_cpu_milli,
+        "used_cpu_milli" => balance.used_cpu_milli,
+        "waiting_cpu_milli" => balance.waiting_cpu_milli,
+        "arriving_cpu_milli" => balance.arriving_cpu_milli,
+        "need_cpu_milli" => balance.need_cpu_milli,
+        "spread_workers" => balance.spread_workers);
+}
+
+/// A count as a value of a metric; exact far beyond any real wait or pool.
+#[expect(clippy::cast_precision_loss, reason = "waits and pools are far below 2^52")]
+fn as_float(value: u64) -> f64 {
+    value as f64
 }
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -338,7 +338,8 @@
         self.store(view.now);
         self.follow_workers(view);
         self.send_orders(view);
-        core_log::log(&self.logger, &mut self.dispatcher);
+        self.dispatcher.explain(view.now, view.now_unix_ms, view.catalog);
+        core_log::log(&self.logger, view.catalog, &mut self.dispatcher);
     }
 
     pub(crate) fn may_start(&self, view: &OwnerView<'_>) -> bool {
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -16,6 +16,7 @@
 use crate::time::TimeMs;
 use crate::workload::advice::Tickets;
 use crate::workload::catalog::Catalog;
+use crate::workload::explain::Waits;
 use crate::workload::job::Job;
 use crate::workload::job::Phase;
 use crate::workload::job::Placement;
@@ -76,6 +77,7 @@
     pub(crate) pacer: Pacer,
     pub(crate) tickets: Tickets,
     pub(crate) crowded: BTreeSet<PoolId>,
+    pub(crate) waits: Waits,
 }
 
 impl Dispatcher {
@@ -106,6 +108,7 @@
             pacer: Pacer::default(),
             tickets: Tickets::default(),
             crowded: BTreeSet::new(),
+            waits: Waits::default(),
         }
     }
 
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -12,6 +12,7 @@
 pub mod order;
 pub mod owner_record;
 pub mod pace;
+pub mod pool_balance;
 pub mod pool_size;
 pub mod record;
 pub mod report;
@@ -22,6 +23,7 @@
 pub mod vm;
 
 mod batch;
+mod explain;
 mod job;
 mod job_record;
 mod place;
--- a/lib/src/workload/notice.rs
+++ b/lib/src/workload/notice.rs
@@ -1,9 +1,11 @@
 //! What the dispatcher tells of its decisions and of what it has learned.
 
+use crate::ids::PoolId;
 use crate::time::TimeMs;
 use crate::workload::key::JobKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
+use crate::workload::pool_balance::PoolBalance;
 use crate::workload::record::JobOutcome;
 use crate::workload::report::TaskEnd;
 
@@ -57,6 +59,54 @@
         /// Until when.
         until: TimeMs,
     },
+    /// What a pool has and needs.
+    PoolMeasured {
+        /// The pool.
+        pool: PoolId,
+        /// Its room and need.
+        balance: PoolBalance,
+    },
+    /// Tasks of a step could start and find no worker.
+    StepWaits {
+        /// The job.
+        job: JobKey,
+        /// Occurrence, from 0.
+        occurrence: u32,
+        /// Step, from 0.
+        step: u32,
+        /// Number of its tasks that wait.
+        tasks: u32,
+        /// For how long.
+        waited_ms: u64,
+        /// Why.
+        obstacles: Obstacles,
+    },
+}
+
+/// Why tasks of a step find no worker. Each worker of the pool is counted
+/// once, under the first reason that holds for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Obstacles {
+    /// One task more would be over the limit of its organisation.
+    pub over_limit: bool,
+    /// Workers that drain, or whose data centre is out of service.
+    pub leaving: u32,
+    /// Workers that have not answered.
+    pub unreached: u32,
+    /// Workers that are kept empty for maintenance or a move.
+    pub cordoned: u32,
+    /// Workers that failed or refused tasks of late.
+    pub avoided: u32,
+    /// Workers without the label that the step asks for.
+    pub unsuited: u32,
+    /// Workers that have as many tasks of the step as they may.
+    pub spread: u32,
+    /// Workers without a ticket of the advice service.
+    pub without_ticket: u32,
+    /// Workers without room.
+    pub full: u32,
+    /// Workers with room that is kept for other tasks.
+    pub kept: u32,
 }
 
 /// Why a place is free again without an end.
--- a/lib/src/workload/place.rs
+++ b/lib/src/workload/place.rs
@@ -259,7 +259,7 @@
     }
 
     /// True if the worker has the label that the step asks for.
-    fn is_suited(&self, id: WorkerId, spec: &StepSpec) -> bool {
+    pub(crate) fn is_suited(&self, id: WorkerId, spec: &StepSpec) -> bool {
         let Some(label) = &spec.required_label else { return true };
         let listing = self.workers.get(id).and_then(|worker| worker.listing.as_ref());
         listing.is_some_and(|listing| listing.labels.contains(label))
@@ -294,7 +294,7 @@
         (serving, filling)
     }
 
-    fn is_within_limit(&self, catalog: &Catalog, id: JobId, room: Resources) -> bool {
+    pub(crate) fn is_within_limit(&self, catalog: &Catalog, id: JobId, room: Resources) -> bool {
         let Some(organisation) = self.jobs.get(id).and_then(|job| job.organisation) else {
             return true;
         };
@@ -349,7 +349,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Score(bool, usize, u32, bool, u64);
 
-fn waiting_tasks(job: &Job, step: StepKey) -> Vec<TaskKey> {
+pub(crate) fn waiting_tasks(job: &Job, step: StepKey) -> Vec<TaskKey> {
     let tasks = (0..).zip(&job.step(step).tasks);
     let waiting = tasks.filter(|(_, task)| task.is_waiting());
     waiting.map(|(index, _)| TaskKey { step, index }).collect()
--- a/lib/src/workload/pool_size.rs
+++ b/lib/src/workload/pool_size.rs
@@ -11,9 +11,9 @@
 use crate::time::TimeMs;
 use crate::workload::catalog::Catalog;
 use crate::workload::dispatcher::Dispatcher;
-use crate::workload::job::Job;
-use crate::workload::key::JobId;
 use crate::workload::key::WorkerId;
+use crate::workload::pool_balance::PoolBalance;
+use crate::workload::pool_balance::PoolBalances;
 use crate::workload::vm::VmAction;
 use crate::workload::vm::VmEntry;
 use crate::workload::vm::VmList;
@@ -34,11 +34,6 @@
 const IDLE_MS: u64 = 1_200;
 /// VMs that a pool keeps whatever its need, for jobs that come next.
 const MIN_WORKERS: usize = 3;
-/// Arrivals of this time tell what a pool will need when a VM has come: a turn
-/// begins with jobs whose later steps have yet to ask for room.
-const ARRIVAL_WINDOW_MS: u64 = 700;
-/// The need that is expected is at most this multiple of the present one.
-const ARRIVAL_MAX_FACTOR: u64 = 2;
 /// A move that shows no effect in the list of VMs for this time is given up.
 const MOVE_TIMEOUT_MS: u64 = 5_000;
 /// A VM that the service called busy is left alone for this time.
@@ -60,18 +55,6 @@
     worker: Option<String>,
 }
 
-/// Room and need of a pool, in thousandths of a core.
-#[derive(Clone, Copy, Debug, Default)]
-struct Balance {
-    capacity: u64,
-    need: u64,
-    /// Work that has arrived lately, by its rate.
-    arriving: u64,
-    workers: usize,
-    /// Workers that lasting tasks of one step need, as they spread.
-    spread: usize,
-}
-
 impl PoolSizer {
     /// VMs that are being moved.
     pub fn busy_vms(&self) -> BTreeSet<String> {
@@ -136,11 +119,11 @@
         orders
     }
 
-    fn add_inbound(&self, vms: &VmList, balances: &mut BTreeMap<PoolId, Balance>) {
+    fn add_inbound(&self, vms: &VmList, balances: &mut PoolBalances) {
         for (vm, under_way) in &self.moves {
             let size = vms.get(vm).map_or(0, |entry| entry.capacity.cpu_milli);
             let Some(balance) = balances.get_mut(&under_way.to) else { continue };
-            balance.capacity += size;
+            balance.capacity_cpu_milli += size;
             balance.workers += 1;
         }
     }
@@ -153,7 +136,7 @@
         vms: &'a VmList,
         busy: &BTreeSet<String>,
         dispatcher: &mut Dispatcher,
-        balances: &BTreeMap<PoolId, Balance>,
+        balances: &PoolBalances,
     ) -> Vec<Spare<'a>> {
         let mut spare = Vec::new();
         for entry in vms.iter().filter(|entry| entry.state == VmState::Up) {
@@ -198,7 +181,7 @@
         now: TimeMs,
         catalog: &Catalog,
         spare: &mut Vec<Spare<'_>>,
-        balances: &mut BTreeMap<PoolId, Balance>,
+        balances: &mut PoolBalances,
         dispatcher: &mut Dispatcher,
         orders: &mut Vec<VmOrder>,
     ) {
@@ -235,27 +218,28 @@
     is_standby: bool,
 }
 
-impl Balance {
+impl PoolBalance {
     /// True if the pool can do without a VM of this size.
     fn can_spare(&self, size: u64) -> bool {
-        let left = self.capacity.saturating_sub(size);
-        self.workers > MIN_WORKERS.max(self.spread)
-            && left.saturating_mul(100) >= self.need.saturating_mul(HEADROOM_PERCENT)
+        let left = self.capacity_cpu_milli.saturating_sub(size);
+        self.workers > MIN_WORKERS.max(self.spread_workers)
+            && left.saturating_mul(100) >= self.need_cpu_milli.saturating_mul(HEADROOM_PERCENT)
     }
 
     fn give(&mut self, size: u64) {
-        self.capacity = self.capacity.saturating_sub(size);
+        self.capacity_cpu_milli = self.capacity_cpu_milli.saturating_sub(size);
         self.workers = self.workers.saturating_sub(1);
     }
 }
 
 /// Pools that lack VMs, with the number, the one that lacks most first.
-fn shortages(vms: &VmList, balances: &BTreeMap<PoolId, Balance>) -> Vec<(PoolId, usize)> {
+fn shortages(vms: &VmList, balances: &PoolBalances) -> Vec<(PoolId, usize)> {
     let size = vms.iter().map(|entry| entry.capacity.cpu_milli).max().unwrap_or(0).max(1);
     let mut shortages = Vec::new();
     for (pool, balance) in balances {
-        let missing_milli = balance.need.saturating_sub(balance.capacity) * 1_000 / size;
-        let for_spread = balance.spread.saturating_sub(balance.workers);
+        let missing_milli =
+            balance.need_cpu_milli.saturating_sub(balance.capacity_cpu_milli) * 1_000 / size;
+        let for_spread = balance.spread_workers.saturating_sub(balance.workers);
         let for_need = (missing_milli + 1_000 - SHORTAGE_MILLI) / 1_000;
         let missing = usize::try_from(for_need).unwrap_or(usize::MAX).max(for_spread);
         if missing > 0 {
@@ -270,7 +254,7 @@
 /// standby.
 fn take_from(
     spare: &mut Vec<Spare<'_>>,
-    balances: &mut BTreeMap<PoolId, Balance>,
+    balances: &mut PoolBalances,
     to: PoolId,
 ) -> Option<VmEntry> {
     let place = spare.iter().position(|vm| {
@@ -284,52 +268,13 @@
         balance.give(size);
     }
     if let Some(balance) = balances.get_mut(&to) {
-        balance.capacity += size;
+        balance.capacity_cpu_milli += size;
         balance.workers += 1;
     }
     Some(vm.entry.clone())
 }
 
 impl Dispatcher {
-    /// Room and need of each pool that is not on standby.
-    fn balances(
-        &self,
-        now: TimeMs,
-        now_unix_ms: u64,
-        catalog: &Catalog,
-    ) -> BTreeMap<PoolId, Balance> {
-        let active = catalog.pools().filter(|(_, pool)| !pool.is_standby);
-        let mut balances: BTreeMap<PoolId, Balance> =
-            active.map(|(pool, _)| (pool, Balance::default())).collect();
-        for (_, worker) in self.workers.iter() {
-            let Some(listing) = &worker.listing else { continue };
-            let Some(balance) = balances.get_mut(&listing.pool) else { continue };
-            let serves = !listing.is_draining && !worker.is_cordoned;
-            let in_service = !self.data_centres_out.contains(&listing.data_centre);
-            if serves && in_service && !worker.is_silent() {
-                balance.capacity += listing.capacity.cpu_milli;
-                balance.workers += 1;
-            }
-            balance.need += worker.used.cpu_milli;
-        }
-        for (id, job) in self.jobs.iter().filter(|(_, job)| !job.is_closing()) {
-            let Some(balance) = balances.get_mut(&job.pool) else { continue };
-            balance.spread = balance.spread.max(spread_of(job));
-            if !crate::workload::rank::is_overdue(now, job) {
-                balance.need += waiting_cpu_milli(id, job, now_unix_ms);
-            }
-            if now.since(job.accepted_at) <= ARRIVAL_WINDOW_MS && !job.spec.is_lasting() {
-                balance.arriving += job.remaining_work() * 1_000 / ARRIVAL_WINDOW_MS;
-            }
-        }
-        for balance in balances.values_mut() {
-            // One large job alone says little about those that follow.
-            let expected = balance.arriving.min(balance.need * ARRIVAL_MAX_FACTOR);
-            balance.need = balance.need.max(expected);
-        }
-        balances
-    }
-
     /// True if nothing has a place on a worker that answers, and nothing is
     /// planned there.
     fn is_empty(&mut self, name: &str) -> bool {
@@ -344,26 +289,3 @@
         worker.is_some_and(|worker| worker.listing.is_some() && worker.contact == Contact::Reached)
     }
 }
-
-/// Workers that the lasting tasks of one step need.
-fn spread_of(job: &Job) -> usize {
-    let lasting = job.spec.steps.iter().filter(|step| step.lasting);
-    let workers = lasting.filter_map(|step| {
-        let most = step.max_tasks_per_worker?;
-        Some(step.task_count.div_ceil(most.max(1)) as usize)
-    });
-    workers.max().unwrap_or(0)
-}
-
-/// Room that the tasks need that could start now.
-fn waiting_cpu_milli(id: JobId, job: &Job, now_unix_ms: u64) -> u64 {
-    let mut need = 0;
-    for (step, state) in job.steps(id) {
-        if state.is_done() || !job.is_ready(step, now_unix_ms) {
-            continue;
-        }
-        let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
-        need += waiting * job.step_spec(step.step).room().cpu_milli;
-    }
-    need
-}
--- /dev/null
+++ b/lib/tests/test_workload_explain.rs
@@ -0,0 +1,80 @@
+//! Why tasks wait, as the log tells it.
+
+mod workload_fake;
+
+use cowslipport_lib::workload::notice::Notice;
+use cowslipport_lib::workload::notice::Obstacles;
+use cowslipport_lib::workload::spec::StepSpec;
+
+use crate::workload_fake::Fleet;
+use crate::workload_fake::Work;
+use crate::workload_fake::cores;
+use crate::workload_fake::job;
+use crate::workload_fake::step;
+
+const LASTING: Work = Work { work_ms: 600_000, fails: false };
+
+fn lasting(task_count: u32, most: Option<u32>, label: Option<&str>) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        max_tasks_per_worker: most,
+        required_label: label.map(str::to_owned),
+        ..step(task_count, cores(1))
+    }
+}
+
+/// Passes some time and returns the waits that were explained.
+fn waits(fleet: &mut Fleet, ms: u64) -> Vec<(u64, u32, Obstacles)> {
+    let mut waits = Vec::new();
+    for _ in 0..ms / 100 {
+        fleet.pass(100);
+        let time = fleet.time();
+        let Some(owner) = &mut fleet.owner else { continue };
+        owner.explain(time, time.0, &fleet.catalog);
+        waits.extend(owner.take_notices().into_iter().filter_map(|notice| match notice {
+            Notice::StepWaits { tasks, waited_ms, obstacles, .. } => {
+                Some((waited_ms, tasks, obstacles))
+            }
+            _ => None,
+        }));
+    }
+    waits
+}
+
+#[test]
+fn wait_for_room_names_full_workers() {
+    let mut fleet = Fleet::new(2, cores(2));
+    fleet.submit(1, job(vec![lasting(4, None, None)]), LASTING);
+    fleet.submit(2, job(vec![lasting(3, None, None)]), LASTING);
+    let waits = waits(&mut fleet, 12_000);
+    let full = Obstacles { full: 2, ..Obstacles::default() };
+    assert!(
+        waits.iter().all(|(_, tasks, obstacles)| (*tasks, *obstacles) == (3, full)),
+        "{waits:?}"
+    );
+    // Each line comes when the wait has doubled.
+    let waited_ms: Vec<u64> = waits.iter().map(|(waited_ms, ..)| *waited_ms).collect();
+    assert_eq!(waited_ms, [2_000, 4_000, 8_000]);
+}
+
+#[test]
+fn each_worker_counts_under_its_first_obstacle() {
+    let mut fleet = Fleet::new(3, cores(4));
+    let names: Vec<String> = fleet.workers.keys().cloned().collect();
+    fleet.worker(&names[0]).is_draining = true;
+    fleet.list_workers();
+    fleet.submit(1, job(vec![lasting(4, Some(1), None)]), LASTING);
+    fleet.submit(2, job(vec![lasting(1, None, Some("fast"))]), LASTING);
+    let waits = waits(&mut fleet, 4_000);
+    let spread = Obstacles { leaving: 1, spread: 2, ..Obstacles::default() };
+    let unsuited = Obstacles { leaving: 1, unsuited: 2, ..Obstacles::default() };
+    assert!(waits.contains(&(2_000, 2, spread)), "{waits:?}");
+    assert!(waits.contains(&(2_000, 1, unsuited)), "{waits:?}");
+}
+
+#[test]
+fn step_that_finds_room_is_not_explained() {
+    let mut fleet = Fleet::new(2, cores(2));
+    fleet.submit(1, job(vec![lasting(4, None, None)]), LASTING);
+    assert_eq!(waits(&mut fleet, 6_000), []);
+}
