node, workload: orders for VMs go out side by side, below the accepted rate

Eight links give orders, one reads the list; a decision takes no more orders than the service accepts (new setting services.vm_orders_per_second). Pools that lack VMs share what there is by the part of their need that they have; the one that lacked most got all.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -9,6 +9,7 @@
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order::Batch;
 use cowslipport_lib::workload::order::Order;
+use cowslipport_lib::workload::order_rate::OrderRate;
 use cowslipport_lib::workload::pool_size::PoolSizer;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::report::StartAnswer;
@@ -78,9 +79,11 @@
     pub(crate) mailboxes: Mailboxes,
     pub(crate) vms: Option<VmList>,
     pub(crate) vm_asked_at: Option<TimeMs>,
+    pub(crate) vms_decided_at: Option<TimeMs>,
     pub(crate) pool_sizer: PoolSizer,
     pub(crate) is_listing_vms: bool,
     pub(crate) vm_handover_ms: u64,
+    pub(crate) vm_order_rate: OrderRate,
     pub(crate) listed: BTreeSet<String>,
     pub(crate) wave_status: Vec<KeyedRecord>,
     pub(crate) is_fenced: bool,
@@ -142,9 +145,11 @@
             mailboxes,
             vms: None,
             vm_asked_at: None,
+            vms_decided_at: None,
             pool_sizer: PoolSizer::default(),
             is_listing_vms: false,
             vm_handover_ms: settings.vm_handover_ms,
+            vm_order_rate: OrderRate::new(gained_at, settings.vm_orders_per_second),
             listed: BTreeSet::new(),
             wave_status: Vec::new(),
             is_fenced: false,
--- a/daemon/src/node/owner_tasks.rs
+++ b/daemon/src/node/owner_tasks.rs
@@ -22,7 +22,7 @@
 use crate::node::settings::OWNER_PAUSE;
 use crate::node::tail::Tail;
 use crate::node::vm_task;
-use crate::node::vm_task::VmRequest;
+use crate::node::vm_task::VmMailboxes;
 
 /// Batches that wait for a writer: the one in flight.
 const WAITING_BATCHES: usize = 1;
@@ -31,7 +31,7 @@
 pub(crate) struct Mailboxes {
     pub(crate) writer: mpsc::Sender<Vec<KeyedRecord>>,
     pub(crate) status_writer: mpsc::Sender<Vec<KeyedRecord>>,
-    pub(crate) vm_requests: mpsc::Sender<VmRequest>,
+    pub(crate) vms: VmMailboxes,
     pub(crate) advice_questions: mpsc::Sender<AdviceQuestion>,
 }
 
@@ -63,13 +63,11 @@
         logger: logger(),
     };
     tasks.spawn_local(tail.run());
-    let (vm_requests, requests) = mpsc::channel(vm_task::WAITING_REQUESTS);
-    let (service, holder) = (platform.vm_service(), settings.name.clone());
-    tasks.spawn_local(vm_task::run(service, holder, clock, requests, mailbox(), logger()));
+    let vms = vm_task::spawn(platform, &settings.name, clock, &mailbox(), &logger(), &mut tasks);
     let (advice_questions, questions) = mpsc::channel(advice_task::WAITING_QUESTIONS);
     let service = platform.advice_service();
     tasks.spawn_local(advice_task::run(service, clock, questions, mailbox(), logger()));
-    (Mailboxes { writer, status_writer, vm_requests, advice_questions }, tasks)
+    (Mailboxes { writer, status_writer, vms, advice_questions }, tasks)
 }
 
 /// Stores the status of waves, which nobody but operators read.
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -4,16 +4,20 @@
 use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
+use cowslipport_lib::workload::vm::VmRound;
 use slog::info;
 use slog::warn;
 
 use crate::node::edges::Platform;
 use crate::node::owner::Owner;
 use crate::node::owner::OwnerView;
-use crate::node::vm_task::VmRequest;
+use crate::node::vm_task::ReadList;
 
 /// Time between two reads of the list of VMs.
 const VM_LIST_INTERVAL_MS: u64 = 400;
+/// Time between two decisions on VMs. Under load the owner settles hundreds of
+/// times a second, far more often than what pools need changes.
+const VM_DECISION_INTERVAL_MS: u64 = 50;
 /// No VM is ordered with an older list.
 const VM_LIST_AGE_MAX_MS: u64 = 1_500;
 
@@ -30,30 +34,37 @@
         let is_old =
             self.vm_asked_at.is_none_or(|asked_at| view.now.since(asked_at) >= VM_LIST_INTERVAL_MS);
         if is_old && !self.is_listing_vms {
-            self.is_listing_vms = self.mailboxes.vm_requests.try_send(VmRequest::List).is_ok();
+            self.is_listing_vms = self.mailboxes.vms.reads.try_send(ReadList).is_ok();
             self.vm_asked_at = Some(view.now);
         }
         let Some(vms) = &self.vms else { return };
-        if view.now.since(vms.asked_at) > VM_LIST_AGE_MAX_MS {
+        let decided_ms = self.vms_decided_at.map(|decided_at| view.now.since(decided_at));
+        if view.now.since(vms.asked_at) > VM_LIST_AGE_MAX_MS
+            || decided_ms.is_some_and(|decided_ms| decided_ms < VM_DECISION_INTERVAL_MS)
+        {
             return;
         }
+        self.vms_decided_at = Some(view.now);
+        let most_orders = self.vm_order_rate.available(view.now);
         let moving = self.pool_sizer.busy_vms();
-        let mut orders = self.upkeep.decide(view.now, vms, &moving, &mut self.dispatcher);
+        let round = VmRound { vms, busy: &moving, most_orders };
+        let mut orders = self.upkeep.decide(view.now, round, &mut self.dispatcher);
         if self.may_start(view) {
             let maintained = self.upkeep.busy_vms();
+            let round = VmRound { vms, busy: &maintained, most_orders: most_orders - orders.len() };
             orders.extend(self.pool_sizer.decide(
                 view.now,
                 view.now_unix_ms,
                 view.catalog,
-                vms,
-                &maintained,
+                round,
                 &mut self.dispatcher,
             ));
         }
+        self.vm_order_rate.given(orders.len());
         for order in orders {
             info!(self.logger, "VM is ordered"; "vm" => &order.vm,
                 "action" => format!("{:?}", order.action));
-            if self.mailboxes.vm_requests.try_send(VmRequest::Order(order.clone())).is_err() {
+            if !self.mailboxes.vms.order(order.clone()) {
                 warn!(self.logger, "order for a VM is dropped"; "reason" => "too many wait");
                 self.vm_answered(view.now, &order, VmOrderAnswer::Refused);
             }
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -56,6 +56,8 @@
     pub status_kept_ms: u64,
     /// Orders for a VM by two owners are this far apart.
     pub vm_handover_ms: u64,
+    /// Orders for VMs that the service accepts in a second.
+    pub vm_orders_per_second: u32,
     /// Time from SIGTERM to SIGKILL.
     pub grace_ms: u64,
 }
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -10,6 +10,7 @@
 pub mod lease;
 pub mod notice;
 pub mod order;
+pub mod order_rate;
 pub mod owner_record;
 pub mod pace;
 pub mod pool_balance;
--- a/lib/src/workload/pool_size.rs
+++ b/lib/src/workload/pool_size.rs
@@ -19,6 +19,7 @@
 use crate::workload::vm::VmList;
 use crate::workload::vm::VmOrder;
 use crate::workload::vm::VmOrderAnswer;
+use crate::workload::vm::VmRound;
 use crate::workload::vm::VmState;
 use crate::workload::worker::Contact;
 use crate::workload::worker::Worker;
@@ -101,21 +102,30 @@
         now: TimeMs,
         now_unix_ms: u64,
         catalog: &mut Catalog,
-        vms: &VmList,
-        busy: &BTreeSet<String>,
+        round: VmRound<'_>,
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
+        let VmRound { vms, busy, most_orders } = round;
         let mut balances = dispatcher.balances(now, now_unix_ms, catalog);
         self.add_inbound(vms, &mut balances);
         let mut orders = Vec::new();
         let mut spare = self.spare_vms(now, catalog, vms, busy, dispatcher, &balances);
-        for (pool, missing) in shortages(vms, &balances) {
-            for _ in 0..missing {
-                let Some(vm) = take_from(&mut spare, &mut balances, pool) else { break };
+        let mut short = shortages(vms, &balances);
+        while orders.len() < most_orders {
+            let Some(pool) = neediest(&short, &balances) else { break };
+            if let Some(vm) = take_from(&mut spare, &mut balances, pool) {
                 orders.push(self.order(now, catalog, &vm, pool, dispatcher));
+                if let Some(missing) = short.get_mut(&pool) {
+                    *missing -= 1;
+                }
+            } else {
+                short.remove(&pool);
             }
+            short.retain(|_, missing| *missing > 0);
+        }
+        if orders.len() < most_orders {
+            self.rest_idle(now, catalog, &mut spare, &mut balances, dispatcher, &mut orders);
         }
-        self.rest_idle(now, catalog, &mut spare, &mut balances, dispatcher, &mut orders);
         orders
     }
 
@@ -232,24 +242,36 @@
     }
 }
 
-/// Pools that lack VMs, with the number, the one that lacks most first.
-fn shortages(vms: &VmList, balances: &PoolBalances) -> Vec<(PoolId, usize)> {
+/// Pools that lack VMs, with the number.
+fn shortages(vms: &VmList, balances: &PoolBalances) -> BTreeMap<PoolId, usize> {
     let size = vms.iter().map(|entry| entry.capacity.cpu_milli).max().unwrap_or(0).max(1);
-    let mut shortages = Vec::new();
+    let mut shortages = BTreeMap::new();
     for (pool, balance) in balances {
-        let missing_milli =
-            balance.need_cpu_milli.saturating_sub(balance.capacity_cpu_milli) * 1_000 / size;
+        let missing_cpu_milli = balance.need_cpu_milli.saturating_sub(balance.capacity_cpu_milli);
+        let missing_milli = missing_cpu_milli * 1_000 / size;
         let for_spread = balance.spread_workers.saturating_sub(balance.workers);
         let for_need = (missing_milli + 1_000 - SHORTAGE_MILLI) / 1_000;
         let missing = usize::try_from(for_need).unwrap_or(usize::MAX).max(for_spread);
         if missing > 0 {
-            shortages.push((*pool, missing));
+            shortages.insert(*pool, missing);
         }
     }
-    shortages.sort_by_key(|(pool, missing)| (std::cmp::Reverse(*missing), *pool));
     shortages
 }
 
+/// The pool that gets the next VM: one whose lasting tasks have too few workers
+/// to spread over, else the one that has the smallest part of its need. The
+/// pool that lacks most would leave nothing for one whose turn begins.
+fn neediest(short: &BTreeMap<PoolId, usize>, balances: &PoolBalances) -> Option<PoolId> {
+    let rank = |pool: &&PoolId| {
+        let balance = &balances[*pool];
+        let can_spread = balance.workers >= balance.spread_workers;
+        let covered_milli = balance.capacity_cpu_milli * 1_000 / balance.need_cpu_milli.max(1);
+        (can_spread, covered_milli)
+    };
+    short.keys().min_by_key(rank).copied()
+}
+
 /// A VM for a pool: an idle one of a pool that can do without it, else one on
 /// standby.
 fn take_from(
--- a/lib/src/workload/upkeep.rs
+++ b/lib/src/workload/upkeep.rs
@@ -15,6 +15,7 @@
 use crate::workload::vm::VmList;
 use crate::workload::vm::VmOrder;
 use crate::workload::vm::VmOrderAnswer;
+use crate::workload::vm::VmRound;
 use crate::workload::vm::VmState;
 
 /// Tasks that end by themselves get this time before a VM is taken down with
@@ -149,14 +150,14 @@
     pub fn decide(
         &mut self,
         now: TimeMs,
-        vms: &VmList,
-        busy: &BTreeSet<String>,
+        round: VmRound<'_>,
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
+        let VmRound { vms, busy, most_orders } = round;
         let mut orders = Vec::new();
         for wave in self.waves.values_mut().filter(|wave| !wave.is_completed) {
             wave.choose_next(now, vms, busy, dispatcher);
-            wave.empty(now, vms, dispatcher, &mut orders);
+            wave.empty(now, vms, most_orders, dispatcher, &mut orders);
             if wave.is_over(vms) {
                 wave.is_completed = true;
                 self.changed.insert(wave.spec.wave);
@@ -280,11 +281,13 @@
         &mut self,
         now: TimeMs,
         vms: &VmList,
+        most_orders: usize,
         dispatcher: &mut Dispatcher,
         orders: &mut Vec<VmOrder>,
     ) {
         let mut room = (self.spec.max_down as usize).saturating_sub(self.down(vms));
         for (vm, under_way) in &mut self.under_way {
+            let may_order = orders.len() < most_orders;
             let is_ready = match under_way.stage {
                 Stage::Emptying { since } => {
                     let has_waited = now.since(since) >= EMPTY_WITHIN_MS;
@@ -293,11 +296,13 @@
                         .worker
                         .as_deref()
                         .is_none_or(|worker| dispatcher.empty_for_maintenance(worker, has_waited));
-                    let may_go_down = is_empty && room > 0;
+                    let may_go_down = is_empty && may_order && room > 0;
                     room -= usize::from(may_go_down);
                     may_go_down
                 }
-                Stage::Ordered { at, seen_down } => !seen_down && now.since(at) >= REPEAT_ORDER_MS,
+                Stage::Ordered { at, seen_down } => {
+                    may_order && !seen_down && now.since(at) >= REPEAT_ORDER_MS
+                }
             };
             if is_ready {
                 under_way.stage = Stage::Ordered { at: now, seen_down: false };
--- a/lib/src/workload/vm.rs
+++ b/lib/src/workload/vm.rs
@@ -1,6 +1,7 @@
 //! VMs as the platform lists them, and orders for them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::resources::Resources;
 use crate::time::TimeMs;
@@ -78,6 +79,17 @@
     }
 }
 
+/// What orders for VMs are decided with.
+#[derive(Clone, Copy, Debug)]
+pub struct VmRound<'a> {
+    /// The list of VMs.
+    pub vms: &'a VmList,
+    /// VMs that are ordered for another reason.
+    pub busy: &'a BTreeSet<String>,
+    /// Most orders that may be given.
+    pub most_orders: usize,
+}
+
 /// An order for a VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VmOrder {
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -11,6 +11,7 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::lease::LeaseTimes;
+use cowslipport_lib::workload::order_rate::OrderRate;
 use cowslipport_lib::workload::owner_record::NodeLife;
 use cowslipport_lib::workload::pool_size::PoolSizer;
 use cowslipport_lib::workload::report::WorkerEntry;
@@ -24,6 +25,7 @@
 use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
+use cowslipport_lib::workload::vm::VmRound;
 use cowslipport_lib::workload::vm::VmState;
 
 use crate::workload_fake::FORMER_RENEWS_MS;
@@ -39,8 +41,13 @@
     owner: Dispatcher,
     sizer: PoolSizer,
     vms: Vec<VmEntry>,
+    /// Orders of one round.
+    most_orders: usize,
 }
 
+/// More orders than any test needs.
+const MANY: usize = 1_000;
+
 impl Pools {
     fn new(vms: &[(&str, usize)]) -> Self {
         let mut catalog = Catalog::default();
@@ -54,8 +61,14 @@
         let times = LeaseTimes { lease_ms: LEASE_MS, former_renews_ms: FORMER_RENEWS_MS };
         let mut owner = Dispatcher::new(1, life, TimeMs(0), times);
         owner.recovered();
-        let mut pools =
-            Self { now: 0, catalog, owner, sizer: PoolSizer::default(), vms: Vec::new() };
+        let mut pools = Self {
+            now: 0,
+            catalog,
+            owner,
+            sizer: PoolSizer::default(),
+            vms: Vec::new(),
+            most_orders: MANY,
+        };
         for (pool, count) in vms {
             for index in 0..*count {
                 pools.add_vm(pool, &format!("{pool}{index}"));
@@ -117,8 +130,7 @@
                 now,
                 self.now,
                 &mut self.catalog,
-                &vms,
-                &BTreeSet::new(),
+                VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: self.most_orders },
                 &mut self.owner,
             ));
         }
@@ -225,14 +237,60 @@
     };
     let vms = VmList::new(fleet.time(), vec![vm]);
     let busy = BTreeSet::new();
+    let round = VmRound { vms: &vms, busy: &busy, most_orders: MANY };
     let now = fleet.time();
     let owner = fleet.owner.as_mut().expect("an owner");
-    assert!(upkeep.decide(now, &vms, &busy, owner).is_empty());
+    assert!(upkeep.decide(now, round, owner).is_empty());
     assert!(owner.take_orders().is_empty(), "no task is stopped");
     fleet.worker("w0").is_reachable = true;
     fleet.pass(100);
     let now = fleet.time();
     let owner = fleet.owner.as_mut().expect("an owner");
-    upkeep.decide(now, &vms, &busy, owner);
+    upkeep.decide(now, round, owner);
     assert_eq!(owner.take_orders().len(), 1, "now one may go");
 }
+
+#[test]
+fn orders_keep_below_the_accepted_rate() {
+    let mut rate = OrderRate::new(TimeMs(0), 64);
+    assert_eq!(rate.available(TimeMs(0)), 0, "the owner before may have given some just now");
+    let mut given = 0;
+    for now in (10..=10_000).step_by(10) {
+        let available = rate.available(TimeMs(now));
+        rate.given(available);
+        given += available;
+    }
+    assert!((520..=576).contains(&given), "nine tenths of 640: {given}");
+    // A pause lets a quarter of a second's orders gather, and no more.
+    assert_eq!(rate.available(TimeMs(60_000)), 14);
+}
+
+/// A turn that asks for many VMs at once: what the rate leaves over is decided
+/// anew, with what is known then.
+#[test]
+fn moves_beyond_the_rate_wait_undecided() {
+    let mut pools = Pools::new(&[("a", 3), ("rest", 10)]);
+    pools.most_orders = 2;
+    pools.submit(1, "a", vec![step(40, cores(1))]);
+    assert_eq!(pools.pass(100).len(), 2);
+    assert_eq!(pools.pass(100).len(), 2);
+}
+
+/// Two queues ask for more than there is: the one whose turn begins gets its
+/// part, though the other lacks far more.
+#[test]
+fn pools_share_what_there_is_by_their_need() {
+    let mut pools = Pools::new(&[("a", 3), ("b", 3), ("rest", 8)]);
+    pools.submit(1, "a", vec![step(200, cores(1))]);
+    pools.submit(2, "b", vec![step(40, cores(1))]);
+    let targets = targets(&pools.pass(100));
+    let to = |pool: &str| targets.iter().filter(|(_, to)| to == pool).count();
+    assert_eq!((to("a"), to("b")), (8, 0), "pool b has the larger part of its need");
+    let mut pools = Pools::new(&[("a", 20), ("b", 3), ("rest", 8)]);
+    pools.submit(1, "a", vec![step(200, cores(1))]);
+    pools.submit(2, "b", vec![step(40, cores(1))]);
+    let targets = self::targets(&pools.pass(100));
+    let to = |pool: &str| targets.iter().filter(|(_, to)| to == pool).count();
+    assert_eq!(to("a") + to("b"), 8);
+    assert!(to("b") >= 2, "the pool that lacks most gets not all: {targets:?}");
+}
