workload: a decision under overload costs little

Cause: with 7,000 waiting tasks the owner searched all workers of the pool for each of 1,000 jobs, several hundred times a second, counted tasks one by one, cloned steps and walked the tasks of each candidate worker. On a node with 0.12 of a core (most nodes of the grown deployments) answers then waited 50 to 100 ms, and starts were given up after 1.5 s in its queues (too_late 361 times).

Processes that only answer callers read a summary of each progress record.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -9,7 +9,7 @@
 use cowslipport_lib::workload::admission::KnownAt;
 use cowslipport_lib::workload::board::Board;
 use cowslipport_lib::workload::catalog::Catalog;
-use cowslipport_lib::workload::record::Progress;
+use cowslipport_lib::workload::record::ProgressSummary;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::seat::JoinAnswer;
 use cowslipport_lib::workload::seat::Seat;
@@ -294,7 +294,7 @@
             }
             RecordKey::Cancellation(job) if !value.is_empty() => state.board.cancelled(job),
             RecordKey::Progress(job) if !value.is_empty() => {
-                state.board.progressed(job, &Progress::decode(value)?);
+                state.board.progressed(job, ProgressSummary::decode(value)?);
             }
             RecordKey::Cancellation(_)
             | RecordKey::Progress(_)
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -101,6 +101,16 @@
     #[prost(uint64, tag = "4")]
     pub epoch: u64,
 }
+/// What callers are told of a Progress: some of its fields under their numbers.
+/// Every process reads every record, and most need no more of it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ProgressSummary {
+    #[prost(enumeration = "Outcome", tag = "1")]
+    pub outcome: i32,
+    /// Unread; there is one for each step of which a task was placed.
+    #[prost(bytes = "vec", repeated, tag = "3")]
+    pub steps: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StepProgress {
     #[prost(uint32, tag = "1")]
--- a/lib/src/workload/advice.rs
+++ b/lib/src/workload/advice.rs
@@ -134,10 +134,8 @@
             if job.is_closing() || !self.needs_advice(catalog, id) {
                 continue;
             }
-            for (step, state) in job.steps(id) {
-                let waits = state.tasks.iter().any(|task| task.is_waiting());
-                if !waits || !job.is_ready(step, now_unix_ms) || self.tickets.asking.contains(&step)
-                {
+            for (step, _) in job.startable_steps(id, now_unix_ms) {
+                if self.tickets.asking.contains(&step) {
                     continue;
                 }
                 let known = self.tickets.steps.get(&step);
--- a/lib/src/workload/board.rs
+++ b/lib/src/workload/board.rs
@@ -6,7 +6,7 @@
 use crate::workload::catalog::QueueId;
 use crate::workload::key::JobKey;
 use crate::workload::record::JobOutcome;
-use crate::workload::record::Progress;
+use crate::workload::record::ProgressSummary;
 
 /// What a caller is told of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,11 +67,9 @@
     }
 
     /// Takes over the progress of a job.
-    pub fn progressed(&mut self, job: JobKey, progress: &Progress) {
-        let started = progress.steps.iter().flat_map(|step| &step.tasks);
-        let has_started = started.into_iter().any(|task| task.attempt > 0);
+    pub fn progressed(&mut self, job: JobKey, progress: ProgressSummary) {
         self.change(job, |entry| {
-            entry.has_started |= has_started;
+            entry.has_started |= progress.has_started;
             entry.outcome = entry.outcome.or(progress.outcome);
         });
     }
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use crate::arena::Arena;
 use crate::ids::OrganisationId;
@@ -299,7 +300,8 @@
 
     pub(crate) fn occupy(&mut self, task: TaskKey, worker: WorkerId) {
         let Some(job) = self.jobs.get(task.step.job) else { return };
-        let room = job.step_spec(task.step.step).room();
+        let spec = job.step_spec(task.step.step);
+        let room = spec.room();
         if let Some(organisation) = job.organisation {
             let used = self.used.entry(organisation).or_default();
             *used = used.saturating_add(room);
@@ -307,28 +309,27 @@
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.used = worker.used.saturating_add(room);
             worker.tasks.insert(task);
+            worker.neighbours.add(spec);
         }
     }
 
     /// Frees the place of a task, which then waits or is done.
     pub(crate) fn vacate(&mut self, task: TaskKey, phase: Phase) {
         let Some(job) = self.jobs.get_mut(task.step.job) else { return };
-        let room = job.step_spec(task.step.step).room();
+        let spec = Rc::clone(&job.spec);
+        let spec = &spec.steps[task.step.step as usize];
+        let room = spec.room();
         let organisation = job.organisation;
-        let state = job.task_mut(task);
-        let Some(placement) = state.placement() else { return };
+        let Some(placement) = job.task(task).placement() else { return };
         let worker = placement.worker;
-        let is_done = matches!(phase, Phase::Done);
-        state.phase = phase;
-        if is_done {
-            job.step_mut(task.step).done += 1;
-        }
+        job.step_mut(task.step).set_phase(task.index, phase);
         if let Some(used) = organisation.and_then(|id| self.used.get_mut(&id)) {
             *used = used.saturating_sub(room);
         }
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.used = worker.used.saturating_sub(room);
             worker.tasks.remove(&task);
+            worker.neighbours.remove(spec);
         }
         self.mark_dirty(task.step.job);
     }
@@ -345,16 +346,16 @@
         let Some(job) = self.jobs.get_mut(task.step.job) else { return };
         let name = job.task_name(task);
         let ready_at = job.step(task.step).ready_at.unwrap_or(now);
-        let state = job.task_mut(task);
-        state.attempt = attempt;
-        state.phase = Phase::Placed(Placement {
+        job.task_mut(task).attempt = attempt;
+        let placement = Placement {
             worker,
             run: Run::Planned,
             since: now,
             percent: 0,
             progressed_at: now,
             is_stopping: false,
-        });
+        };
+        job.step_mut(task.step).set_phase(task.index, Phase::Placed(placement));
         self.occupy(task, worker);
         self.mark_dirty(task.step.job);
         self.planned.push(task);
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -11,7 +11,6 @@
 use crate::workload::key::WorkerId;
 use crate::workload::notice::Notice;
 use crate::workload::notice::Obstacles;
-use crate::workload::place;
 use crate::workload::worker::Contact;
 
 /// Time between two looks at what waits.
@@ -74,12 +73,8 @@
     fn waiting_steps(&self, now_unix_ms: u64) -> BTreeMap<StepKey, u32> {
         let mut waiting = BTreeMap::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| !job.is_closing()) {
-            for (step, _) in job.steps(id).filter(|(step, _)| job.is_ready(*step, now_unix_ms)) {
-                let count = place::waiting_tasks(job, step).len();
-                if count > 0 {
-                    waiting.insert(step, u32::try_from(count).unwrap_or(u32::MAX));
-                }
-            }
+            let steps = job.startable_steps(id, now_unix_ms);
+            waiting.extend(steps.map(|(step, state)| (step, state.waiting())));
         }
         waiting
     }
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -26,6 +26,8 @@
     pub(crate) rules: QueueRules,
     pub(crate) organisation: Option<OrganisationId>,
     pub(crate) accepted_at: TimeMs,
+    /// Declared run time of the longest chain of steps.
+    pub(crate) chain_ms: u64,
     pub(crate) is_cancelled: bool,
     pub(crate) outcome: Option<JobOutcome>,
     pub(crate) occurrences: Vec<Vec<Step>>,
@@ -37,7 +39,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Step {
     pub(crate) tasks: Vec<Task>,
-    pub(crate) done: u32,
+    done: u32,
+    waiting: u32,
     /// When the step before was seen to be done, or the job was accepted.
     pub(crate) ready_at: Option<TimeMs>,
 }
@@ -126,7 +129,40 @@
 impl Step {
     fn new(spec: &StepSpec) -> Self {
         let count = spec.task_count as usize;
-        Self { tasks: vec![Task::default(); count], done: 0, ready_at: None }
+        Self {
+            tasks: vec![Task::default(); count],
+            done: 0,
+            waiting: spec.task_count,
+            ready_at: None,
+        }
+    }
+
+    /// Changes where a task stands.
+    pub(crate) fn set_phase(&mut self, index: u32, phase: Phase) {
+        let task = &mut self.tasks[index as usize];
+        let before = std::mem::replace(&mut task.phase, phase);
+        self.waiting -= u32::from(matches!(before, Phase::Waiting));
+        self.done -= u32::from(matches!(before, Phase::Done));
+        let task = &self.tasks[index as usize];
+        self.waiting += u32::from(task.is_waiting());
+        self.done += u32::from(task.is_done());
+    }
+
+    /// Counts anew after the tasks were restored.
+    pub(crate) fn recount(&mut self) {
+        let count = |tasks: usize| u32::try_from(tasks).unwrap_or(u32::MAX);
+        self.waiting = count(self.tasks.iter().filter(|task| task.is_waiting()).count());
+        self.done = count(self.tasks.iter().filter(|task| task.is_done()).count());
+    }
+
+    /// Number of tasks that wait for a start.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
+    /// Number of tasks that ended well.
+    pub(crate) fn done(&self) -> u32 {
+        self.done
     }
 
     pub(crate) fn is_done(&self) -> bool {
@@ -167,6 +203,7 @@
             rules: spec.rules,
             organisation,
             accepted_at,
+            chain_ms: spec.longest_chain_ms(),
             is_cancelled: false,
             outcome: None,
             occurrences: vec![once; spec.occurrences() as usize],
@@ -231,6 +268,16 @@
         due && before.iter().all(|before| steps[*before as usize].is_done())
     }
 
+    /// Steps with tasks that may start.
+    pub(crate) fn startable_steps(
+        &self,
+        id: JobId,
+        now_unix_ms: u64,
+    ) -> impl Iterator<Item = (StepKey, &Step)> {
+        self.steps(id)
+            .filter(move |(step, state)| state.waiting > 0 && self.is_ready(*step, now_unix_ms))
+    }
+
     /// True if every task is done.
     pub(crate) fn is_done(&self) -> bool {
         self.occurrences.iter().flatten().all(Step::is_done)
@@ -246,7 +293,7 @@
     pub(crate) fn remaining_work(&self) -> u64 {
         let steps = self.occurrences.iter().flat_map(|steps| steps.iter().zip(&self.spec.steps));
         let work = steps.map(|(state, spec)| {
-            let left = u64::from(spec.task_count - state.done);
+            let left = u64::from(spec.task_count - state.done());
             let core_ms = spec.request.cpu_milli.saturating_mul(spec.estimate_ms) / 1_000;
             left.saturating_mul(core_ms)
         });
--- a/lib/src/workload/job_record.rs
+++ b/lib/src/workload/job_record.rs
@@ -5,7 +5,6 @@
 use crate::workload::job::Phase;
 use crate::workload::job::Placement;
 use crate::workload::job::Run;
-use crate::workload::job::Step;
 use crate::workload::job::Task;
 use crate::workload::key::WorkerId;
 use crate::workload::record::Progress;
@@ -73,7 +72,7 @@
                 RecordedPhase::Placed(name) => Phase::Placed(inherited(worker_id(name), now)),
             };
         }
-        recount(step);
+        step.recount();
     }
 }
 
@@ -81,8 +80,3 @@
     let run = Run::Unknown { since: now, barred_at: None };
     Placement { worker, run, since: now, percent: 0, progressed_at: now, is_stopping: false }
 }
-
-fn recount(step: &mut Step) {
-    let done = step.tasks.iter().filter(|task| task.is_done()).count();
-    step.done = u32::try_from(done).unwrap_or(u32::MAX);
-}
--- a/lib/src/workload/place.rs
+++ b/lib/src/workload/place.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use crate::ids::PoolId;
 use crate::resources::Resources;
@@ -9,6 +10,8 @@
 use crate::workload::catalog::Catalog;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::job::Job;
+use crate::workload::job::Step;
+use crate::workload::job::Task;
 use crate::workload::key::JobId;
 use crate::workload::key::StepKey;
 use crate::workload::key::TaskKey;
@@ -16,6 +19,7 @@
 use crate::workload::rank;
 use crate::workload::spec::StepSpec;
 use crate::workload::worker::Contact;
+use crate::workload::worker::Neighbours;
 
 /// Workers of one pool that may get tasks in this round.
 type Candidates = Vec<WorkerId>;
@@ -29,6 +33,9 @@
     reserved: BTreeSet<WorkerId>,
     /// The job at hand runs only where the advice service allows it.
     needs_advice: bool,
+    /// Rooms that no open worker has left. Most jobs that wait under overload
+    /// ask for no less than one of these, and cost no search.
+    too_large: Vec<Resources>,
 }
 
 impl Round {
@@ -36,6 +43,17 @@
     fn allows(&self, dispatcher: &Dispatcher, step: StepKey, worker: WorkerId) -> bool {
         !self.needs_advice || dispatcher.tickets.get(self.now, step, worker).is_some()
     }
+
+    fn is_too_large(&self, room: Resources) -> bool {
+        self.too_large.iter().any(|too_large| too_large.fits_in(room))
+    }
+
+    /// Takes note of a room that no open worker has left. What is left only
+    /// shrinks in a round.
+    fn note_too_large(&mut self, room: Resources) {
+        self.too_large.retain(|known| !room.fits_in(*known));
+        self.too_large.push(room);
+    }
 }
 
 impl Dispatcher {
@@ -52,8 +70,14 @@
                 self.crowded.insert(pool);
                 continue;
             }
-            let mut round =
-                Round { now, now_unix_ms, open, reserved: BTreeSet::new(), needs_advice: false };
+            let mut round = Round {
+                now,
+                now_unix_ms,
+                open,
+                reserved: BTreeSet::new(),
+                needs_advice: false,
+                too_large: Vec::new(),
+            };
             for (_, id) in ranked {
                 round.needs_advice = self.needs_advice(catalog, id);
                 self.place_job(&mut round, catalog, pool, id);
@@ -94,31 +118,47 @@
 
     fn place_job(&mut self, round: &mut Round, catalog: &Catalog, pool: PoolId, id: JobId) {
         let Some(job) = self.jobs.get(id) else { return };
-        let ready: Vec<StepKey> = job
-            .steps(id)
-            .filter(|(step, state)| !state.is_done() && job.is_ready(*step, round.now_unix_ms))
-            .map(|(step, _)| step)
-            .collect();
-        for step in ready {
-            let Some(job) = self.jobs.get(id) else { return };
-            let spec = job.step_spec(step.step).clone();
-            let waiting = waiting_tasks(job, step);
-            if waiting.is_empty() {
+        let steps = job.startable_steps(id, round.now_unix_ms);
+        let steps: Vec<StepKey> = steps.map(|(step, _)| step).collect();
+        let specs = Rc::clone(&job.spec);
+        for step in steps {
+            let spec = &specs.steps[step.step as usize];
+            if self.place_step(round, catalog, step, spec) {
                 continue;
             }
-            let placed = match spec.gang {
-                true => self.place_gang(round, catalog, step, &spec, &waiting),
-                false => self.place_each(round, catalog, step, &spec, &waiting),
-            };
-            if placed < waiting.len() {
-                self.crowded.insert(pool);
-                if spec.lasting {
-                    self.reserve(round, &spec, step);
-                }
+            self.crowded.insert(pool);
+            if spec.lasting {
+                self.reserve(round, spec, step);
             }
         }
     }
 
+    /// Places the tasks of a step; false if some found no room.
+    fn place_step(
+        &mut self,
+        round: &mut Round,
+        catalog: &Catalog,
+        step: StepKey,
+        spec: &StepSpec,
+    ) -> bool {
+        if round.is_too_large(spec.room()) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(step.job) else { return true };
+        let waiting = waiting_tasks(job, step);
+        let placed = match spec.gang {
+            true => self.place_gang(round, catalog, step, spec, &waiting),
+            false => self.place_each(round, catalog, step, spec, &waiting),
+        };
+        if placed == waiting.len() {
+            return true;
+        }
+        if !round.open.iter().any(|id| spec.room().fits_in(self.free_of(*id))) {
+            round.note_too_large(spec.room());
+        }
+        false
+    }
+
     /// Places tasks one by one and returns how many found room.
     fn place_each(
         &mut self,
@@ -128,17 +168,32 @@
         spec: &StepSpec,
         waiting: &[TaskKey],
     ) -> usize {
+        let mut spread = self.spread(step, spec);
         for (placed, task) in waiting.iter().enumerate() {
             if !self.is_within_limit(catalog, step.job, spec.room()) {
                 return placed;
             }
-            let Some(worker) = self.choose(round, step, spec, *task) else { return placed };
+            let chosen = self.choose(round, &spread, step, spec, *task);
+            let Some(worker) = chosen else { return placed };
             let attempt = self.next_attempt(&[*task]);
             self.plan(round.now, *task, worker, attempt);
+            *spread.entry(worker).or_default() += 1;
         }
         waiting.len()
     }
 
+    /// Tasks of a step by worker, if that decides where further ones go.
+    fn spread(&self, step: StepKey, spec: &StepSpec) -> BTreeMap<WorkerId, u32> {
+        let mut spread = BTreeMap::new();
+        let Some(job) = self.jobs.get(step.job) else { return spread };
+        if spec.lasting || spec.max_tasks_per_worker.is_some() {
+            for placement in job.step(step).tasks.iter().filter_map(Task::placement) {
+                *spread.entry(placement.worker).or_default() += 1;
+            }
+        }
+        spread
+    }
+
     /// Places all members of a gang, or none.
     fn place_gang(
         &mut self,
@@ -225,37 +280,42 @@
     fn choose(
         &self,
         round: &Round,
+        spread: &BTreeMap<WorkerId, u32>,
         step: StepKey,
         spec: &StepSpec,
         task: TaskKey,
     ) -> Option<WorkerId> {
-        let job = self.jobs.get(step.job)?;
-        let state = job.step(step);
-        let may_run = |id: &WorkerId| {
-            let below_most =
-                spec.max_tasks_per_worker.is_none_or(|most| state.on_worker(*id) < most);
-            let is_kept = round.reserved.contains(id) && !spec.lasting;
-            below_most && !is_kept && self.is_suited(*id, spec) && round.allows(self, step, *id)
-        };
-        let able: Vec<WorkerId> = round.open.iter().copied().filter(may_run).collect();
-        let failed_on = &job.task(task).failed_on;
-        let others: Vec<WorkerId> =
-            able.iter().copied().filter(|id| !failed_on.contains(id)).collect();
-        if let Some(best) = self.best_of(&others, step, spec) {
-            return Some(best);
+        let failed_on = &self.jobs.get(step.job)?.task(task).failed_on;
+        let mut others_exist = false;
+        let mut best_other: Option<(Score, WorkerId)> = None;
+        let mut best: Option<(Score, WorkerId)> = None;
+        for id in round.open.iter().copied() {
+            let of_step = spread.get(&id).copied().unwrap_or(0);
+            let below_most = spec.max_tasks_per_worker.is_none_or(|most| of_step < most);
+            let is_kept = round.reserved.contains(&id) && !spec.lasting;
+            if !below_most || is_kept || !self.is_suited(id, spec) || !round.allows(self, step, id)
+            {
+                continue;
+            }
+            let is_other = !failed_on.contains(&id);
+            others_exist |= is_other;
+            if !spec.room().fits_in(self.free_of(id)) {
+                continue;
+            }
+            let candidate = (self.score(id, spec, of_step), id);
+            let is_better =
+                |best: &Option<(Score, WorkerId)>| best.is_none_or(|best| candidate < best);
+            if is_other && is_better(&best_other) {
+                best_other = Some(candidate);
+            }
+            if is_better(&best) {
+                best = Some(candidate);
+            }
         }
         // A lasting task may be tried anew where it has failed; another keeps
         // its attempts for a worker that has room later.
-        let may_repeat = spec.lasting || others.is_empty();
-        if may_repeat { self.best_of(&able, step, spec) } else { None }
-    }
-
-    /// The worker with room that suits a step best.
-    fn best_of(&self, workers: &[WorkerId], step: StepKey, spec: &StepSpec) -> Option<WorkerId> {
-        let state = self.jobs.get(step.job)?.step(step);
-        let has_room = |id: &&WorkerId| spec.room().fits_in(self.free_of(**id));
-        let score = |id: &&WorkerId| self.score(**id, spec, state.on_worker(**id));
-        workers.iter().filter(has_room).min_by_key(score).copied()
+        let may_repeat = spec.lasting || !others_exist;
+        best_other.or(best.filter(|_| may_repeat)).map(|(_, id)| id)
     }
 
     /// True if the worker has the label that the step asks for.
@@ -271,7 +331,8 @@
     fn score(&self, id: WorkerId, spec: &StepSpec, of_step: u32) -> Score {
         let is_far = spec.data_rack.as_deref().is_some_and(|rack| self.rack(id) != Some(rack));
         let left = self.free_of(id).saturating_sub(spec.room()).cpu_milli;
-        let (serving, filling) = self.neighbours(id);
+        let neighbours = self.workers.get(id).map(|worker| worker.neighbours).unwrap_or_default();
+        let Neighbours { serving, filling } = neighbours;
         if spec.fills {
             Score(is_far, serving, 0, false, u64::MAX - left)
         } else if spec.lasting {
@@ -281,19 +342,6 @@
         }
     }
 
-    /// Number of tasks on a worker that last, and that fill.
-    fn neighbours(&self, id: WorkerId) -> (usize, usize) {
-        let Some(worker) = self.workers.get(id) else { return (0, 0) };
-        let (mut serving, mut filling) = (0, 0);
-        for task in &worker.tasks {
-            let Some(job) = self.jobs.get(task.step.job) else { continue };
-            let spec = job.step_spec(task.step.step);
-            serving += usize::from(spec.lasting && !spec.fills);
-            filling += usize::from(spec.fills);
-        }
-        (serving, filling)
-    }
-
     pub(crate) fn is_within_limit(&self, catalog: &Catalog, id: JobId, room: Resources) -> bool {
         let Some(organisation) = self.jobs.get(id).and_then(|job| job.organisation) else {
             return true;
@@ -347,9 +395,9 @@
 
 /// Compared field by field; the least is best.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Score(bool, usize, u32, bool, u64);
+struct Score(bool, u32, u32, bool, u64);
 
-pub(crate) fn waiting_tasks(job: &Job, step: StepKey) -> Vec<TaskKey> {
+fn waiting_tasks(job: &Job, step: StepKey) -> Vec<TaskKey> {
     let tasks = (0..).zip(&job.step(step).tasks);
     let waiting = tasks.filter(|(_, task)| task.is_waiting());
     waiting.map(|(index, _)| TaskKey { step, index }).collect()
@@ -357,15 +405,10 @@
 
 /// True if a task of the job may start; notes since when.
 fn has_startable(job: &mut Job, id: JobId, now: TimeMs, now_unix_ms: u64) -> bool {
-    let startable: Vec<StepKey> = job
-        .steps(id)
-        .filter(|(step, state)| {
-            state.tasks.iter().any(|task| task.is_waiting()) && job.is_ready(*step, now_unix_ms)
-        })
-        .map(|(step, _)| step)
-        .collect();
-    for step in &startable {
-        job.step_mut(*step).ready_at.get_or_insert(now);
+    let is_new = |(step, state): (StepKey, &Step)| state.ready_at.is_none().then_some(step);
+    let new: Vec<StepKey> = job.startable_steps(id, now_unix_ms).filter_map(is_new).collect();
+    for step in new {
+        job.step_mut(step).ready_at = Some(now);
     }
-    !startable.is_empty()
+    job.startable_steps(id, now_unix_ms).next().is_some()
 }
--- a/lib/src/workload/pool_balance.rs
+++ b/lib/src/workload/pool_balance.rs
@@ -96,12 +96,8 @@
 /// Room that the tasks need that could start now.
 fn waiting_cpu_milli(id: JobId, job: &Job, now_unix_ms: u64) -> u64 {
     let mut need = 0;
-    for (step, state) in job.steps(id) {
-        if state.is_done() || !job.is_ready(step, now_unix_ms) {
-            continue;
-        }
-        let waiting = state.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
-        need += waiting * job.step_spec(step.step).room().cpu_milli;
+    for (step, state) in job.startable_steps(id, now_unix_ms) {
+        need += u64::from(state.waiting()) * job.step_spec(step.step).room().cpu_milli;
     }
     need
 }
--- a/lib/src/workload/rank.rs
+++ b/lib/src/workload/rank.rs
@@ -61,17 +61,6 @@
 
 /// Time in which a job should be completed.
 fn objective_ms(job: &Job) -> u64 {
-    let chain_ms = longest_chain_ms(job);
-    let slack = chain_ms.saturating_mul(job.rules.slack_milli) / 1_000;
+    let slack = job.chain_ms.saturating_mul(job.rules.slack_milli) / 1_000;
     slack.saturating_add(job.rules.target_latency_ms)
 }
-
-/// Declared run time of the longest chain of steps.
-fn longest_chain_ms(job: &Job) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
-    for step in &job.spec.steps {
-        let before = step.after_steps.iter().map(|before| ends[*before as usize]).max();
-        ends.push(before.unwrap_or(0).saturating_add(step.estimate_ms));
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -103,6 +103,32 @@
     pub epoch: u64,
 }
 
+/// What callers are told of a job's progress.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProgressSummary {
+    /// How the job ended, if it has.
+    pub outcome: Option<JobOutcome>,
+    /// A task was placed at some time.
+    pub has_started: bool,
+}
+
+impl ProgressSummary {
+    /// The summary of the record of a [`Progress`].
+    pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
+        let raw = raw::ProgressSummary::decode(bytes)
+            .map_err(|error| one("progress", error.to_string()))?;
+        Ok(Self { outcome: outcome_of(raw.outcome()), has_started: !raw.steps.is_empty() })
+    }
+}
+
+fn outcome_of(raw: raw::Outcome) -> Option<JobOutcome> {
+    match raw {
+        raw::Outcome::Open => None,
+        raw::Outcome::Completed => Some(JobOutcome::Completed),
+        raw::Outcome::Failed => Some(JobOutcome::Failed),
+    }
+}
+
 /// What has become of the tasks of one step in one occurrence.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StepProgress {
@@ -320,11 +346,7 @@
     type Error = Findings;
 
     fn try_from(raw: &raw::Progress) -> Result<Self, Findings> {
-        let outcome = match raw.outcome() {
-            raw::Outcome::Open => None,
-            raw::Outcome::Completed => Some(JobOutcome::Completed),
-            raw::Outcome::Failed => Some(JobOutcome::Failed),
-        };
+        let outcome = outcome_of(raw.outcome());
         let steps: Result<Vec<StepProgress>, Findings> =
             raw.steps.iter().map(|step| decode_step(step, &raw.workers)).collect();
         Ok(Self { outcome, steps: steps?, epoch: raw.epoch })
--- a/lib/src/workload/settle.rs
+++ b/lib/src/workload/settle.rs
@@ -88,11 +88,9 @@
         if ended.end != TaskEnd::Done || spec.lasting || spec.gang {
             return;
         }
-        let state = job.task_mut(key);
-        match &state.phase {
+        match &job.task(key).phase {
             Phase::Waiting => {
-                state.phase = Phase::Done;
-                job.step_mut(key.step).done += 1;
+                job.step_mut(key.step).set_phase(key.index, Phase::Done);
                 self.mark_dirty(id);
             }
             Phase::Placed(placement) if placement.run == Run::Planned => {
@@ -149,13 +147,10 @@
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let step = job.step_mut(key.step);
         let mut placed = Vec::new();
-        for (index, task) in (0..).zip(&mut step.tasks) {
-            match task.phase {
+        for index in 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX) {
+            match step.tasks[index as usize].phase {
                 Phase::Placed(_) => placed.push(TaskKey { step: key.step, index }),
-                Phase::Waiting => {
-                    task.phase = Phase::Done;
-                    step.done += 1;
-                }
+                Phase::Waiting => step.set_phase(index, Phase::Done),
                 Phase::Done => {}
             }
         }
--- a/lib/src/workload/spec.rs
+++ b/lib/src/workload/spec.rs
@@ -104,6 +104,16 @@
 }
 
 impl JobSpec {
+    /// Declared run time of the longest chain of steps.
+    pub(crate) fn longest_chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after_steps.iter().map(|before| ends[*before as usize]).max();
+            ends.push(before.unwrap_or(0).saturating_add(step.estimate_ms));
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
     /// Number of times that the steps run.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -8,6 +8,7 @@
 use crate::workload::key::JobId;
 use crate::workload::key::TaskKey;
 use crate::workload::lease::LeaseWatch;
+use crate::workload::spec::StepSpec;
 
 /// Failures in a row, of different jobs, after which a worker is avoided. Jobs
 /// that always fail come alone or in small numbers on sound workers.
@@ -30,6 +31,7 @@
     /// Room that placed tasks take.
     pub(crate) used: Resources,
     pub(crate) tasks: BTreeSet<TaskKey>,
+    pub(crate) neighbours: Neighbours,
     pub(crate) contact: Contact,
     pub(crate) leases: LeaseWatch,
     /// Life that the last report came from.
@@ -43,6 +45,27 @@
     pub(crate) avoided_until: TimeMs,
 }
 
+/// Tasks on a worker that others are chosen by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Neighbours {
+    /// Tasks that last and do not fill.
+    pub(crate) serving: u32,
+    /// Tasks that fill.
+    pub(crate) filling: u32,
+}
+
+impl Neighbours {
+    pub(crate) fn add(&mut self, spec: &StepSpec) {
+        self.serving += u32::from(spec.lasting && !spec.fills);
+        self.filling += u32::from(spec.fills);
+    }
+
+    pub(crate) fn remove(&mut self, spec: &StepSpec) {
+        self.serving -= u32::from(spec.lasting && !spec.fills);
+        self.filling -= u32::from(spec.fills);
+    }
+}
+
 /// What the registry tells of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Listing {
@@ -72,6 +95,7 @@
             listing: None,
             used: Resources::ZERO,
             tasks: BTreeSet::new(),
+            neighbours: Neighbours::default(),
             contact: Contact::Unreached,
             leases,
             born_unix_ms: None,
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -22,6 +22,7 @@
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::record::Progress;
+use cowslipport_lib::workload::record::ProgressSummary;
 use cowslipport_lib::workload::record::RecordedPhase;
 use cowslipport_lib::workload::record::StepProgress;
 use cowslipport_lib::workload::record::TaskProgress;
@@ -155,6 +156,11 @@
     Progress { outcome, steps, epoch: 5 }
 }
 
+/// What a process learns from the record of some progress.
+fn summary(outcome: Option<JobOutcome>) -> ProgressSummary {
+    ProgressSummary::decode(&progress(outcome).encode()).expect("a record")
+}
+
 /// Records of a job arrive in any order, and from several nodes.
 #[test]
 fn board_shows_a_job_whatever_the_order_of_its_records() {
@@ -162,13 +168,13 @@
     let queue = catalog.queue_id("long");
     let job = JobKey(0xaa);
     let mut board = Board::default();
-    board.progressed(job, &progress(None));
+    board.progressed(job, summary(None));
     assert_eq!(board.view(job), None, "nobody has submitted it as far as is known");
     board.submitted(job, queue, None);
     assert_eq!(board.view(job), Some(JobView::Active));
     board.cancelled(job);
     assert_eq!(board.view(job), Some(JobView::Cancelled));
-    board.progressed(job, &progress(Some(JobOutcome::Completed)));
+    board.progressed(job, summary(Some(JobOutcome::Completed)));
     assert_eq!(board.view(job), Some(JobView::Completed), "it was done before the wish came");
     board.forget(job);
     assert!(board.is_empty());
@@ -183,7 +189,7 @@
         board.submitted(JobKey(key), queue, None);
         board.submitted(JobKey(key), queue, None);
     }
-    board.progressed(JobKey(1), &progress(None));
+    board.progressed(JobKey(1), summary(None));
     board.cancelled(JobKey(2));
     assert_eq!(board.queued(queue), 1);
     check(&call("/a/b/", None, Action::Look), &board, FRESH, &CallAnswer::Queued(1));
@@ -280,4 +286,7 @@
     assert_eq!(JobSpec::decode(&job.encode()), Ok(job));
     let progress = progress(Some(JobOutcome::Failed));
     assert_eq!(Progress::decode(&progress.encode()), Ok(progress));
+    let untouched = Progress { epoch: 1, ..Progress::default() };
+    let summary = ProgressSummary { outcome: None, has_started: false };
+    assert_eq!(ProgressSummary::decode(&untouched.encode()), Ok(summary));
 }
--- a/lib/tests/test_workload_explain.rs
+++ b/lib/tests/test_workload_explain.rs
@@ -31,12 +31,11 @@
         let time = fleet.time();
         let Some(owner) = &mut fleet.owner else { continue };
         owner.explain(time, time.0, &fleet.catalog);
-        waits.extend(owner.take_notices().into_iter().filter_map(|notice| match notice {
-            Notice::StepWaits { tasks, waited_ms, obstacles, .. } => {
-                Some((waited_ms, tasks, obstacles))
+        for notice in owner.take_notices() {
+            if let Notice::StepWaits { tasks, waited_ms, obstacles, .. } = notice {
+                waits.push((waited_ms, tasks, obstacles));
             }
-            _ => None,
-        }));
+        }
     }
     waits
 }
