upkeep: a VM goes down once the store holds the ends of its tasks

The successor found the task placed on a worker that was gone and waited for all leases of former owners, 12 s.

VMs go down, and move, only once the store holds that nothing is placed there. Tasks that a VM takes down with it are free once the list shows the VM in maintenance, not after their leases. An accepted order of which the list shows nothing was carried out for a former owner: the VM counts as maintained.

Tried first and wrong: taking an accepted order for the end of its tasks.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -297,7 +297,7 @@
             OwnerMessage::VmsListed { sent_at, vms } => {
                 self.is_listing_vms = false;
                 let vms = VmList::new(sent_at, vms);
-                self.upkeep.listed(&vms);
+                self.upkeep.listed(&vms, &mut self.dispatcher);
                 self.pool_sizer.listed(now, &vms, view.catalog);
                 self.vms = Some(vms);
             }
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -10,6 +10,7 @@
 use crate::workload::job::Run;
 use crate::workload::job_record;
 use crate::workload::key::TaskKey;
+use crate::workload::key::WorkerId;
 use crate::workload::notice::FreeReason;
 use crate::workload::order::Acknowledgement;
 use crate::workload::order::Batch;
@@ -46,7 +47,10 @@
             let born_unix_ms = self.workers.get(worker).and_then(|worker| worker.born_unix_ms);
             Acknowledgement { worker, born_unix_ms, number }
         });
+        let number = self.next_batch;
+        self.next_batch += 1;
         Batch {
+            number,
             records: records.into_iter().collect(),
             starts: std::mem::take(&mut self.planned),
             acknowledged: acknowledged.collect(),
@@ -54,9 +58,19 @@
         }
     }
 
+    /// True if the store holds that nothing has a place on a worker. Before, a
+    /// successor would take its last tasks for running, and wait for a worker
+    /// that may be gone.
+    pub(crate) fn is_stored_empty(&self, id: WorkerId) -> bool {
+        self.workers
+            .get(id)
+            .is_some_and(|worker| worker.tasks.is_empty() && worker.vacated_in <= self.stored_batch)
+    }
+
     /// Orders the starts whose places are stored. If `may_order` is false,
     /// this process may not be the owner any more: nothing is ordered.
     pub fn batch_stored(&mut self, now: TimeMs, batch: &Batch, may_order: bool) {
+        self.stored_batch = Some(batch.number);
         self.silence_dropped(&batch.answering);
         for task in &batch.starts {
             self.order_start(now, *task, may_order);
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -79,6 +79,9 @@
     pub(crate) tickets: Tickets,
     pub(crate) crowded: BTreeSet<PoolId>,
     pub(crate) waits: Waits,
+    /// Number of the batch that takes what changes now.
+    pub(crate) next_batch: u64,
+    pub(crate) stored_batch: Option<u64>,
 }
 
 impl Dispatcher {
@@ -110,6 +113,8 @@
             tickets: Tickets::default(),
             crowded: BTreeSet::new(),
             waits: Waits::default(),
+            next_batch: 0,
+            stored_batch: None,
         }
     }
 
@@ -330,6 +335,7 @@
             worker.used = worker.used.saturating_sub(room);
             worker.tasks.remove(&task);
             worker.neighbours.remove(spec);
+            worker.vacated_in = Some(self.next_batch);
         }
         self.mark_dirty(task.step.job);
     }
--- a/lib/src/workload/notice.rs
+++ b/lib/src/workload/notice.rs
@@ -124,6 +124,8 @@
     WorkerReplaced,
     /// The order was not sent.
     NotSent,
+    /// Its VM went down for maintenance.
+    VmDown,
 }
 
 impl FreeReason {
@@ -136,6 +138,7 @@
             Self::WorkerReborn => "worker_reborn",
             Self::WorkerReplaced => "worker_replaced",
             Self::NotSent => "not_sent",
+            Self::VmDown => "vm_down",
         }
     }
 }
--- a/lib/src/workload/order.rs
+++ b/lib/src/workload/order.rs
@@ -106,6 +106,8 @@
 /// Records that must be stored before what depends on them is done.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
+    /// Its number; batches are stored in the order of their numbers.
+    pub number: u64,
     /// Records; an empty value drops the key.
     pub records: Vec<(RecordKey, Vec<u8>)>,
     /// Starts that may be sent once the records are stored.
--- a/lib/src/workload/pool_size.rs
+++ b/lib/src/workload/pool_size.rs
@@ -22,7 +22,6 @@
 use crate::workload::vm::VmRound;
 use crate::workload::vm::VmState;
 use crate::workload::worker::Contact;
-use crate::workload::worker::Worker;
 
 /// A pool gets a further VM if it lacks at least this part of one, in
 /// thousandths; less is gone before the VM arrives.
@@ -301,8 +300,7 @@
     /// planned there.
     fn is_empty(&mut self, name: &str) -> bool {
         let id: WorkerId = self.worker_id(name);
-        self.is_known_well(id)
-            && self.workers.get(id).is_some_and(|worker: &Worker| worker.tasks.is_empty())
+        self.is_known_well(id) && self.is_stored_empty(id)
     }
 
     /// True if a worker has an entry in the registry and answered last time.
--- a/lib/src/workload/upkeep.rs
+++ b/lib/src/workload/upkeep.rs
@@ -8,6 +8,7 @@
 use crate::workload::job::Task;
 use crate::workload::key::TaskKey;
 use crate::workload::key::WorkerId;
+use crate::workload::notice::FreeReason;
 use crate::workload::order::StopReason;
 use crate::workload::owner_record::WaveProgress;
 use crate::workload::vm::VmAction;
@@ -72,7 +73,7 @@
     /// It gets no new tasks until it is empty.
     Emptying { since: TimeMs },
     /// It was ordered down.
-    Ordered { at: TimeMs, seen_down: bool },
+    Ordered { at: TimeMs, accepted_at: Option<TimeMs>, seen_down: bool },
 }
 
 /// All waves.
@@ -115,9 +116,9 @@
     }
 
     /// Takes over the list of VMs.
-    pub fn listed(&mut self, vms: &VmList) {
+    pub fn listed(&mut self, vms: &VmList, dispatcher: &mut Dispatcher) {
         for wave in self.waves.values_mut() {
-            wave.follow_list(vms, &mut self.changed);
+            wave.follow_list(vms, dispatcher, &mut self.changed);
         }
     }
 
@@ -132,7 +133,13 @@
     ) {
         let Some(wave) = self.waves.get_mut(&number) else { return };
         match answer {
-            VmOrderAnswer::Accepted | VmOrderAnswer::Unknown | VmOrderAnswer::EpochTooLow => {}
+            VmOrderAnswer::Accepted => {
+                let stage = wave.under_way.get_mut(vm).map(|under_way| &mut under_way.stage);
+                if let Some(Stage::Ordered { accepted_at, .. }) = stage {
+                    *accepted_at = Some(now);
+                }
+            }
+            VmOrderAnswer::Unknown | VmOrderAnswer::EpochTooLow => {}
             VmOrderAnswer::NotDue => {
                 wave.maintained.insert(vm.to_owned());
                 wave.give_up(vm, dispatcher);
@@ -179,10 +186,17 @@
 }
 
 impl Wave {
-    fn follow_list(&mut self, vms: &VmList, changed: &mut BTreeSet<u64>) {
+    fn follow_list(
+        &mut self,
+        vms: &VmList,
+        dispatcher: &mut Dispatcher,
+        changed: &mut BTreeSet<u64>,
+    ) {
         let mut back = Vec::new();
         for (vm, under_way) in &mut self.under_way {
-            let Stage::Ordered { at, seen_down } = &mut under_way.stage else { continue };
+            let Stage::Ordered { at, accepted_at, seen_down } = &mut under_way.stage else {
+                continue;
+            };
             let Some(entry) = vms.get(vm) else {
                 // It is gone for good.
                 back.push(vm.clone());
@@ -192,16 +206,26 @@
                 continue;
             }
             match entry.state {
-                VmState::Maintenance | VmState::Down | VmState::Moving => *seen_down = true,
+                VmState::Maintenance => {
+                    *seen_down = true;
+                    if let Some(worker) = &under_way.worker {
+                        dispatcher.vm_went_down(worker);
+                    }
+                }
+                VmState::Down | VmState::Moving => *seen_down = true,
                 VmState::Up => {
-                    if *seen_down || entry.worker != under_way.worker {
+                    // An order that a former owner gave, too, is accepted and
+                    // ends nothing: the VM is up as it was.
+                    let was_done = accepted_at.is_some_and(|at| vms.asked_at > at);
+                    if *seen_down || was_done || entry.worker != under_way.worker {
                         back.push(vm.clone());
                     }
                 }
             }
         }
         for vm in back {
-            self.under_way.remove(&vm);
+            // The worker has left with the maintenance, or stays for good.
+            self.give_up(&vm, dispatcher);
             self.maintained.insert(vm);
             changed.insert(self.spec.wave);
         }
@@ -300,12 +324,12 @@
                     room -= usize::from(may_go_down);
                     may_go_down
                 }
-                Stage::Ordered { at, seen_down } => {
+                Stage::Ordered { at, seen_down, .. } => {
                     may_order && !seen_down && now.since(at) >= REPEAT_ORDER_MS
                 }
             };
             if is_ready {
-                under_way.stage = Stage::Ordered { at: now, seen_down: false };
+                under_way.stage = Stage::Ordered { at: now, accepted_at: None, seen_down: false };
                 let action = VmAction::Maintain { wave: self.spec.wave };
                 orders.push(VmOrder { vm: vm.clone(), action });
             }
@@ -357,6 +381,9 @@
         let id = self.worker_id(name);
         let tasks = self.tasks_on(id);
         let is_listed = self.workers.get(id).is_some_and(|worker| worker.listing.is_some());
+        if tasks.is_empty() && !self.is_stored_empty(id) {
+            return false;
+        }
         if !is_listed && tasks.is_empty() {
             // A worker on standby, which gets no tasks.
             return true;
@@ -378,6 +405,13 @@
         is_empty
     }
 
+    /// The VM of a worker is down for maintenance, which ended all that ran
+    /// there. Another worker comes back.
+    fn vm_went_down(&mut self, name: &str) {
+        let id = self.worker_id(name);
+        self.free_ordered(id, FreeReason::VmDown);
+    }
+
     fn tasks_on(&self, id: WorkerId) -> Vec<TaskKey> {
         self.workers.get(id).map_or_else(Vec::new, |worker| worker.tasks.iter().copied().collect())
     }
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -32,6 +32,8 @@
     pub(crate) used: Resources,
     pub(crate) tasks: BTreeSet<TaskKey>,
     pub(crate) neighbours: Neighbours,
+    /// The batch of records that tells of the last place that became free.
+    pub(crate) vacated_in: Option<u64>,
     pub(crate) contact: Contact,
     pub(crate) leases: LeaseWatch,
     /// Life that the last report came from.
@@ -96,6 +98,7 @@
             used: Resources::ZERO,
             tasks: BTreeSet::new(),
             neighbours: Neighbours::default(),
+            vacated_in: None,
             contact: Contact::Unreached,
             leases,
             born_unix_ms: None,
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -294,3 +294,89 @@
     assert_eq!(to("a") + to("b"), 8);
     assert!(to("b") >= 2, "the pool that lacks most gets not all: {targets:?}");
 }
+
+/// The hunt of predah-sched-grown, mix --seed 647923003744: a task was stopped
+/// for maintenance, its VM went down, and the owner was replaced before the
+/// store held the end. The successor waited 12 s for a worker that was gone.
+#[test]
+fn vm_goes_down_only_once_the_ends_of_its_tasks_are_stored() {
+    let mut fleet = workload_fake::Fleet::new(2, cores(4));
+    let lasting = StepSpec { lasting: true, max_unavailable: Some(1), ..step(1, cores(1)) };
+    fleet.submit(1, job(vec![lasting]), workload_fake::Work { work_ms: 600_000, fails: false });
+    fleet.pass(300);
+    let holder = fleet.workers.values().find(|worker| !worker.running.is_empty());
+    let holder = holder.expect("a worker runs the task").name.clone();
+    let mut upkeep = Upkeep::default();
+    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
+    upkeep.wave_asked(fleet.time(), wave);
+    let vm = VmEntry {
+        vm: "vm".to_owned(),
+        pool: workload_fake::POOL.to_owned(),
+        state: VmState::Up,
+        worker: Some(holder.clone()),
+        rack: None,
+        capacity: cores(4),
+    };
+    let vms = VmList::new(fleet.time(), vec![vm]);
+    let decide = |upkeep: &mut Upkeep, fleet: &mut workload_fake::Fleet| {
+        let round = VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY };
+        let now = fleet.time();
+        upkeep.decide(now, round, fleet.owner.as_mut().expect("an owner")).len()
+    };
+    assert_eq!(decide(&mut upkeep, &mut fleet), 0, "the task has to be stopped first");
+    fleet.store_is_up = false;
+    fleet.pass(1_000);
+    assert!(fleet.workers[&holder].running.is_empty(), "it has stopped");
+    assert_eq!(decide(&mut upkeep, &mut fleet), 0, "a successor would wait for the worker");
+    fleet.store_is_up = true;
+    fleet.pass(100);
+    assert_eq!(decide(&mut upkeep, &mut fleet), 1);
+}
+
+/// An order for a VM that was maintained before is accepted and ends nothing:
+/// only the list tells that the VM is down.
+#[test]
+fn tasks_of_a_vm_are_free_once_the_list_shows_it_down() {
+    let mut fleet = workload_fake::Fleet::new(1, cores(4));
+    fleet.submit(
+        1,
+        job(vec![step(1, cores(1))]),
+        workload_fake::Work { work_ms: 600_000, fails: false },
+    );
+    fleet.pass(300);
+    let mut upkeep = Upkeep::default();
+    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
+    upkeep.wave_asked(fleet.time(), wave);
+    let vm = |state| VmEntry {
+        vm: "vm".to_owned(),
+        pool: workload_fake::POOL.to_owned(),
+        state,
+        worker: (state == VmState::Up).then(|| "w0".to_owned()),
+        rack: None,
+        capacity: cores(4),
+    };
+    let mut orders = 0;
+    while orders == 0 && fleet.now < 10_000 {
+        fleet.pass(100);
+        let now = fleet.time();
+        let vms = VmList::new(now, vec![vm(VmState::Up)]);
+        let round = VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY };
+        orders = upkeep.decide(now, round, fleet.owner.as_mut().expect("an owner")).len();
+    }
+    assert_eq!(orders, 1, "the task has had its time");
+    let now = fleet.time();
+    let owner = fleet.owner.as_mut().expect("an owner");
+    let worker = owner.worker_id("w0");
+    upkeep.answered(now.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    upkeep.listed(&VmList::new(now.plus(10), vec![vm(VmState::Up)]), owner);
+    assert!(owner.has_tasks(worker), "it may still run");
+    let mut repeated = upkeep.clone();
+    upkeep.listed(&VmList::new(now.plus(500), vec![vm(VmState::Maintenance)]), owner);
+    assert!(!owner.has_tasks(worker));
+    // A former owner had it maintained: it stays up, and is not ordered again.
+    let vms = VmList::new(now.plus(500), vec![vm(VmState::Up)]);
+    repeated.listed(&vms, owner);
+    let round = VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY };
+    assert!(repeated.decide(now.plus(10_000), round, owner).is_empty());
+    assert!(repeated.take_changed().iter().any(|(_, progress)| progress.completed));
+}
