seat: nodes with little processor stand for it only when no larger one does

Cause: on the grown deployments 27 of 35 and 34 of 42 nodes have 0.12 of a core and 8 have 0.5; the store gives the seat to any. On a small one the owner's processor is the limit under load: starts wait until they are given up.

One with less than half of the largest stays out of the group while an owner says each second that it is there, and an owner that sees a larger member releases the ownership and leaves.

Weighed: asking the store for the members from every node each second (35 calls a second for nothing); leaving it to the processor time of decisions alone, which a burst outgrows on 0.12 of a core.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -8,7 +8,10 @@
 use cowslipport_lib::workload::admission;
 use cowslipport_lib::workload::admission::KnownAt;
 use cowslipport_lib::workload::board::Board;
+use cowslipport_lib::workload::candidacy::Candidacy;
 use cowslipport_lib::workload::catalog::Catalog;
+use cowslipport_lib::workload::owner_record::LifeRecord;
+use cowslipport_lib::workload::owner_record::Tenure;
 use cowslipport_lib::workload::record::ProgressSummary;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::seat::JoinAnswer;
@@ -62,6 +65,8 @@
     pub(crate) submissions: mpsc::Sender<Submission>,
     pub(crate) job_pause: watch::Sender<std::time::Duration>,
     pub(crate) readiness: watch::Sender<bool>,
+    /// Whether the node stands for the seat.
+    pub(crate) stands: watch::Sender<bool>,
     pub(crate) state: CoreState<P>,
 }
 
@@ -77,6 +82,7 @@
     /// Waves, and when each was asked for as far as this node knows.
     pub(crate) waves: BTreeMap<u64, (TimeMs, WaveSpec)>,
     pub(crate) seat: Seat,
+    pub(crate) candidacy: Candidacy,
     pub(crate) owner: Option<Owner<P>>,
     pub(crate) is_stopping: bool,
     pub(crate) stop_done: Option<oneshot::Sender<()>>,
@@ -86,14 +92,15 @@
 where
     P: Platform,
 {
-    pub(crate) fn new(seat_ttl_ms: u64) -> Self {
+    pub(crate) fn new(settings: &NodeSettings, now: TimeMs) -> Self {
         Self {
             catalog: Catalog::default(),
             board: Board::default(),
             known_at: KnownAt::default(),
             data_centres_out: BTreeSet::new(),
             waves: BTreeMap::new(),
-            seat: Seat::new(seat_ttl_ms),
+            seat: Seat::new(settings.seat_ttl_ms),
+            candidacy: Candidacy::new(&settings.name, settings.processor_milli, now),
             owner: None,
             is_stopping: false,
             stop_done: None,
@@ -136,6 +143,11 @@
             }
             CoreMessage::Call { request, reply } => self.take_call(request, reply),
             CoreMessage::Seat { sent_at, answer } => self.take_seat(sent_at, answer),
+            CoreMessage::Members { members } => self.state.candidacy.members_seen(&members),
+            CoreMessage::SeatLeft => {
+                self.state.seat.give_up();
+                self.state.candidacy.made_room(self.clock.now());
+            }
             CoreMessage::Owner { epoch, message } => {
                 self.with_owner(|owner, view| {
                     // A task of an earlier ownership may still have a message.
@@ -190,10 +202,30 @@
             // The process may have stopped waiting.
             let _ = done.send(());
         }
+        self.stand_or_make_room();
         let is_ready = self.is_ready();
         self.readiness.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
     }
 
+    /// Stands for the seat, or stays out of the group. An owner that a larger
+    /// node is to replace gives its ownership up before it leaves.
+    fn stand_or_make_room(&mut self) {
+        let now = self.clock.now();
+        let state = &mut self.state;
+        let is_owner = state.owner.is_some();
+        let stands = state.candidacy.stands(now, state.known_at.jobs, state.seat.epoch().is_some());
+        let stood = *self.stands.borrow();
+        if stands == stood {
+            return;
+        }
+        if let Some(owner) = state.owner.as_mut().filter(|_| !stands) {
+            owner.release();
+            return;
+        }
+        info!(self.logger, "candidacy changes"; "stands" => stands, "was_owner" => is_owner);
+        self.stands.send_replace(stands);
+    }
+
     /// True if calls can be answered.
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
@@ -296,6 +328,14 @@
             RecordKey::Progress(job) if !value.is_empty() => {
                 state.board.progressed(job, ProgressSummary::decode(value)?);
             }
+            RecordKey::Tenure if !value.is_empty() => {
+                let tenure = Tenure::decode(value)?;
+                state.candidacy.owner_seen(self.clock.now(), &tenure.owner.node);
+            }
+            RecordKey::Life(ref node) if !value.is_empty() => {
+                let LifeRecord { processor_milli, .. } = LifeRecord::decode(value)?;
+                state.candidacy.node_started(node, processor_milli);
+            }
             RecordKey::Cancellation(_)
             | RecordKey::Progress(_)
             | RecordKey::Wave(_)
--- a/daemon/src/node/edges.rs
+++ b/daemon/src/node/edges.rs
@@ -155,6 +155,9 @@
         ttl_ms: u64,
     ) -> impl Future<Output = Result<JoinAnswer, ReadError>>;
 
+    /// Members of the group that are known to be in it.
+    fn members(&mut self) -> impl Future<Output = Result<Vec<String>, ReadError>>;
+
     /// Leaves the group.
     fn leave(&mut self, member: &str) -> impl Future<Output = Result<(), ReadError>>;
 }
--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -46,6 +46,10 @@
     Call { request: CallRequest, reply: oneshot::Sender<CallAnswer> },
     /// The store answered a call for the seat.
     Seat { sent_at: TimeMs, answer: JoinAnswer },
+    /// Which nodes stand for the seat.
+    Members { members: Vec<String> },
+    /// The node has left the group.
+    SeatLeft,
     /// Something for the owner of this epoch.
     Owner { epoch: u64, message: OwnerMessage },
     /// The process stops: the seat is to be given up.
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cowslipport_lib::workload::key::JobKey;
-use cowslipport_lib::workload::owner_record;
+use cowslipport_lib::workload::owner_record::LifeRecord;
 use cowslipport_lib::workload::owner_record::NodeLife;
 use cowslipport_lib::workload::owner_record::Silence;
 use cowslipport_lib::workload::owner_record::Tenure;
@@ -56,8 +56,8 @@
                 RecordKey::Cancellation(job) if !record.value.is_empty() => {
                     self.dispatcher.cancelled(job);
                 }
-                RecordKey::Life(node) => match owner_record::decode_life(&record.value) {
-                    Ok(life) => {
+                RecordKey::Life(node) => match LifeRecord::decode(&record.value) {
+                    Ok(LifeRecord { life, .. }) => {
                         self.dispatcher.node_started(view.now, &NodeLife { node, life });
                     }
                     Err(findings) => {
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cowslipport_lib::workload::admission::AgeLimits;
+use cowslipport_lib::workload::owner_record::LifeRecord;
 use cowslipport_lib::workload::owner_record::NodeLife;
 
 /// Leases of workers. They outlast the time in which a successor takes the
@@ -15,6 +16,9 @@
 /// Pause between two calls that keep the seat: three fit into its shortest
 /// time to live.
 pub const JOIN_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two looks at who else stands, on an owner that a larger node may
+/// replace.
+pub const MEMBERS_INTERVAL_MS: u64 = 1_000;
 /// An owner that the store does not answer goes on renewing leases for this
 /// time, since the store is more often down for all than for one. A successor
 /// waits as long for workers that it cannot reach.
@@ -45,6 +49,8 @@
     pub name: String,
     /// Life of the process, chosen at random.
     pub life: u64,
+    /// What the node has of processors, in thousandths of a core.
+    pub processor_milli: u64,
     /// Time after which the store gives the seat of a silent node to another.
     pub seat_ttl_ms: u64,
     /// A withdrawn key stops working within this time, on each node.
@@ -76,6 +82,11 @@
         NodeLife { node: self.name.clone(), life: self.life }
     }
 
+    /// What the node says of itself when it starts.
+    pub(crate) fn life_record(&self) -> LifeRecord {
+        LifeRecord { life: self.life, processor_milli: self.processor_milli }
+    }
+
     /// How old what the node knows may be.
     pub(crate) fn age_limits(&self) -> AgeLimits {
         AgeLimits {
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use cowslipport_lib::workload::owner_record;
 use cowslipport_lib::workload::record::RecordKey;
 use slog::Logger;
 use slog::o;
@@ -43,7 +42,7 @@
 async fn announce(settings: NodeSettings, submissions: mpsc::Sender<Submission>, logger: Logger) {
     let record = KeyedRecord {
         key: RecordKey::Life(settings.name.clone()).encode().into(),
-        value: owner_record::encode_life(settings.life).into(),
+        value: settings.life_record().encode().into(),
     };
     loop {
         let (reply, outcome) = oneshot::channel();
@@ -101,6 +100,7 @@
             };
             tasks.spawn_local(tail.run());
         }
+        let (stands, standing) = watch::channel(false);
         let mut seat = JoinSet::new();
         let seat_task = SeatTask {
             store: platform.store(),
@@ -108,6 +108,7 @@
             ttl_ms: settings.seat_ttl_ms,
             clock,
             core: core.clone(),
+            stands: standing,
             logger: logger.new(o!("target" => "seat")),
         };
         seat.spawn_local(seat_task.run());
@@ -121,7 +122,8 @@
             submissions,
             job_pause,
             readiness,
-            state: CoreState::new(settings.seat_ttl_ms),
+            stands,
+            state: CoreState::new(&settings, clock.now()),
         };
         tasks.spawn_local(core_task.run());
         let logger = logger.clone();
--- a/gen/src/main.rs
+++ b/gen/src/main.rs
@@ -64,11 +64,12 @@
 const PLATFORM_SCHEMAS: [&str; 2] = ["contract.proto", "settings.proto"];
 
 /// Messages whose rows are JSON lists, with the type that reads a row.
-const ROWS: [(&str, &str); 4] = [
+const ROWS: [(&str, &str); 5] = [
     (".cowslipport.contract.Grant", "crate::rows::GrantRow"),
     (".cowslipport.contract.Running", "crate::rows::RunningRow"),
     (".cowslipport.contract.Finished", "crate::rows::FinishedRow"),
     (".cowslipport.contract.Part", "crate::rows::PartRow"),
+    (".cowslipport.contract.OwnedPart", "crate::rows::OwnedPartRow"),
 ];
 
 fn run(check: bool) -> Result<(), GenError> {
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -178,6 +178,9 @@
 pub struct Life {
     #[prost(uint64, tag = "1")]
     pub life: u64,
+    /// What the node has of processors, in thousandths of a core.
+    #[prost(uint64, tag = "2")]
+    pub processor_milli: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WaveProgress {
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod advice;
 pub mod board;
+pub mod candidacy;
 pub mod catalog;
 pub mod dispatcher;
 pub mod key;
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -72,15 +72,26 @@
     }
 }
 
-/// The bytes of the record of a life.
-pub fn encode_life(life: u64) -> Vec<u8> {
-    raw::Life { life }.encode_to_vec()
+/// What a node says of itself when it starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LifeRecord {
+    /// Chosen at random when the process starts.
+    pub life: u64,
+    /// What the node has of processors, in thousandths of a core.
+    pub processor_milli: u64,
 }
 
-/// The life of a record.
-pub fn decode_life(bytes: &[u8]) -> Result<u64, Findings> {
-    let raw = raw::Life::decode(bytes).map_err(|error| one("life", error.to_string()))?;
-    Ok(raw.life)
+impl LifeRecord {
+    /// The bytes of the record.
+    pub fn encode(self) -> Vec<u8> {
+        raw::Life { life: self.life, processor_milli: self.processor_milli }.encode_to_vec()
+    }
+
+    /// The life of a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
+        let raw = raw::Life::decode(bytes).map_err(|error| one("life", error.to_string()))?;
+        Ok(Self { life: raw.life, processor_milli: raw.processor_milli })
+    }
 }
 
 /// A worker that does not answer, as a successor finds it.
--- a/lib/src/workload/tenure.rs
+++ b/lib/src/workload/tenure.rs
@@ -5,6 +5,7 @@
 //! owner without the store stops by itself.
 
 use crate::time::TimeMs;
+use crate::workload::candidacy::PRESENCE_INTERVAL_MS;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::lease::LeaseTimes;
 use crate::workload::owner_record::FormerOwner;
@@ -12,7 +13,7 @@
 use crate::workload::owner_record::Tenure;
 
 /// Time between two records of the tenure while a former owner may be there.
-const RECORD_INTERVAL_MS: u64 = 500;
+const DOUBT_INTERVAL_MS: u64 = 500;
 
 /// Who owned before, and may still renew leases.
 #[derive(Clone, Debug, Default)]
@@ -90,14 +91,14 @@
         self.former.started(now, present);
     }
 
-    /// The record of this tenure, if the store needs it now.
+    /// The record of this tenure, if the store needs it now. It also tells
+    /// smaller nodes that there is an owner.
     pub(crate) fn tenure_record(&mut self, now: TimeMs) -> Option<Tenure> {
         let former = self.former.remaining(now);
-        let is_old = self
-            .former
-            .recorded_at
-            .is_none_or(|recorded_at| now.since(recorded_at) >= RECORD_INTERVAL_MS);
-        let is_due = self.former.is_changed || (!former.is_empty() && is_old);
+        let interval_ms = if former.is_empty() { PRESENCE_INTERVAL_MS } else { DOUBT_INTERVAL_MS };
+        let is_old =
+            self.former.recorded_at.is_none_or(|recorded_at| now.since(recorded_at) >= interval_ms);
+        let is_due = self.former.is_changed || is_old;
         if !is_due || !self.is_recovered {
             return None;
         }
--- /dev/null
+++ b/lib/tests/test_workload_candidacy.rs
@@ -0,0 +1,69 @@
+//! Which nodes stand for the seat.
+
+use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::candidacy::Candidacy;
+
+const SMALL: u64 = 120;
+const LARGE: u64 = 500;
+
+fn small_among_large() -> Candidacy {
+    let mut candidacy = Candidacy::new("small", SMALL, TimeMs(0));
+    candidacy.node_started("small", SMALL);
+    candidacy.node_started("large", LARGE);
+    candidacy
+}
+
+fn stands(candidacy: &Candidacy, now: u64) -> bool {
+    candidacy.stands(TimeMs(now), Some(TimeMs(now)), false)
+}
+
+#[test]
+fn nodes_alike_all_stand() {
+    let mut candidacy = Candidacy::new("a", 250, TimeMs(0));
+    assert!(!candidacy.stands(TimeMs(0), None, false), "which nodes there are is not known yet");
+    for node in ["a", "b", "c"] {
+        candidacy.node_started(node, 250);
+    }
+    candidacy.node_started("d", 400);
+    assert!(stands(&candidacy, 10));
+    candidacy.owner_seen(TimeMs(20), "b");
+    assert!(stands(&candidacy, 30));
+}
+
+#[test]
+fn small_node_stands_when_no_owner_is_left() {
+    let mut candidacy = small_among_large();
+    candidacy.owner_seen(TimeMs(1_000), "large");
+    assert!(!stands(&candidacy, 3_900));
+    assert!(stands(&candidacy, 4_100));
+    // Its own word and an old view say nothing.
+    candidacy.owner_seen(TimeMs(4_000), "small");
+    assert!(stands(&candidacy, 4_100));
+    assert!(!candidacy.stands(TimeMs(9_000), Some(TimeMs(5_000)), false));
+    candidacy.owner_seen(TimeMs(4_200), "large");
+    assert!(!stands(&candidacy, 4_300));
+}
+
+#[test]
+fn small_owner_makes_room_for_a_large_node() {
+    let mut candidacy = small_among_large();
+    let holds = |candidacy: &Candidacy, now| candidacy.stands(TimeMs(now), Some(TimeMs(now)), true);
+    assert!(holds(&candidacy, 5_000));
+    candidacy.members_seen(&["other".to_owned(), "small".to_owned()]);
+    assert!(holds(&candidacy, 5_100), "the large one is not there");
+    candidacy.members_seen(&["large".to_owned(), "small".to_owned()]);
+    assert!(!holds(&candidacy, 5_200));
+    candidacy.made_room(TimeMs(5_300));
+    assert!(!stands(&candidacy, 8_200), "the large one needs time to tell that it owns");
+    assert!(stands(&candidacy, 8_400), "it did not take the seat");
+}
+
+#[test]
+fn large_node_keeps_the_seat() {
+    let mut candidacy = Candidacy::new("large", LARGE, TimeMs(0));
+    candidacy.node_started("small", SMALL);
+    candidacy.node_started("large", LARGE);
+    candidacy.members_seen(&["large".to_owned(), "small".to_owned(), "larger".to_owned()]);
+    assert!(candidacy.stands(TimeMs(10), Some(TimeMs(10)), true));
+    assert!(stands(&candidacy, 10));
+}
