pool_size: all idle VMs rest at once; arrivals tell what a pool will need

All VMs that a pool has long not needed rest in one decision, as far as the rate of orders allows. Arrivals are kept by themselves, not read from jobs that are still open (a successor took all open jobs for arrivals of the moment), and their rate counts less its uncertainty; few arrivals still raise the need up to twice.

--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -37,6 +37,7 @@
 use crate::workload::order::WorkerOrder;
 use crate::workload::owner_record::NodeLife;
 use crate::workload::pace::Pacer;
+use crate::workload::pool_balance::Arrivals;
 use crate::workload::record::JobOutcome;
 use crate::workload::record::Progress;
 use crate::workload::record::RecordKey;
@@ -79,6 +80,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) crowded: BTreeSet<PoolId>,
     pub(crate) waits: Waits,
+    pub(crate) arrivals: Arrivals,
     /// Number of the batch that takes what changes now.
     pub(crate) next_batch: u64,
     pub(crate) stored_batch: Option<u64>,
@@ -113,6 +115,7 @@
             tickets: Tickets::default(),
             crowded: BTreeSet::new(),
             waits: Waits::default(),
+            arrivals: Arrivals::default(),
             next_batch: 0,
             stored_batch: None,
         }
@@ -152,6 +155,9 @@
             self.closed.insert(key);
             return;
         }
+        if self.is_recovered && !job.spec.is_lasting() && job.spec.schedule.is_none() {
+            self.arrivals.add(now, pool, job.remaining_work());
+        }
         let id = self.insert(job);
         self.by_key.insert(key, id);
         self.count_restored(id);
--- a/lib/src/workload/pool_balance.rs
+++ b/lib/src/workload/pool_balance.rs
@@ -1,6 +1,7 @@
 //! What each pool has, and what its jobs ask for.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use crate::ids::PoolId;
 use crate::time::TimeMs;
@@ -13,8 +14,9 @@
 /// Arrivals of this time tell what a pool will need when a VM has come: a turn
 /// begins with jobs whose later steps have yet to ask for room.
 const ARRIVAL_WINDOW_MS: u64 = 700;
-/// The need that is expected is at most this multiple of the present one.
-const ARRIVAL_MAX_FACTOR: u64 = 2;
+
+/// Few arrivals raise the need to at most this multiple of the present one.
+const NEED_MAX_FACTOR: u64 = 2;
 
 /// Room and need of a pool, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,7 +29,7 @@
     pub waiting_cpu_milli: u64,
     /// What the pool should have, as far as known now.
     pub need_cpu_milli: u64,
-    /// Work that has arrived lately, by its rate.
+    /// What is needed to keep up with the work that arrives.
     pub arriving_cpu_milli: u64,
     /// Workers that can get tasks.
     pub workers: usize,
@@ -35,6 +37,51 @@
     pub spread_workers: usize,
 }
 
+/// Work of jobs that arrived lately.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Arrivals {
+    pools: BTreeMap<PoolId, VecDeque<Arrival>>,
+}
+
+/// The work of one job.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: TimeMs,
+    work_core_ms: u64,
+}
+
+impl Arrivals {
+    pub(crate) fn add(&mut self, now: TimeMs, pool: PoolId, work_core_ms: u64) {
+        let arrivals = self.pools.entry(pool).or_default();
+        while arrivals.front().is_some_and(|first| now.since(first.at) > ARRIVAL_WINDOW_MS) {
+            arrivals.pop_front();
+        }
+        arrivals.push_back(Arrival { at: now, work_core_ms });
+    }
+
+    /// Room that keeps up with the work that arrives in a pool, as far as the
+    /// last arrivals tell. Their number is uncertain by its square root, and
+    /// one large job alone says little about those that follow.
+    fn expected_cpu_milli(&self, now: TimeMs, pool: PoolId, need_cpu_milli: u64) -> u64 {
+        let Some(arrivals) = self.pools.get(&pool) else { return 0 };
+        let recent = arrivals.iter().filter(|arrival| now.since(arrival.at) <= ARRIVAL_WINDOW_MS);
+        let (mut count, mut work_core_ms) = (0_u64, 0_u64);
+        for arrival in recent {
+            count += 1;
+            work_core_ms = work_core_ms.saturating_add(arrival.work_core_ms);
+        }
+        if count == 0 {
+            return 0;
+        }
+        // In thousandths, so that small numbers keep their root.
+        let root_milli = (count * 1_000_000).isqrt();
+        let certain_milli = 1_000 - 1_000_000 / root_milli;
+        let rate_cpu_milli = work_core_ms.saturating_mul(1_000) / ARRIVAL_WINDOW_MS;
+        let certain_cpu_milli = rate_cpu_milli.saturating_mul(certain_milli) / 1_000;
+        certain_cpu_milli.max(rate_cpu_milli.min(need_cpu_milli * NEED_MAX_FACTOR))
+    }
+}
+
 /// Balances of the pools that are in service.
 pub(crate) type PoolBalances = BTreeMap<PoolId, PoolBalance>;
 
@@ -69,15 +116,11 @@
             if !rank::is_overdue(now, job) {
                 balance.need_cpu_milli += waiting_cpu_milli;
             }
-            if now.since(job.accepted_at) <= ARRIVAL_WINDOW_MS && !job.spec.is_lasting() {
-                balance.arriving_cpu_milli += job.remaining_work() * 1_000 / ARRIVAL_WINDOW_MS;
-            }
         }
-        for balance in balances.values_mut() {
-            // One large job alone says little about those that follow.
-            let expected =
-                balance.arriving_cpu_milli.min(balance.need_cpu_milli * ARRIVAL_MAX_FACTOR);
-            balance.need_cpu_milli = balance.need_cpu_milli.max(expected);
+        for (pool, balance) in &mut balances {
+            balance.arriving_cpu_milli =
+                self.arrivals.expected_cpu_milli(now, *pool, balance.need_cpu_milli);
+            balance.need_cpu_milli = balance.need_cpu_milli.max(balance.arriving_cpu_milli);
         }
         balances
     }
--- a/lib/src/workload/pool_size.rs
+++ b/lib/src/workload/pool_size.rs
@@ -122,8 +122,10 @@
             }
             short.retain(|_, missing| *missing > 0);
         }
-        if orders.len() < most_orders {
-            self.rest_idle(now, catalog, &mut spare, &mut balances, dispatcher, &mut orders);
+        let standby = catalog.pools().find(|(_, pool)| pool.is_standby).map(|(id, _)| id);
+        let Some(standby) = standby else { return orders };
+        for vm in self.long_idle(now, most_orders - orders.len(), &mut spare, &mut balances) {
+            orders.push(self.order(now, catalog, &vm, standby, dispatcher));
         }
         orders
     }
@@ -184,25 +186,17 @@
         VmOrder { vm: entry.vm.clone(), action: VmAction::MoveTo { pool } }
     }
 
-    /// Sends VMs of pools that have long had too many to standby.
-    fn rest_idle(
+    /// VMs of pools that have long had too many.
+    fn long_idle(
         &mut self,
         now: TimeMs,
-        catalog: &Catalog,
+        most: usize,
         spare: &mut Vec<Spare<'_>>,
         balances: &mut PoolBalances,
-        dispatcher: &mut Dispatcher,
-        orders: &mut Vec<VmOrder>,
-    ) {
-        let standby = catalog.pools().find(|(_, pool)| pool.is_standby).map(|(id, _)| id);
-        let Some(standby) = standby else { return };
+    ) -> Vec<VmEntry> {
+        let mut idle = Vec::new();
         for pool in balances.keys().copied().collect::<Vec<PoolId>>() {
-            let Some(place) = spare.iter().position(|vm| vm.pool == pool && !vm.is_standby) else {
-                self.idle_since.remove(&pool);
-                continue;
-            };
-            let size = spare[place].entry.capacity.cpu_milli;
-            if !balances[&pool].can_spare(size) {
+            if find_idle(spare, balances, pool).is_none() {
                 self.idle_since.remove(&pool);
                 continue;
             }
@@ -210,12 +204,16 @@
             if now.since(since) < IDLE_MS {
                 continue;
             }
-            let vm = spare.remove(place);
-            if let Some(balance) = balances.get_mut(&pool) {
-                balance.give(size);
+            while idle.len() < most {
+                let Some(place) = find_idle(spare, balances, pool) else { break };
+                let vm = spare.remove(place);
+                if let Some(balance) = balances.get_mut(&pool) {
+                    balance.give(vm.entry.capacity.cpu_milli);
+                }
+                idle.push(vm.entry.clone());
             }
-            orders.push(self.order(now, catalog, vm.entry, standby, dispatcher));
         }
+        idle
     }
 }
 
@@ -271,6 +269,12 @@
     short.keys().min_by_key(rank).copied()
 }
 
+/// Place of an idle VM that a pool can do without.
+fn find_idle(spare: &[Spare<'_>], balances: &PoolBalances, pool: PoolId) -> Option<usize> {
+    let place = spare.iter().position(|vm| vm.pool == pool && !vm.is_standby)?;
+    balances[&pool].can_spare(spare[place].entry.capacity.cpu_milli).then_some(place)
+}
+
 /// A VM for a pool: an idle one of a pool that can do without it, else one on
 /// standby.
 fn take_from(
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -380,3 +380,37 @@
     assert!(repeated.decide(now.plus(10_000), round, owner).is_empty());
     assert!(repeated.take_changed().iter().any(|(_, progress)| progress.completed));
 }
+
+/// A turn of a queue begins: many jobs in a short time say how many VMs it will
+/// need, though the first ones still fit.
+#[test]
+fn vms_come_ahead_of_a_turn() {
+    let mut pools = Pools::new(&[("a", 3), ("rest", 40)]);
+    // Each has one core of work for a second, in four steps one by one.
+    let steps = || -> Vec<StepSpec> {
+        let mut steps = vec![step(1, cores(1)); 4];
+        for (index, step) in (0..).zip(&mut steps) {
+            step.estimate_ms = 250;
+            step.after_steps = (0..index).collect();
+        }
+        steps
+    };
+    for key in 0..24 {
+        pools.submit(key, "a", steps());
+        pools.now += 25;
+    }
+    let ordered = pools.pass(100).len();
+    // The work of 40 cores arrives: 28 more, or seven VMs, if that goes on.
+    assert!((3..=7).contains(&ordered), "{ordered}");
+    let mut pools = Pools::new(&[("a", 3), ("rest", 40)]);
+    pools.submit(1, "a", vec![StepSpec { estimate_ms: 60_000, ..step(1, cores(1)) }]);
+    assert_eq!(pools.pass(300), [], "one large job says nothing about others");
+}
+
+/// A turn has ended: all VMs that are too many rest, not one after the other.
+#[test]
+fn all_idle_vms_rest_at_once() {
+    let mut pools = Pools::new(&[("a", 20)]);
+    let orders = pools.pass(1_500);
+    assert_eq!(orders.len(), 17, "three stay");
+}
