tail: a read that ends before the end of its topic confirms nothing

Each read returns a bounded part; the tail took each part for all there is up to now, so the view counted as fresh, and the node said of a job accepted 3.3 s before that there is none (jobs_age_ms 1386).

The head of a read tells the end of the topic; only a batch that reaches it confirms the view. No pause follows a part. A node that is behind says that its view is old, as it does without the store.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -277,11 +277,11 @@
         }
     }
 
-    fn take_tail(&mut self, topic: Topic, event: TailEvent, confirmed_at: TimeMs) {
+    fn take_tail(&mut self, topic: Topic, event: TailEvent, confirmed_at: Option<TimeMs>) {
         match topic {
             Topic::Operator => self.take_operator(event, confirmed_at),
             Topic::Jobs => {
-                self.state.known_at.jobs = Some(confirmed_at);
+                self.state.known_at.jobs = confirmed_at.or(self.state.known_at.jobs);
                 let records = match event {
                     TailEvent::Snapshot(records) | TailEvent::Records(records) => records,
                 };
@@ -346,8 +346,9 @@
         Ok(())
     }
 
-    fn take_operator(&mut self, event: TailEvent, confirmed_at: TimeMs) {
-        self.state.known_at.configuration = Some(confirmed_at);
+    fn take_operator(&mut self, event: TailEvent, confirmed_at: Option<TimeMs>) {
+        let known_at = &mut self.state.known_at;
+        known_at.configuration = confirmed_at.or(known_at.configuration);
         let dialect = self.platform.dialect();
         let is_news = matches!(event, TailEvent::Records(_));
         let (records, mut gone) = match event {
--- a/daemon/src/node/edges.rs
+++ b/daemon/src/node/edges.rs
@@ -109,6 +109,9 @@
     pub records: Vec<KeyedRecord>,
     /// Offset to read from next.
     pub next_offset: u64,
+    /// End of the topic when the batch was made; a batch is bounded and may
+    /// end before it.
+    pub end_offset: u64,
 }
 
 /// A part of the newest records of a topic.
--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -39,8 +39,9 @@
     Tail {
         topic: Topic,
         event: TailEvent,
-        /// When the read was sent: nothing older is missing.
-        confirmed_at: TimeMs,
+        /// When the read was sent, if it reached the end of the topic: nothing
+        /// older is missing then.
+        confirmed_at: Option<TimeMs>,
     },
     /// A caller asks something.
     Call { request: CallRequest, reply: oneshot::Sender<CallAnswer> },
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -73,7 +73,7 @@
     /// Records of jobs that came while the jobs were being read.
     pub(crate) held_back: Option<Vec<KeyedRecord>>,
     /// Entries of workers that came meanwhile; nobody is asked before.
-    pub(crate) held_back_entries: Vec<(TailEvent, TimeMs)>,
+    pub(crate) held_back_entries: Vec<(TailEvent, Option<TimeMs>)>,
     pub(crate) workers_known_at: Option<TimeMs>,
     pub(crate) in_flight: Option<InFlight>,
     pub(crate) mailboxes: Mailboxes,
@@ -191,13 +191,13 @@
         &mut self,
         view: &mut OwnerView<'_>,
         event: TailEvent,
-        confirmed_at: TimeMs,
+        confirmed_at: Option<TimeMs>,
     ) {
         if self.held_back.is_some() {
             self.held_back_entries.push((event, confirmed_at));
             return;
         }
-        self.workers_known_at = Some(confirmed_at);
+        self.workers_known_at = confirmed_at.or(self.workers_known_at);
         let mut gone: BTreeSet<String> = BTreeSet::new();
         let records = match event {
             TailEvent::Snapshot(records) => {
--- a/daemon/src/node/tail.rs
+++ b/daemon/src/node/tail.rs
@@ -63,7 +63,7 @@
             match read_newest(&mut self.store, self.topic).await {
                 Ok((records, end_offset)) => {
                     self.note_return(is_away);
-                    self.send(TailEvent::Snapshot(records), sent_at).await?;
+                    self.send(TailEvent::Snapshot(records), Some(sent_at)).await?;
                     return Ok(end_offset);
                 }
                 Err(error) => self.note_failure(is_away, &error),
@@ -84,9 +84,11 @@
                     retry = RETRY_MIN;
                     from_offset = batch.next_offset;
                     let is_empty = batch.records.is_empty();
-                    self.send(TailEvent::Records(batch.records), sent_at).await?;
+                    let is_whole = batch.next_offset >= batch.end_offset;
+                    let confirmed_at = is_whole.then_some(sent_at);
+                    self.send(TailEvent::Records(batch.records), confirmed_at).await?;
                     let pause = *self.pause.borrow();
-                    if !is_empty && !pause.is_zero() {
+                    if !is_empty && is_whole && !pause.is_zero() {
                         sleep(pause).await;
                     }
                 }
@@ -104,7 +106,7 @@
         }
     }
 
-    async fn send(&self, event: TailEvent, confirmed_at: TimeMs) -> Result<(), CoreGone> {
+    async fn send(&self, event: TailEvent, confirmed_at: Option<TimeMs>) -> Result<(), CoreGone> {
         let message = CoreMessage::Tail { topic: self.topic, event, confirmed_at };
         self.core.send(message).await.map_err(|_| CoreGone)
     }
