vm_handover: a successor leaves alone only the VMs that were ordered of late

The owner stores the names of the VMs that it orders before it orders them; its successor leaves these alone for 3 s and orders the others at once.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -340,6 +340,7 @@
             | RecordKey::Progress(_)
             | RecordKey::Wave(_)
             | RecordKey::Silence(_)
+            | RecordKey::VmOrders
             | RecordKey::Tenure
             | RecordKey::Life(_) => {}
         }
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -16,6 +16,8 @@
 use cowslipport_lib::workload::upkeep::Upkeep;
 use cowslipport_lib::workload::upkeep::WaveSpec;
 use cowslipport_lib::workload::vm::VmList;
+use cowslipport_lib::workload::vm::VmOrder;
+use cowslipport_lib::workload::vm_handover::VmHandover;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -82,7 +84,9 @@
     pub(crate) vms_decided_at: Option<TimeMs>,
     pub(crate) pool_sizer: PoolSizer,
     pub(crate) is_listing_vms: bool,
-    pub(crate) vm_handover_ms: u64,
+    pub(crate) vm_handover: VmHandover,
+    /// Orders that are given once the store holds which VMs they are for.
+    pub(crate) vm_orders: Vec<VmOrder>,
     pub(crate) vm_order_rate: OrderRate,
     pub(crate) listed: BTreeSet<String>,
     pub(crate) wave_status: Vec<KeyedRecord>,
@@ -109,6 +113,7 @@
 pub(crate) struct InFlight {
     batch: Batch,
     wave_status: Vec<KeyedRecord>,
+    vm_orders: Vec<VmOrder>,
 }
 
 impl<P> Owner<P>
@@ -148,7 +153,8 @@
             vms_decided_at: None,
             pool_sizer: PoolSizer::default(),
             is_listing_vms: false,
-            vm_handover_ms: settings.vm_handover_ms,
+            vm_handover: VmHandover::new(settings.vm_handover_ms),
+            vm_orders: Vec::new(),
             vm_order_rate: OrderRate::new(gained_at, settings.vm_orders_per_second),
             listed: BTreeSet::new(),
             wave_status: Vec::new(),
@@ -323,6 +329,7 @@
             self.links.acknowledge(acknowledgement);
         }
         self.wave_status.extend(in_flight.wave_status);
+        self.give_vm_orders(view, in_flight.vm_orders);
     }
 
     /// Decides, and lets its decisions take effect.
@@ -382,13 +389,15 @@
             records.push(KeyedRecord { key, value });
             wave_status.push(self.dialect.wave_status(wave, progress.completed));
         }
+        let vm_orders = std::mem::take(&mut self.vm_orders);
+        records.extend(self.vm_orders_record(now, &vm_orders));
         if records.is_empty() {
             for acknowledgement in batch.acknowledged {
                 self.links.acknowledge(acknowledgement);
             }
             return;
         }
-        self.in_flight = Some(InFlight { batch, wave_status });
+        self.in_flight = Some(InFlight { batch, wave_status, vm_orders });
         if self.release == Release::Begun {
             self.release = Release::Storing;
         }
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -7,6 +7,7 @@
 use cowslipport_lib::workload::owner_record::NodeLife;
 use cowslipport_lib::workload::owner_record::Silence;
 use cowslipport_lib::workload::owner_record::Tenure;
+use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::owner_record::WaveProgress;
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordKey;
@@ -70,6 +71,7 @@
                 | RecordKey::Progress(_)
                 | RecordKey::Wave(_)
                 | RecordKey::Silence(_)
+                | RecordKey::VmOrders
                 | RecordKey::Tenure => {}
             }
         }
@@ -106,6 +108,13 @@
                             "worker" => worker, "findings" => findings.to_string());
                     }
                 },
+                Some(RecordKey::VmOrders) => match VmOrders::decode(&record.value) {
+                    Ok(orders) => self.vm_handover.inherit(view.now, orders.vms),
+                    Err(findings) => {
+                        warn!(self.logger, "record of ordered VMs cannot be read";
+                            "findings" => findings.to_string());
+                    }
+                },
                 Some(RecordKey::Tenure) => match Tenure::decode(&record.value) {
                     Ok(decoded) => tenure = Some(decoded),
                     Err(findings) => {
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -1,6 +1,8 @@
 //! How an owner reads and orders VMs.
 
 use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::owner_record::VmOrders;
+use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
@@ -8,6 +10,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::node::edges::KeyedRecord;
 use crate::node::edges::Platform;
 use crate::node::owner::Owner;
 use crate::node::owner::OwnerView;
@@ -28,7 +31,7 @@
     /// Reads the list of VMs, and orders VMs: for maintenance, and to the pools
     /// that need them.
     pub(crate) fn order_vms(&mut self, view: &mut OwnerView<'_>) {
-        if !view.is_certain || view.now.since(self.gained_at) < self.vm_handover_ms {
+        if !view.is_certain {
             return;
         }
         let is_old =
@@ -46,11 +49,14 @@
         }
         self.vms_decided_at = Some(view.now);
         let most_orders = self.vm_order_rate.available(view.now);
-        let moving = self.pool_sizer.busy_vms();
+        let left_alone = self.vm_handover.left_alone(view.now);
+        let mut moving = self.pool_sizer.busy_vms();
+        moving.extend(left_alone.iter().cloned());
         let round = VmRound { vms, busy: &moving, most_orders };
         let mut orders = self.upkeep.decide(view.now, round, &mut self.dispatcher);
         if self.may_start(view) {
-            let maintained = self.upkeep.busy_vms();
+            let mut maintained = self.upkeep.busy_vms();
+            maintained.extend(left_alone);
             let round = VmRound { vms, busy: &maintained, most_orders: most_orders - orders.len() };
             orders.extend(self.pool_sizer.decide(
                 view.now,
@@ -61,7 +67,30 @@
             ));
         }
         self.vm_order_rate.given(orders.len());
+        self.vm_orders.extend(orders);
+    }
+
+    /// The record that tells a successor which VMs are ordered.
+    pub(crate) fn vm_orders_record(
+        &mut self,
+        now: TimeMs,
+        orders: &[VmOrder],
+    ) -> Option<KeyedRecord> {
+        if orders.is_empty() {
+            return None;
+        }
+        let vms = self.vm_handover.ordered(now, orders.iter().map(|order| order.vm.clone()));
+        let (key, value) = (RecordKey::VmOrders.encode(), VmOrders { vms }.encode());
+        Some(KeyedRecord { key: key.into(), value: value.into() })
+    }
+
+    /// Gives orders whose VMs the store holds.
+    pub(crate) fn give_vm_orders(&mut self, view: &OwnerView<'_>, orders: Vec<VmOrder>) {
         for order in orders {
+            if !view.is_certain {
+                self.vm_answered(view.now, &order, VmOrderAnswer::Refused);
+                continue;
+            }
             info!(self.logger, "VM is ordered"; "vm" => &order.vm,
                 "action" => format!("{:?}", order.action));
             if !self.mailboxes.vms.order(order.clone()) {
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -182,6 +182,13 @@
     #[prost(uint64, tag = "2")]
     pub processor_milli: u64,
 }
+/// VMs that the owner orders or has ordered of late; stored before the orders
+/// are given.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct VmOrders {
+    #[prost(string, repeated, tag = "1")]
+    pub vms: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WaveProgress {
     #[prost(string, repeated, tag = "1")]
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -23,6 +23,7 @@
 pub mod tenure;
 pub mod upkeep;
 pub mod vm;
+pub mod vm_handover;
 
 mod batch;
 mod explain;
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -137,3 +137,24 @@
         Ok(Self { maintained: raw.maintained, completed: raw.completed })
     }
 }
+
+/// VMs that an owner orders or has ordered of late.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VmOrders {
+    /// Their names.
+    pub vms: Vec<String>,
+}
+
+impl VmOrders {
+    /// The bytes of the record.
+    pub fn encode(&self) -> Vec<u8> {
+        raw::VmOrders { vms: self.vms.clone() }.encode_to_vec()
+    }
+
+    /// The VMs of a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
+        let raw =
+            raw::VmOrders::decode(bytes).map_err(|error| one("vm_orders", error.to_string()))?;
+        Ok(Self { vms: raw.vms })
+    }
+}
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -27,6 +27,8 @@
     Silence(String),
     /// Who the owner is. Only the owner writes it.
     Tenure,
+    /// VMs that were ordered of late. Only the owner writes it.
+    VmOrders,
     /// The present life of the node of this name, which writes it.
     Life(String),
 }
@@ -38,6 +40,7 @@
 const SILENCE: u8 = b'l';
 const TENURE: u8 = b't';
 const LIFE: u8 = b'n';
+const VM_ORDERS: u8 = b'v';
 
 impl RecordKey {
     /// The bytes of the key.
@@ -50,6 +53,7 @@
             Self::Silence(worker) => return named(SILENCE, worker),
             Self::Life(node) => return named(LIFE, node),
             Self::Tenure => return vec![TENURE],
+            Self::VmOrders => return vec![VM_ORDERS],
         };
         let mut bytes = vec![kind];
         bytes.extend_from_slice(&number.to_be_bytes());
@@ -64,6 +68,7 @@
             SILENCE => return name().map(Self::Silence),
             LIFE => return name().map(Self::Life),
             TENURE => return Some(Self::Tenure),
+            VM_ORDERS => return Some(Self::VmOrders),
             _ => {}
         }
         let number = u64::from_be_bytes(number.try_into().ok()?);
--- /dev/null
+++ b/lib/src/workload/vm_handover.rs
@@ -0,0 +1,57 @@
+//! Keeps orders for one VM by two owners apart in time.
+//!
+//! An owner stores which VMs it orders before it does. Its successor leaves
+//! these alone for a while, and may order all others at once.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::time::TimeMs;
+
+/// VMs that were ordered lately.
+#[derive(Clone, Debug)]
+pub struct VmHandover {
+    apart_ms: u64,
+    /// By owners before this one, and when this one learned of it: they may
+    /// have given their last orders until it fenced them.
+    before: BTreeMap<String, TimeMs>,
+    /// By this owner.
+    own: BTreeMap<String, TimeMs>,
+}
+
+impl VmHandover {
+    /// An owner that has ordered nothing. Orders of two owners for one VM are
+    /// `apart_ms` apart.
+    pub fn new(apart_ms: u64) -> Self {
+        Self { apart_ms, before: BTreeMap::new(), own: BTreeMap::new() }
+    }
+
+    /// Takes over what the owner before has stored.
+    pub fn inherit(&mut self, now: TimeMs, vms: Vec<String>) {
+        self.before.extend(vms.into_iter().map(|vm| (vm, now)));
+    }
+
+    /// VMs that an owner before may have ordered just now.
+    pub fn left_alone(&mut self, now: TimeMs) -> BTreeSet<String> {
+        self.forget_old(now);
+        self.before.keys().cloned().collect()
+    }
+
+    /// Takes note of orders and returns all VMs that a successor is to leave
+    /// alone.
+    pub fn ordered<I>(&mut self, now: TimeMs, vms: I) -> Vec<String>
+    where
+        I: IntoIterator<Item = String>,
+    {
+        self.own.extend(vms.into_iter().map(|vm| (vm, now)));
+        self.forget_old(now);
+        let all: BTreeSet<&String> = self.before.keys().chain(self.own.keys()).collect();
+        all.into_iter().cloned().collect()
+    }
+
+    fn forget_old(&mut self, now: TimeMs) {
+        let apart_ms = self.apart_ms;
+        self.before.retain(|_, at| now.since(*at) < apart_ms);
+        self.own.retain(|_, at| now.since(*at) < apart_ms);
+    }
+}
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -13,6 +13,7 @@
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order_rate::OrderRate;
 use cowslipport_lib::workload::owner_record::NodeLife;
+use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::pool_size::PoolSizer;
 use cowslipport_lib::workload::report::WorkerEntry;
 use cowslipport_lib::workload::report::WorkerReport;
@@ -27,6 +28,7 @@
 use cowslipport_lib::workload::vm::VmOrderAnswer;
 use cowslipport_lib::workload::vm::VmRound;
 use cowslipport_lib::workload::vm::VmState;
+use cowslipport_lib::workload::vm_handover::VmHandover;
 
 use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::LEASE_MS;
@@ -414,3 +416,25 @@
     let orders = pools.pass(1_500);
     assert_eq!(orders.len(), 17, "three stay");
 }
+
+/// A successor leaves alone the VMs that the owner before ordered of late, and
+/// only these.
+#[test]
+fn successor_leaves_ordered_vms_alone_for_a_while() {
+    let names = |vms: &[&str]| vms.iter().map(|vm| (*vm).to_owned()).collect::<Vec<String>>();
+    let mut first = VmHandover::new(3_000);
+    assert!(first.left_alone(TimeMs(0)).is_empty());
+    first.ordered(TimeMs(0), names(&["a"]));
+    let stored = first.ordered(TimeMs(2_000), names(&["b"]));
+    assert_eq!(stored, ["a", "b"]);
+    assert_eq!(first.ordered(TimeMs(3_500), names(&["c"])), ["b", "c"], "a was long ago");
+    assert!(first.left_alone(TimeMs(3_500)).is_empty(), "its own it may order again");
+    let mut second = VmHandover::new(3_000);
+    second.inherit(TimeMs(100), names(&["b", "c"]));
+    assert_eq!(second.left_alone(TimeMs(3_000)).len(), 2);
+    // A third one learns of both.
+    assert_eq!(second.ordered(TimeMs(3_000), names(&["d"])), ["b", "c", "d"]);
+    assert!(second.left_alone(TimeMs(3_100)).is_empty());
+    let record = VmOrders { vms: names(&["b", "c"]) };
+    assert_eq!(VmOrders::decode(&record.encode()), Ok(record));
+}
