workload: records of ended jobs are dropped once their status was kept

The store's newest records, each node's board and the time of a take-over grew with every job that was ever handed in.

Boards and owners forget a job when its record goes.

The test failed to compile before (nothing tells of dropped keys) and covers done, cancelled and open jobs over a change of owners.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -138,7 +138,13 @@
         Self {
             epoch,
             gained_at,
-            dispatcher: Dispatcher::new(epoch, settings.node_life(), gained_at, LEASE_TIMES),
+            dispatcher: Dispatcher::new(
+                epoch,
+                settings.node_life(),
+                gained_at,
+                LEASE_TIMES,
+                settings.status_kept_ms,
+            ),
             upkeep: Upkeep::default(),
             links,
             dialect: platform.dialect(),
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -31,6 +31,8 @@
     pub fn take_batch(&mut self, now: TimeMs) -> Batch {
         let mut records: BTreeMap<RecordKey, Vec<u8>> =
             std::mem::take(&mut self.last_records).into_iter().collect();
+        let dropped = self.ended.take_due(now);
+        records.extend(dropped.into_iter().map(|key| (key, Vec::new())));
         let mut answering = Vec::new();
         self.silence_records(now, &mut records, &mut answering);
         let tenure = self.tenure_record(now);
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::time::TimeMs;
 use crate::workload::advice::Tickets;
 use crate::workload::catalog::Catalog;
+use crate::workload::ended::EndedJobs;
 use crate::workload::explain::Waits;
 use crate::workload::job::Job;
 use crate::workload::job::Phase;
@@ -61,8 +62,7 @@
     pub(crate) jobs: Arena<JobId, Job>,
     free_jobs: Vec<JobId>,
     by_key: BTreeMap<JobKey, JobId>,
-    /// Jobs that have ended; their submission may be repeated.
-    closed: BTreeSet<JobKey>,
+    pub(crate) ended: EndedJobs,
     /// Cancellations that came before their job.
     early_cancels: BTreeSet<JobKey>,
     pub(crate) workers: Arena<WorkerId, Worker>,
@@ -87,8 +87,15 @@
 }
 
 impl Dispatcher {
-    /// An owner that knows nothing yet.
-    pub fn new(epoch: u64, owner: NodeLife, gained_at: TimeMs, lease_times: LeaseTimes) -> Self {
+    /// An owner that knows nothing yet. Records of a job are kept for
+    /// `status_kept_ms` after its end.
+    pub fn new(
+        epoch: u64,
+        owner: NodeLife,
+        gained_at: TimeMs,
+        lease_times: LeaseTimes,
+        status_kept_ms: u64,
+    ) -> Self {
         Self {
             epoch,
             is_recovered: false,
@@ -99,7 +106,7 @@
             jobs: Arena::default(),
             free_jobs: Vec::new(),
             by_key: BTreeMap::new(),
-            closed: BTreeSet::new(),
+            ended: EndedJobs::new(status_kept_ms),
             early_cancels: BTreeSet::new(),
             workers: Arena::default(),
             worker_names: BTreeMap::new(),
@@ -140,7 +147,7 @@
         spec: JobSpec,
         progress: Option<&Progress>,
     ) {
-        if self.by_key.contains_key(&key) || self.closed.contains(&key) {
+        if self.by_key.contains_key(&key) || self.ended.contains(key) {
             return;
         }
         let pool = catalog.pool_id(&spec.pool);
@@ -152,7 +159,7 @@
         }
         job.is_cancelled = self.early_cancels.remove(&key);
         if job.is_closing() && job.is_idle() {
-            self.closed.insert(key);
+            self.ended.insert(key, job.is_cancelled);
             return;
         }
         if self.is_recovered && !job.spec.is_lasting() && job.spec.schedule.is_none() {
@@ -193,7 +200,7 @@
     /// Takes over a cancellation.
     pub fn cancelled(&mut self, key: JobKey) {
         let Some(&id) = self.by_key.get(&key) else {
-            if !self.closed.contains(&key) {
+            if !self.ended.contains(key) {
                 self.early_cancels.insert(key);
             }
             return;
@@ -207,9 +214,9 @@
         self.close_if_over(id);
     }
 
-    /// Forgets a job that ended long ago.
+    /// Forgets a job that the store has dropped.
     pub fn forget(&mut self, key: JobKey) {
-        self.closed.remove(&key);
+        self.ended.forget(key);
         self.early_cancels.remove(&key);
     }
 
@@ -426,12 +433,13 @@
             let record = self.record(job);
             self.last_records.push(record);
         }
+        let is_cancelled = job.is_cancelled;
         self.jobs.remove(id);
         self.tickets.forget(id);
         self.free_jobs.push(id);
         self.dirty.remove(&id);
         self.by_key.remove(&key);
-        self.closed.insert(key);
+        self.ended.insert(key, is_cancelled);
     }
 
     /// Ends a job that cannot be done.
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -26,6 +26,7 @@
 pub mod vm_handover;
 
 mod batch;
+mod ended;
 mod explain;
 mod job;
 mod job_record;
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -13,6 +13,7 @@
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::owner_record::NodeLife;
 use cowslipport_lib::workload::record::JobOutcome;
+use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::report::EndedTask;
 use cowslipport_lib::workload::report::RunningTask;
 use cowslipport_lib::workload::report::TaskEnd;
@@ -22,6 +23,7 @@
 use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::Fleet;
 use crate::workload_fake::LEASE_MS;
+use crate::workload_fake::STATUS_KEPT_MS;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
 use crate::workload_fake::job;
@@ -71,7 +73,7 @@
 fn reports_before_the_jobs_are_known_change_nothing() {
     let times = LeaseTimes { lease_ms: LEASE_MS, former_renews_ms: FORMER_RENEWS_MS };
     let life = NodeLife { node: "n".to_owned(), life: 1 };
-    let mut owner = Dispatcher::new(1, life, TimeMs(0), times);
+    let mut owner = Dispatcher::new(1, life, TimeMs(0), times, STATUS_KEPT_MS);
     let worker = owner.worker_id("w0");
     let task = name(JobKey(1), 0, 0);
     let report = WorkerReport {
@@ -485,3 +487,35 @@
     assert!(runs, "the lasting task runs");
     fleet.check();
 }
+
+/// Records of a job leave the store some time after its end, whoever owns then,
+/// and those of an open job stay.
+#[test]
+fn records_of_ended_jobs_are_dropped_after_a_while() {
+    let mut fleet = Fleet::new(2, cores(4));
+    let short = Work { work_ms: 100, fails: false };
+    let done = fleet.submit(1, job(vec![step(2, cores(1))]), short);
+    let cancelled = fleet.submit(2, job(vec![step(1, cores(1))]), short);
+    let lasting = StepSpec { lasting: true, ..step(1, cores(1)) };
+    let open = fleet.submit(3, job(vec![lasting]), Work { work_ms: 600_000, fails: false });
+    fleet.cancel(cancelled);
+    fleet.pass(2_000);
+    assert!(fleet.store.contains_key(&RecordKey::Progress(done)));
+    fleet.pass(STATUS_KEPT_MS / 2);
+    fleet.take_over(true);
+    fleet.pass(STATUS_KEPT_MS / 2 + 2_000);
+    assert!(fleet.store.contains_key(&RecordKey::Progress(done)), "kept anew by the successor");
+    fleet.dropped.clear();
+    fleet.pass(STATUS_KEPT_MS / 2);
+    let expected = [
+        RecordKey::Submission(done),
+        RecordKey::Submission(cancelled),
+        RecordKey::Cancellation(cancelled),
+        RecordKey::Progress(done),
+        RecordKey::Progress(cancelled),
+    ];
+    assert!(expected.iter().all(|key| fleet.dropped.contains(key)), "{:?}", fleet.dropped);
+    assert_eq!(fleet.dropped.len(), expected.len(), "{:?}", fleet.dropped);
+    assert!(fleet.store.contains_key(&RecordKey::Progress(open)));
+    fleet.check();
+}
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -32,6 +32,7 @@
 
 use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::LEASE_MS;
+use crate::workload_fake::STATUS_KEPT_MS;
 use crate::workload_fake::cores;
 use crate::workload_fake::job;
 use crate::workload_fake::step;
@@ -61,7 +62,7 @@
         });
         let life = NodeLife { node: "n".to_owned(), life: 1 };
         let times = LeaseTimes { lease_ms: LEASE_MS, former_renews_ms: FORMER_RENEWS_MS };
-        let mut owner = Dispatcher::new(1, life, TimeMs(0), times);
+        let mut owner = Dispatcher::new(1, life, TimeMs(0), times, STATUS_KEPT_MS);
         owner.recovered();
         let mut pools = Self {
             now: 0,
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -40,6 +40,7 @@
 
 pub(crate) const LEASE_MS: u64 = 4_000;
 pub(crate) const FORMER_RENEWS_MS: u64 = 8_000;
+pub(crate) const STATUS_KEPT_MS: u64 = 120_000;
 /// Longest time in which a task is stopped.
 pub(crate) const STOP_MS: u64 = 400;
 pub(crate) const POOL: &str = "pool";
@@ -105,6 +106,8 @@
     pub(crate) cancelled: BTreeSet<JobKey>,
     /// Records of owners.
     pub(crate) store: BTreeMap<RecordKey, Vec<u8>>,
+    /// Keys that an owner has dropped from the store.
+    pub(crate) dropped: BTreeSet<RecordKey>,
     pub(crate) work: BTreeMap<JobKey, Work>,
     pub(crate) store_is_up: bool,
     /// A batch that is on its way to the store.
@@ -162,6 +165,7 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             store: BTreeMap::new(),
+            dropped: BTreeSet::new(),
             work: BTreeMap::new(),
             store_is_up: true,
             in_flight: None,
@@ -250,7 +254,7 @@
         let now = self.time();
         let life = NodeLife { node: format!("n{}", self.epoch), life: self.epoch };
         let times = LeaseTimes { lease_ms: LEASE_MS, former_renews_ms: FORMER_RENEWS_MS };
-        let mut owner = Dispatcher::new(self.epoch, life, now, times);
+        let mut owner = Dispatcher::new(self.epoch, life, now, times, STATUS_KEPT_MS);
         let tenure = self.store.get(&RecordKey::Tenure);
         owner.former_tenure(now, tenure.map(|bytes| Tenure::decode(bytes).expect("a tenure")));
         for (key, value) in &self.store {
@@ -392,6 +396,9 @@
 
     fn persist(&mut self, batch: &Batch) {
         for (key, value) in &batch.records {
+            if value.is_empty() {
+                self.dropped.insert(key.clone());
+            }
             match value.is_empty() {
                 true => self.store.remove(key),
                 false => self.store.insert(key.clone(), value.clone()),
