pool_size: VMs of a data centre that is out help no pool, and rest

The list of VMs tells the data centre. VMs in one that is out are taken for no pool; empty ones go to standby.

--- a/lib/src/workload/pool_size.rs
+++ b/lib/src/workload/pool_size.rs
@@ -109,6 +109,7 @@
         self.add_inbound(vms, &mut balances);
         let mut orders = Vec::new();
         let mut spare = self.spare_vms(now, catalog, vms, busy, dispatcher, &balances);
+        let stranded: Vec<Spare<'_>> = spare.extract_if(.., |vm| vm.is_out).collect();
         let mut short = shortages(vms, &balances);
         while orders.len() < most_orders {
             let Some(pool) = neediest(&short, &balances) else { break };
@@ -124,6 +125,9 @@
         }
         let standby = catalog.pools().find(|(_, pool)| pool.is_standby).map(|(id, _)| id);
         let Some(standby) = standby else { return orders };
+        for vm in stranded.iter().take(most_orders - orders.len()) {
+            orders.push(self.order(now, catalog, vm.entry, standby, dispatcher));
+        }
         for vm in self.long_idle(now, most_orders - orders.len(), &mut spare, &mut balances) {
             orders.push(self.order(now, catalog, &vm, standby, dispatcher));
         }
@@ -160,8 +164,12 @@
             let pool = catalog.pool_id(&entry.pool);
             let Some(spec) = catalog.pool(pool) else { continue };
             let is_idle = entry.worker.as_deref().is_none_or(|name| dispatcher.is_empty(name));
+            let is_out = dispatcher.data_centres_out.contains(&entry.data_centre);
+            if is_out && (spec.is_standby || !is_idle) {
+                continue;
+            }
             if spec.is_standby || (is_idle && balances.contains_key(&pool)) {
-                spare.push(Spare { entry, pool, is_standby: spec.is_standby });
+                spare.push(Spare { entry, pool, is_standby: spec.is_standby, is_out });
             }
         }
         // Those of pools first: a move from standby adds to the price.
@@ -223,6 +231,8 @@
     entry: &'a VmEntry,
     pool: PoolId,
     is_standby: bool,
+    /// Its data centre is out of service: no task starts on it in any pool.
+    is_out: bool,
 }
 
 impl PoolBalance {
--- a/lib/src/workload/vm.rs
+++ b/lib/src/workload/vm.rs
@@ -17,6 +17,8 @@
     pub state: VmState,
     /// Name of the worker on it, if one is up.
     pub worker: Option<String>,
+    /// Data centre that it is in; empty if unknown.
+    pub data_centre: String,
     /// Rack that it is in, if known.
     pub rack: Option<String>,
     /// All that it has.
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -86,6 +86,7 @@
             pool: pool.to_owned(),
             state: VmState::Up,
             worker: Some(name.to_owned()),
+            data_centre: data_centre_of(name),
             rack: None,
             capacity: cores(4),
         });
@@ -96,7 +97,7 @@
             name: name.to_owned(),
             pool: pool.to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
-            data_centre: "dc".to_owned(),
+            data_centre: data_centre_of(name),
             rack: None,
             capacity: cores(4),
             labels: BTreeSet::new(),
@@ -141,6 +142,12 @@
     }
 }
 
+/// VMs with an odd number are in one data centre, the others in another.
+fn data_centre_of(name: &str) -> String {
+    let is_odd = name.ends_with(['1', '3', '5', '7', '9']);
+    if is_odd { "odd".to_owned() } else { "even".to_owned() }
+}
+
 fn targets(orders: &[VmOrder]) -> Vec<(String, String)> {
     let target = |order: &VmOrder| match &order.action {
         VmAction::MoveTo { pool } => (order.vm.clone(), pool.clone()),
@@ -235,6 +242,7 @@
         pool: workload_fake::POOL.to_owned(),
         state: VmState::Up,
         worker: Some("w1".to_owned()),
+        data_centre: "a".to_owned(),
         rack: None,
         capacity: cores(4),
     };
@@ -317,6 +325,7 @@
         pool: workload_fake::POOL.to_owned(),
         state: VmState::Up,
         worker: Some(holder.clone()),
+        data_centre: "a".to_owned(),
         rack: None,
         capacity: cores(4),
     };
@@ -355,6 +364,7 @@
         pool: workload_fake::POOL.to_owned(),
         state,
         worker: (state == VmState::Up).then(|| "w0".to_owned()),
+        data_centre: "a".to_owned(),
         rack: None,
         capacity: cores(4),
     };
@@ -439,3 +449,25 @@
     let record = VmOrders { vms: names(&["b", "c"]) };
     assert_eq!(VmOrders::decode(&record.encode()), Ok(record));
 }
+
+/// A data centre is out of service while a queue has its turn: its VMs help no
+/// pool, and the ones that are idle there cost less on standby.
+#[test]
+fn vms_of_a_data_centre_that_is_out_rest() {
+    let mut pools = Pools::new(&[("a", 6), ("rest", 8)]);
+    pools.owner.data_centre_out("odd", true);
+    pools.submit(1, "a", vec![step(200, cores(1))]);
+    let mut targets = targets(&pools.pass(100));
+    targets.sort();
+    let to = |vm: &str, pool: &str| (vm.to_owned(), pool.to_owned());
+    let expected = [
+        to("vm-a1", "rest"),
+        to("vm-a3", "rest"),
+        to("vm-a5", "rest"),
+        to("vm-rest0", "a"),
+        to("vm-rest2", "a"),
+        to("vm-rest4", "a"),
+        to("vm-rest6", "a"),
+    ];
+    assert_eq!(targets, expected);
+}
