--- a/daemon/src/node/mod.rs
+++ b/daemon/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod owner_jobs;
 mod owner_tasks;
 mod owner_vms;
+mod owner_workers;
 mod owner_writer;
 mod recovery;
 mod seat_task;
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -8,7 +8,6 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order::Batch;
-use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::order_rate::OrderRate;
 use cowslipport_lib::workload::pool_size::PoolSizer;
 use cowslipport_lib::workload::record::RecordKey;
@@ -29,7 +28,6 @@
 use crate::node::edges::Dialect;
 use crate::node::edges::KeyedRecord;
 use crate::node::edges::Platform;
-use crate::node::edges::WorkerChange;
 use crate::node::messages::CoreMessage;
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
@@ -198,54 +196,6 @@
         self.release == Release::Stored || (knows_nothing && self.release != Release::None)
     }
 
-    /// Takes over entries of workers.
-    pub(crate) fn worker_entries(
-        &mut self,
-        view: &mut OwnerView<'_>,
-        event: TailEvent,
-        confirmed_at: Option<TimeMs>,
-    ) {
-        if self.held_back.is_some() {
-            self.held_back_entries.push((event, confirmed_at));
-            return;
-        }
-        self.workers_known_at = confirmed_at.or(self.workers_known_at);
-        let mut gone: BTreeSet<String> = BTreeSet::new();
-        let records = match event {
-            TailEvent::Snapshot(records) => {
-                gone = std::mem::take(&mut self.listed);
-                records
-            }
-            TailEvent::Records(records) => records,
-        };
-        for record in &records {
-            match self.dialect.worker_change(record) {
-                Ok(WorkerChange::Listed(entry)) => {
-                    gone.remove(&entry.name);
-                    if self.listed.insert(entry.name.clone()) {
-                        info!(self.logger, "worker is listed"; "worker" => &entry.name,
-                            "pool" => &entry.pool, "address" => entry.address.to_string());
-                    }
-                    let id = self.dispatcher.worker_listed(view.catalog, &entry);
-                    self.links.connect(id, &entry.name, entry.address);
-                }
-                Ok(WorkerChange::Unlisted { name }) => {
-                    gone.insert(name);
-                }
-                Err(findings) => {
-                    warn!(self.logger, "entry of a worker cannot be read";
-                        "key" => String::from_utf8_lossy(&record.key).into_owned(),
-                        "findings" => findings.to_string());
-                }
-            }
-        }
-        for name in gone {
-            self.listed.remove(&name);
-            self.dispatcher.worker_unlisted(&name);
-            info!(self.logger, "worker is no longer listed"; "worker" => name);
-        }
-    }
-
     /// Takes over a changed configuration.
     pub(crate) fn refresh(&mut self, catalog: &mut Catalog) {
         self.dispatcher.refresh(catalog);
@@ -425,44 +375,4 @@
         }
         self.wave_status.clear();
     }
-
-    /// Tells the tasks of workers whether anything may run there.
-    fn follow_workers(&mut self, view: &OwnerView<'_>) {
-        for id in self.dispatcher.live_workers() {
-            let is_active = self.dispatcher.has_tasks(id);
-            let renews = view.renews && self.dispatcher.may_renew(id);
-            self.links.set_activity(id, is_active, renews);
-        }
-        for id in self.dispatcher.departed_workers() {
-            self.links.disconnect(id);
-        }
-    }
-
-    fn send_orders(&mut self, view: &OwnerView<'_>) {
-        // An order that cannot be sent may free a place, which may lead to
-        // further orders.
-        loop {
-            let orders = self.dispatcher.take_orders();
-            if orders.is_empty() {
-                return;
-            }
-            for worker_order in orders {
-                let worker = worker_order.worker;
-                let start = match &worker_order.order {
-                    Order::Start(start) => Some((start.key, start.attempt)),
-                    Order::Stop { .. } | Order::Pace { .. } => None,
-                };
-                if let Order::Stop { task, attempt, reason } = &worker_order.order {
-                    info!(self.logger, "stop is ordered"; "task" => %task, "attempt" => *attempt,
-                        "worker" => self.dispatcher.worker_name(worker),
-                        "reason" => reason.as_str());
-                }
-                let is_sent = self.links.send(view.now, worker, worker_order.order);
-                if let Some((task, attempt)) = start.filter(|_| !is_sent) {
-                    let answer = StartAnswer::TooLate;
-                    self.dispatcher.start_answered(view.now, worker, task, attempt, answer);
-                }
-            }
-        }
-    }
 }
--- /dev/null
+++ b/daemon/src/node/owner_workers.rs
@@ -0,0 +1,110 @@
+//! What an owner learns of workers from the registry, and what it tells their
+//! tasks.
+
+use std::collections::BTreeSet;
+
+use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::order::Order;
+use cowslipport_lib::workload::report::StartAnswer;
+use slog::info;
+use slog::warn;
+
+use crate::node::edges::Dialect;
+use crate::node::edges::Platform;
+use crate::node::edges::WorkerChange;
+use crate::node::messages::TailEvent;
+use crate::node::owner::Owner;
+use crate::node::owner::OwnerView;
+
+impl<P> Owner<P>
+where
+    P: Platform,
+{
+    /// Takes over entries of workers.
+    pub(crate) fn worker_entries(
+        &mut self,
+        view: &mut OwnerView<'_>,
+        event: TailEvent,
+        confirmed_at: Option<TimeMs>,
+    ) {
+        if self.held_back.is_some() {
+            self.held_back_entries.push((event, confirmed_at));
+            return;
+        }
+        self.workers_known_at = confirmed_at.or(self.workers_known_at);
+        let mut gone: BTreeSet<String> = BTreeSet::new();
+        let records = match event {
+            TailEvent::Snapshot(records) => {
+                gone = std::mem::take(&mut self.listed);
+                records
+            }
+            TailEvent::Records(records) => records,
+        };
+        for record in &records {
+            match self.dialect.worker_change(record) {
+                Ok(WorkerChange::Listed(entry)) => {
+                    gone.remove(&entry.name);
+                    if self.listed.insert(entry.name.clone()) {
+                        info!(self.logger, "worker is listed"; "worker" => &entry.name,
+                            "pool" => &entry.pool, "address" => entry.address.to_string());
+                    }
+                    let id = self.dispatcher.worker_listed(view.catalog, &entry);
+                    self.links.connect(id, &entry.name, entry.address);
+                }
+                Ok(WorkerChange::Unlisted { name }) => {
+                    gone.insert(name);
+                }
+                Err(findings) => {
+                    warn!(self.logger, "entry of a worker cannot be read";
+                        "key" => String::from_utf8_lossy(&record.key).into_owned(),
+                        "findings" => findings.to_string());
+                }
+            }
+        }
+        for name in gone {
+            self.listed.remove(&name);
+            self.dispatcher.worker_unlisted(&name);
+            info!(self.logger, "worker is no longer listed"; "worker" => name);
+        }
+    }
+
+    /// Tells the tasks of workers whether anything may run there.
+    pub(crate) fn follow_workers(&mut self, view: &OwnerView<'_>) {
+        for id in self.dispatcher.live_workers() {
+            let is_active = self.dispatcher.has_tasks(id);
+            let renews = view.renews && self.dispatcher.may_renew(id);
+            self.links.set_activity(id, is_active, renews);
+        }
+        for id in self.dispatcher.departed_workers() {
+            self.links.disconnect(id);
+        }
+    }
+
+    pub(crate) fn send_orders(&mut self, view: &OwnerView<'_>) {
+        // An order that cannot be sent may free a place, which may lead to
+        // further orders.
+        loop {
+            let orders = self.dispatcher.take_orders();
+            if orders.is_empty() {
+                return;
+            }
+            for worker_order in orders {
+                let worker = worker_order.worker;
+                let start = match &worker_order.order {
+                    Order::Start(start) => Some((start.key, start.attempt)),
+                    Order::Stop { .. } | Order::Pace { .. } => None,
+                };
+                if let Order::Stop { task, attempt, reason } = &worker_order.order {
+                    info!(self.logger, "stop is ordered"; "task" => %task, "attempt" => *attempt,
+                        "worker" => self.dispatcher.worker_name(worker),
+                        "reason" => reason.as_str());
+                }
+                let is_sent = self.links.send(view.now, worker, worker_order.order);
+                if let Some((task, attempt)) = start.filter(|_| !is_sent) {
+                    let answer = StartAnswer::TooLate;
+                    self.dispatcher.start_answered(view.now, worker, task, attempt, answer);
+                }
+            }
+        }
+    }
+}
--- a/lib/src/workload/catalog.rs
+++ b/lib/src/workload/catalog.rs
@@ -89,11 +89,6 @@
             && self.memory_bytes.is_none_or(|limit| used.memory_bytes <= limit)
             && self.accelerators.is_none_or(|limit| used.accelerators <= limit)
     }
-
-    /// True if a task of this size fits below the limit at all.
-    pub fn allows_at_all(&self, request: Resources) -> bool {
-        self.allows(request)
-    }
 }
 
 /// One version of the configuration.
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -8,7 +8,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
 use crate::arena::Arena;
 use crate::ids::OrganisationId;
@@ -20,9 +19,6 @@
 use crate::workload::ended::EndedJobs;
 use crate::workload::explain::Waits;
 use crate::workload::job::Job;
-use crate::workload::job::Phase;
-use crate::workload::job::Placement;
-use crate::workload::job::Run;
 use crate::workload::job_record;
 use crate::workload::key::JobId;
 use crate::workload::key::JobKey;
@@ -31,9 +27,7 @@
 use crate::workload::key::WorkerId;
 use crate::workload::lease::LeaseTimes;
 use crate::workload::lease::LeaseWatch;
-use crate::workload::notice::FreeReason;
 use crate::workload::notice::Notice;
-use crate::workload::order::Order;
 use crate::workload::order::StopReason;
 use crate::workload::order::WorkerOrder;
 use crate::workload::owner_record::NodeLife;
@@ -316,105 +310,6 @@
         }
     }
 
-    pub(crate) fn occupy(&mut self, task: TaskKey, worker: WorkerId) {
-        let Some(job) = self.jobs.get(task.step.job) else { return };
-        let spec = job.step_spec(task.step.step);
-        let room = spec.room();
-        if let Some(organisation) = job.organisation {
-            let used = self.used.entry(organisation).or_default();
-            *used = used.saturating_add(room);
-        }
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.used = worker.used.saturating_add(room);
-            worker.tasks.insert(task);
-            worker.neighbours.add(spec);
-        }
-    }
-
-    /// Frees the place of a task, which then waits or is done.
-    pub(crate) fn vacate(&mut self, task: TaskKey, phase: Phase) {
-        let Some(job) = self.jobs.get_mut(task.step.job) else { return };
-        let spec = Rc::clone(&job.spec);
-        let spec = &spec.steps[task.step.step as usize];
-        let room = spec.room();
-        let organisation = job.organisation;
-        let Some(placement) = job.task(task).placement() else { return };
-        let worker = placement.worker;
-        job.step_mut(task.step).set_phase(task.index, phase);
-        if let Some(used) = organisation.and_then(|id| self.used.get_mut(&id)) {
-            *used = used.saturating_sub(room);
-        }
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.used = worker.used.saturating_sub(room);
-            worker.tasks.remove(&task);
-            worker.neighbours.remove(spec);
-            worker.vacated_in = Some(self.next_batch);
-        }
-        self.mark_dirty(task.step.job);
-    }
-
-    pub(crate) fn mark_dirty(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.is_dirty = true;
-            self.dirty.insert(id);
-        }
-    }
-
-    /// Chooses a place; the order follows once it is recorded.
-    pub(crate) fn plan(&mut self, now: TimeMs, task: TaskKey, worker: WorkerId, attempt: u32) {
-        let Some(job) = self.jobs.get_mut(task.step.job) else { return };
-        let name = job.task_name(task);
-        let ready_at = job.step(task.step).ready_at.unwrap_or(now);
-        job.task_mut(task).attempt = attempt;
-        let placement = Placement {
-            worker,
-            run: Run::Planned,
-            since: now,
-            percent: 0,
-            progressed_at: now,
-            is_stopping: false,
-        };
-        job.step_mut(task.step).set_phase(task.index, Phase::Placed(placement));
-        self.occupy(task, worker);
-        self.mark_dirty(task.step.job);
-        self.planned.push(task);
-        let waited_ms = now.since(ready_at);
-        self.notices.push(Notice::Placed { task: name, attempt, worker, waited_ms });
-    }
-
-    /// Orders a stop of a placed task. A place that is only planned is given
-    /// up at once.
-    pub(crate) fn stop(&mut self, task: TaskKey, reason: StopReason) {
-        let Some(job) = self.jobs.get_mut(task.step.job) else { return };
-        let name = job.task_name(task);
-        let state = job.task_mut(task);
-        let attempt = state.attempt;
-        let Some(placement) = state.placement_mut() else { return };
-        placement.is_stopping = true;
-        let worker = placement.worker;
-        if placement.run == Run::Planned {
-            return;
-        }
-        self.orders
-            .push(WorkerOrder { worker, order: Order::Stop { task: name, attempt, reason } });
-    }
-
-    pub(crate) fn stop_all(&mut self, id: JobId, reason: StopReason) {
-        for task in self.placed_tasks(id) {
-            self.stop(task, reason);
-        }
-    }
-
-    fn placed_tasks(&self, id: JobId) -> Vec<TaskKey> {
-        let Some(job) = self.jobs.get(id) else { return Vec::new() };
-        let mut placed = Vec::new();
-        for (step, state) in job.steps(id) {
-            let tasks = (0..).zip(&state.tasks).filter(|(_, task)| task.placement().is_some());
-            placed.extend(tasks.map(|(index, _)| TaskKey { step, index }));
-        }
-        placed
-    }
-
     /// Ends a job whose tasks are all done, and drops one that is over and has
     /// no place left.
     pub(crate) fn close_if_over(&mut self, id: JobId) {
@@ -455,38 +350,6 @@
         self.stop_all(id, StopReason::JobFailed);
     }
 
-    /// A place is free without an end of its attempt.
-    pub(crate) fn free(&mut self, key: TaskKey, reason: FreeReason) {
-        let Some(job) = self.jobs.get(key.step.job) else { return };
-        let task = job.task_name(key);
-        let state = job.task(key);
-        let Some(placement) = state.placement() else { return };
-        let (attempt, worker) = (state.attempt, placement.worker);
-        self.notices.push(Notice::Freed { task, attempt, worker, reason });
-        self.vacate(key, Phase::Waiting);
-        self.break_gang(key);
-        self.close_if_over(key.step.job);
-    }
-
-    /// Stops the other members of a gang that lost one.
-    pub(crate) fn break_gang(&mut self, key: TaskKey) {
-        let Some(job) = self.jobs.get(key.step.job) else { return };
-        if !job.step_spec(key.step.step).gang || job.is_closing() {
-            return;
-        }
-        let tasks = (0..).zip(&job.step(key.step).tasks);
-        let placed = |task: &crate::workload::job::Task| {
-            task.placement().is_some_and(|placement| !placement.is_stopping)
-        };
-        let members: Vec<TaskKey> = tasks
-            .filter(|(_, task)| placed(task))
-            .map(|(index, _)| TaskKey { step: key.step, index })
-            .collect();
-        for member in members {
-            self.stop(member, StopReason::GangBroken);
-        }
-    }
-
     /// Orders that need no record before them.
     pub fn take_orders(&mut self) -> Vec<WorkerOrder> {
         std::mem::take(&mut self.orders)
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -31,6 +31,7 @@
 mod job;
 mod job_record;
 mod place;
+mod places;
 mod rank;
 mod settle;
 mod silence;
