place: a failed task waits a bounded time for another worker

A task waits 2 s for a worker on which it has not failed, then goes where there is room. The test failed before.

--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -56,6 +56,8 @@
     /// Where attempts have failed; the next goes elsewhere, so that a worker
     /// that fails everything does not use up the attempts of a sound job.
     pub(crate) failed_on: Vec<WorkerId>,
+    /// When the last of them did.
+    pub(crate) failed_at: TimeMs,
 }
 
 /// Where a task stands.
--- a/lib/src/workload/place.rs
+++ b/lib/src/workload/place.rs
@@ -21,6 +21,10 @@
 use crate::workload::worker::Contact;
 use crate::workload::worker::Neighbours;
 
+/// A task waits for this time for room on a worker on which it has not failed.
+/// Most tasks run for less, so that others have ended by then.
+const WAIT_FOR_OTHER_MS: u64 = 2_000;
+
 /// Workers of one pool that may get tasks in this round.
 type Candidates = Vec<WorkerId>;
 
@@ -285,7 +289,8 @@
         spec: &StepSpec,
         task: TaskKey,
     ) -> Option<WorkerId> {
-        let failed_on = &self.jobs.get(step.job)?.task(task).failed_on;
+        let task = self.jobs.get(step.job)?.task(task);
+        let failed_on = &task.failed_on;
         let mut others_exist = false;
         let mut best_other: Option<(Score, WorkerId)> = None;
         let mut best: Option<(Score, WorkerId)> = None;
@@ -313,8 +318,9 @@
             }
         }
         // A lasting task may be tried anew where it has failed; another keeps
-        // its attempts for a worker that has room later.
-        let may_repeat = spec.lasting || !others_exist;
+        // its attempts for a worker that has room later, if one comes free soon.
+        let has_waited = round.now.since(task.failed_at) >= WAIT_FOR_OTHER_MS;
+        let may_repeat = spec.lasting || !others_exist || has_waited;
         best_other.or(best.filter(|_| may_repeat)).map(|(_, id)| id)
     }
 
--- a/lib/src/workload/settle.rs
+++ b/lib/src/workload/settle.rs
@@ -120,6 +120,7 @@
             }
             TaskEnd::Failed => {
                 state.failures += 1;
+                state.failed_at = now;
                 if !state.failed_on.contains(&id) {
                     state.failed_on.push(id);
                 }
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -519,3 +519,17 @@
     assert!(fleet.store.contains_key(&RecordKey::Progress(open)));
     fleet.check();
 }
+
+/// The hunt of pvbc-sched, hunt-edb8-27: a task had failed on all workers with
+/// room and waited for the one on which it had not, which lasting tasks filled.
+#[test]
+fn failed_task_does_not_wait_for_a_worker_that_stays_full() {
+    let mut fleet = Fleet::new(2, cores(2));
+    let lasting = StepSpec { lasting: true, ..step(1, cores(2)) };
+    fleet.submit(1, job(vec![lasting]), Work { work_ms: 600_000, fails: false });
+    fleet.pass(500);
+    let poor = fleet.submit(2, job(vec![step(1, cores(1))]), Work { work_ms: 200, fails: true });
+    fleet.pass(15_000);
+    assert_eq!(fleet.outcome(poor), Some(JobOutcome::Failed), "it has used up its attempts");
+    fleet.check();
+}
