upkeep: a new owner stops no lasting task at first

The 3 s for which an owner ordered no VM had also kept it from stopping lasting tasks. Without them, a stop that the owner before has ordered may still be under way: its worker shows the task at work, and another of its step is stopped.

Lasting tasks are stopped from vm_handover_ms after the ownership was gained. The test failed to compile before. The finding stays open.

--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -52,12 +52,18 @@
         let left_alone = self.vm_handover.left_alone(view.now);
         let mut moving = self.pool_sizer.busy_vms();
         moving.extend(left_alone.iter().cloned());
-        let round = VmRound { vms, busy: &moving, most_orders };
+        let may_stop_lasting = view.now.since(self.gained_at) >= self.vm_handover.apart_ms();
+        let round = VmRound { vms, busy: &moving, most_orders, may_stop_lasting };
         let mut orders = self.upkeep.decide(view.now, round, &mut self.dispatcher);
         if self.may_start(view) {
             let mut maintained = self.upkeep.busy_vms();
             maintained.extend(left_alone);
-            let round = VmRound { vms, busy: &maintained, most_orders: most_orders - orders.len() };
+            let round = VmRound {
+                vms,
+                busy: &maintained,
+                most_orders: most_orders - orders.len(),
+                may_stop_lasting,
+            };
             orders.extend(self.pool_sizer.decide(
                 view.now,
                 view.now_unix_ms,
--- a/lib/src/workload/pool_size.rs
+++ b/lib/src/workload/pool_size.rs
@@ -104,7 +104,7 @@
         round: VmRound<'_>,
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
-        let VmRound { vms, busy, most_orders } = round;
+        let VmRound { vms, busy, most_orders, .. } = round;
         let mut balances = dispatcher.balances(now, now_unix_ms, catalog);
         self.add_inbound(vms, &mut balances);
         let mut orders = Vec::new();
--- a/lib/src/workload/upkeep.rs
+++ b/lib/src/workload/upkeep.rs
@@ -160,12 +160,11 @@
         round: VmRound<'_>,
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
-        let VmRound { vms, busy, most_orders } = round;
         let mut orders = Vec::new();
         for wave in self.waves.values_mut().filter(|wave| !wave.is_completed) {
-            wave.choose_next(now, vms, busy, dispatcher);
-            wave.empty(now, vms, most_orders, dispatcher, &mut orders);
-            if wave.is_over(vms) {
+            wave.choose_next(now, round.vms, round.busy, dispatcher);
+            wave.empty(now, round, dispatcher, &mut orders);
+            if wave.is_over(round.vms) {
                 wave.is_completed = true;
                 self.changed.insert(wave.spec.wave);
             }
@@ -304,11 +303,11 @@
     fn empty(
         &mut self,
         now: TimeMs,
-        vms: &VmList,
-        most_orders: usize,
+        round: VmRound<'_>,
         dispatcher: &mut Dispatcher,
         orders: &mut Vec<VmOrder>,
     ) {
+        let VmRound { vms, most_orders, may_stop_lasting, .. } = round;
         let mut room = (self.spec.max_down as usize).saturating_sub(self.down(vms));
         for (vm, under_way) in &mut self.under_way {
             let may_order = orders.len() < most_orders;
@@ -316,10 +315,9 @@
                 Stage::Emptying { since } => {
                     let has_waited = now.since(since) >= EMPTY_WITHIN_MS;
                     under_way.follow_worker(vms.get(vm), dispatcher);
-                    let is_empty = under_way
-                        .worker
-                        .as_deref()
-                        .is_none_or(|worker| dispatcher.empty_for_maintenance(worker, has_waited));
+                    let is_empty = under_way.worker.as_deref().is_none_or(|worker| {
+                        dispatcher.empty_for_maintenance(worker, has_waited, may_stop_lasting)
+                    });
                     let may_go_down = is_empty && may_order && room > 0;
                     room -= usize::from(may_go_down);
                     may_go_down
@@ -377,7 +375,12 @@
 impl Dispatcher {
     /// Stops what may be stopped on a worker. Returns true once the worker can
     /// be taken down: it is empty, or what is left is worth less than the wait.
-    fn empty_for_maintenance(&mut self, name: &str, has_waited: bool) -> bool {
+    fn empty_for_maintenance(
+        &mut self,
+        name: &str,
+        has_waited: bool,
+        may_stop_lasting: bool,
+    ) -> bool {
         let id = self.worker_id(name);
         let tasks = self.tasks_on(id);
         let is_listed = self.workers.get(id).is_some_and(|worker| worker.listing.is_some());
@@ -398,7 +401,7 @@
             let spec = job.step_spec(task.step.step);
             let is_stopping = job.task(task).placement().is_some_and(|place| place.is_stopping);
             is_empty &= !spec.lasting && has_waited;
-            if spec.lasting && !is_stopping && self.may_take_away(task) {
+            if spec.lasting && !is_stopping && may_stop_lasting && self.may_take_away(task) {
                 self.stop(task, StopReason::Maintenance);
             }
         }
--- a/lib/src/workload/vm.rs
+++ b/lib/src/workload/vm.rs
@@ -90,6 +90,9 @@
     pub busy: &'a BTreeSet<String>,
     /// Most orders that may be given.
     pub most_orders: usize,
+    /// Lasting tasks may be stopped. Stops of the owner before may still be
+    /// under way at first: what they end would count as at work.
+    pub may_stop_lasting: bool,
 }
 
 /// An order for a VM.
--- a/lib/src/workload/vm_handover.rs
+++ b/lib/src/workload/vm_handover.rs
@@ -26,6 +26,11 @@
         Self { apart_ms, before: BTreeMap::new(), own: BTreeMap::new() }
     }
 
+    /// Time between orders of two owners.
+    pub fn apart_ms(&self) -> u64 {
+        self.apart_ms
+    }
+
     /// Takes over what the owner before has stored.
     pub fn inherit(&mut self, now: TimeMs, vms: Vec<String>) {
         self.before.extend(vms.into_iter().map(|vm| (vm, now)));
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -134,7 +134,12 @@
                 now,
                 self.now,
                 &mut self.catalog,
-                VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: self.most_orders },
+                VmRound {
+                    vms: &vms,
+                    busy: &BTreeSet::new(),
+                    most_orders: self.most_orders,
+                    may_stop_lasting: true,
+                },
                 &mut self.owner,
             ));
         }
@@ -248,7 +253,7 @@
     };
     let vms = VmList::new(fleet.time(), vec![vm]);
     let busy = BTreeSet::new();
-    let round = VmRound { vms: &vms, busy: &busy, most_orders: MANY };
+    let round = VmRound { vms: &vms, busy: &busy, most_orders: MANY, may_stop_lasting: true };
     let now = fleet.time();
     let owner = fleet.owner.as_mut().expect("an owner");
     assert!(upkeep.decide(now, round, owner).is_empty());
@@ -331,7 +336,12 @@
     };
     let vms = VmList::new(fleet.time(), vec![vm]);
     let decide = |upkeep: &mut Upkeep, fleet: &mut workload_fake::Fleet| {
-        let round = VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY };
+        let round = VmRound {
+            vms: &vms,
+            busy: &BTreeSet::new(),
+            most_orders: MANY,
+            may_stop_lasting: true,
+        };
         let now = fleet.time();
         upkeep.decide(now, round, fleet.owner.as_mut().expect("an owner")).len()
     };
@@ -373,7 +383,12 @@
         fleet.pass(100);
         let now = fleet.time();
         let vms = VmList::new(now, vec![vm(VmState::Up)]);
-        let round = VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY };
+        let round = VmRound {
+            vms: &vms,
+            busy: &BTreeSet::new(),
+            most_orders: MANY,
+            may_stop_lasting: true,
+        };
         orders = upkeep.decide(now, round, fleet.owner.as_mut().expect("an owner")).len();
     }
     assert_eq!(orders, 1, "the task has had its time");
@@ -389,7 +404,8 @@
     // A former owner had it maintained: it stays up, and is not ordered again.
     let vms = VmList::new(now.plus(500), vec![vm(VmState::Up)]);
     repeated.listed(&vms, owner);
-    let round = VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY };
+    let round =
+        VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY, may_stop_lasting: true };
     assert!(repeated.decide(now.plus(10_000), round, owner).is_empty());
     assert!(repeated.take_changed().iter().any(|(_, progress)| progress.completed));
 }
@@ -471,3 +487,35 @@
     ];
     assert_eq!(targets, expected);
 }
+
+/// The hunt of predah-sched, hunt-202f-11: the owner before had stopped a task
+/// of the step, whose worker still showed it at work, as its successor stopped
+/// another.
+#[test]
+fn new_owner_stops_no_lasting_task_at_first() {
+    let mut fleet = workload_fake::Fleet::new(2, cores(4));
+    let lasting = StepSpec { lasting: true, max_unavailable: Some(1), ..step(2, cores(1)) };
+    fleet.submit(1, job(vec![lasting]), workload_fake::Work { work_ms: 600_000, fails: false });
+    fleet.pass(300);
+    let mut upkeep = Upkeep::default();
+    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
+    upkeep.wave_asked(fleet.time(), wave);
+    let vm = VmEntry {
+        vm: "vm".to_owned(),
+        pool: workload_fake::POOL.to_owned(),
+        state: VmState::Up,
+        worker: Some("w0".to_owned()),
+        data_centre: "a".to_owned(),
+        rack: None,
+        capacity: cores(4),
+    };
+    let (now, busy) = (fleet.time(), BTreeSet::new());
+    let vms = VmList::new(now, vec![vm]);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    let mut round = VmRound { vms: &vms, busy: &busy, most_orders: MANY, may_stop_lasting: false };
+    upkeep.decide(now, round, owner);
+    assert!(owner.take_orders().is_empty());
+    round.may_stop_lasting = true;
+    upkeep.decide(now, round, owner);
+    assert_eq!(owner.take_orders().len(), 1);
+}
