silence: a worker without an entry is told to successors, too

Its lasting task started again at 29.2 s, 12.33 s after the last of them: the whole time for leases of former owners. A worker that does not answer is recorded, so that the wait is not begun anew; but one whose entry has expired is not asked by a new owner, so it was never seen to be silent.

A worker that has not answered 300 ms after an owner took up counts as silent in the record. The wait goes on from owner to owner.

The test (six owners, a worker without an entry) failed before.

--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -78,6 +78,8 @@
     /// Number of the batch that takes what changes now.
     pub(crate) next_batch: u64,
     pub(crate) stored_batch: Option<u64>,
+    /// When the first batch was made.
+    pub(crate) taken_up_at: Option<TimeMs>,
 }
 
 impl Dispatcher {
@@ -119,6 +121,7 @@
             arrivals: Arrivals::default(),
             next_batch: 0,
             stored_batch: None,
+            taken_up_at: None,
         }
     }
 
--- a/lib/src/workload/silence.rs
+++ b/lib/src/workload/silence.rs
@@ -17,6 +17,10 @@
 /// change of owners adds to the wait for its tasks.
 const RECORD_INTERVAL_MS: u64 = 500;
 
+/// A worker that has not answered a new owner for this time counts as silent;
+/// most answer within 50 ms.
+const UNREACHED_AFTER_MS: u64 = 300;
+
 impl Dispatcher {
     /// Takes over that a former owner found a worker silent.
     pub fn silence_recorded(&mut self, now: TimeMs, name: &str, silence: Silence) {
@@ -67,8 +71,16 @@
         dropped: &mut Vec<WorkerId>,
     ) {
         let former_over_at = self.lease_times.over_at(self.former.renew_until());
+        let taken_up_at = *self.taken_up_at.get_or_insert(now);
+        let has_asked_all = now.since(taken_up_at) >= UNREACHED_AFTER_MS;
         for (id, worker) in self.workers.iter_mut() {
-            let is_silent = worker.contact == Contact::Silent && !worker.tasks.is_empty();
+            // Nobody asks a worker that has no entry any more.
+            let does_not_answer = match worker.contact {
+                Contact::Silent => true,
+                Contact::Unreached => has_asked_all,
+                Contact::Reached => false,
+            };
+            let is_silent = does_not_answer && !worker.tasks.is_empty();
             let is_due = match worker.leases.silence() {
                 SilenceRecord::Absent => true,
                 SilenceRecord::Written { at } => now.since(at) >= RECORD_INTERVAL_MS,
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -533,3 +533,30 @@
     assert_eq!(fleet.outcome(poor), Some(JobOutcome::Failed), "it has used up its attempts");
     fleet.check();
 }
+
+/// pvbc-sched, trouble-2: a worker is gone for good and has no entry any more,
+/// and owners follow each other. The wait for its leases must not begin anew
+/// with each of them.
+#[test]
+fn tasks_of_a_worker_without_an_entry_wait_once() {
+    let mut fleet = Fleet::new(2, cores(4));
+    let lasting = StepSpec { lasting: true, ..step(1, cores(1)) };
+    fleet.submit(1, job(vec![lasting]), Work { work_ms: 600_000, fails: false });
+    fleet.pass(500);
+    let holder = fleet.workers.values().find(|worker| !worker.running.is_empty());
+    let holder = holder.expect("a worker runs the task").name.clone();
+    fleet.worker(&holder).is_up = false;
+    fleet.worker(&holder).has_no_entry = true;
+    fleet.worker(&holder).running.clear();
+    let gone_at = fleet.now;
+    for _ in 0..6 {
+        fleet.take_over(false);
+        fleet.pass(2_000);
+    }
+    // The leases with their slack; each owner tells what is left of them within
+    // 300 ms, and again each 500 ms.
+    let bound = FORMER_RENEWS_MS + LEASE_MS + 500 + 6 * 800;
+    fleet.pass((gone_at + bound).saturating_sub(fleet.now));
+    assert_eq!(fleet.running(), 1, "it runs on the other worker");
+    fleet.check();
+}
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -78,6 +78,8 @@
     /// It can be reached.
     pub(crate) is_reachable: bool,
     pub(crate) is_up: bool,
+    /// Owners that take over from now on do not know where it is.
+    pub(crate) has_no_entry: bool,
     pub(crate) is_draining: bool,
     /// All that it starts fails at once.
     pub(crate) is_grey: bool,
@@ -204,6 +206,7 @@
             ends_before_lapse: 0,
             is_reachable: true,
             is_up: true,
+            has_no_entry: false,
             is_draining: false,
             is_grey: false,
             hangs: false,
@@ -278,7 +281,8 @@
     /// The owner reads the registry.
     pub(crate) fn list_workers(&mut self) {
         let Some(owner) = &mut self.owner else { return };
-        for worker in self.workers.values().filter(|worker| worker.is_up) {
+        let has_entry = |worker: &&FakeWorker| worker.is_up && !worker.has_no_entry;
+        for worker in self.workers.values().filter(has_entry) {
             let entry = WorkerEntry {
                 name: worker.name.clone(),
                 pool: POOL.to_owned(),
@@ -430,6 +434,9 @@
         let renews = owner.may_renew(id);
         let (epoch, now_ms) = (self.epoch, self.now);
         let worker = self.workers.get_mut(name).expect("the worker exists");
+        if worker.has_no_entry {
+            return;
+        }
         if !worker.is_up || !worker.is_reachable {
             owner.worker_silent(id, None);
             return;
