settle: a stop that is repeated keeps its reason

The log named a cancellation for tasks stopped for maintenance or for standing still.

The placement holds the reason; a job tells why it takes no more starts. The test failed before with [Maintenance, JobCancelled].

--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -92,7 +92,7 @@
         let worker = placement.worker;
         let is_reached =
             self.workers.get(worker).is_some_and(|worker| worker.contact == Contact::Reached);
-        if is_closing || placement.is_stopping || !may_order || !is_reached {
+        if is_closing || placement.stop.is_some() || !may_order || !is_reached {
             self.free(key, FreeReason::NotSent);
             return;
         }
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -11,6 +11,7 @@
 use crate::workload::key::TaskKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
+use crate::workload::order::StopReason;
 use crate::workload::record::JobOutcome;
 use crate::workload::spec::JobSpec;
 use crate::workload::spec::QueueRules;
@@ -83,8 +84,8 @@
     pub(crate) percent: u32,
     /// When `percent` last rose.
     pub(crate) progressed_at: TimeMs,
-    /// A stop has been asked for.
-    pub(crate) is_stopping: bool,
+    /// Why a stop has been asked for, if one has.
+    pub(crate) stop: Option<StopReason>,
 }
 
 /// What is known of an attempt.
@@ -182,7 +183,9 @@
 impl Placement {
     /// True if the attempt works, as far as its worker told last.
     pub(crate) fn is_at_work(&self) -> bool {
-        matches!(self.run, Run::Running { .. }) && self.percent >= FULL_PERCENT && !self.is_stopping
+        matches!(self.run, Run::Running { .. })
+            && self.percent >= FULL_PERCENT
+            && self.stop.is_none()
     }
 }
 
@@ -258,7 +261,17 @@
 
     /// True if no further task may start.
     pub(crate) fn is_closing(&self) -> bool {
-        self.is_cancelled || self.outcome.is_some()
+        self.closing_reason().is_some()
+    }
+
+    /// Why tasks of the job are to stop, if no further one may start.
+    pub(crate) fn closing_reason(&self) -> Option<StopReason> {
+        match self.outcome {
+            _ if self.is_cancelled => Some(StopReason::JobCancelled),
+            Some(JobOutcome::Failed) => Some(StopReason::JobFailed),
+            Some(JobOutcome::Completed) => Some(StopReason::NotOurs),
+            None => None,
+        }
     }
 
     /// True if a step may start its tasks: it is due, and all steps that it
--- a/lib/src/workload/job_record.rs
+++ b/lib/src/workload/job_record.rs
@@ -78,5 +78,5 @@
 
 fn inherited(worker: WorkerId, now: TimeMs) -> Placement {
     let run = Run::Unknown { since: now, barred_at: None };
-    Placement { worker, run, since: now, percent: 0, progressed_at: now, is_stopping: false }
+    Placement { worker, run, since: now, percent: 0, progressed_at: now, stop: None }
 }
--- a/lib/src/workload/places.rs
+++ b/lib/src/workload/places.rs
@@ -74,7 +74,7 @@
             since: now,
             percent: 0,
             progressed_at: now,
-            is_stopping: false,
+            stop: None,
         };
         job.step_mut(task.step).set_phase(task.index, Phase::Placed(placement));
         self.occupy(task, worker);
@@ -84,15 +84,15 @@
         self.notices.push(Notice::Placed { task: name, attempt, worker, waited_ms });
     }
 
-    /// Orders a stop of a placed task. A place that is only planned is given
-    /// up at once.
+    /// Orders a stop of a placed task. A place that is only planned is given up
+    /// once it is stored, without an order.
     pub(crate) fn stop(&mut self, task: TaskKey, reason: StopReason) {
         let Some(job) = self.jobs.get_mut(task.step.job) else { return };
         let name = job.task_name(task);
         let state = job.task_mut(task);
         let attempt = state.attempt;
         let Some(placement) = state.placement_mut() else { return };
-        placement.is_stopping = true;
+        placement.stop = Some(reason);
         let worker = placement.worker;
         if placement.run == Run::Planned {
             return;
@@ -137,7 +137,8 @@
             return;
         }
         let tasks = (0..).zip(&job.step(key.step).tasks);
-        let placed = |task: &Task| task.placement().is_some_and(|placement| !placement.is_stopping);
+        let placed =
+            |task: &Task| task.placement().is_some_and(|placement| placement.stop.is_none());
         let members: Vec<TaskKey> = tasks
             .filter(|(_, task)| placed(task))
             .map(|(index, _)| TaskKey { step: key.step, index })
--- a/lib/src/workload/settle.rs
+++ b/lib/src/workload/settle.rs
@@ -180,7 +180,7 @@
             return;
         };
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
-        let is_closing = job.is_closing();
+        let closing = job.closing_reason();
         let state = job.task_mut(key);
         if running.checkpoint.is_some() {
             state.checkpoint.clone_from(&running.checkpoint);
@@ -197,8 +197,7 @@
             // It is stopping, or was started late by an order before the stop.
             Run::Unknown { barred_at: Some(_), .. } | Run::Running { .. } => placement.run,
         };
-        if placement.is_stopping || is_closing {
-            let reason = StopReason::JobCancelled;
+        if let Some(reason) = placement.stop.or(closing) {
             self.order_stop(id, running.task, running.attempt, reason);
         }
     }
@@ -286,8 +285,8 @@
         match answer {
             StartAnswer::Started => {
                 placement.run = Run::Running { confirmed_at: now };
-                if placement.is_stopping {
-                    self.stop(key, StopReason::JobCancelled);
+                if let Some(reason) = placement.stop {
+                    self.stop(key, reason);
                 }
             }
             StartAnswer::Unknown => {
--- a/lib/src/workload/stall.rs
+++ b/lib/src/workload/stall.rs
@@ -46,7 +46,7 @@
             (false, false, false) => STALLED_MS,
         };
         is_running
-            && !placement.is_stopping
+            && placement.stop.is_none()
             && placement.percent < FULL_PERCENT
             && now.since(placement.progressed_at) >= limit_ms
     }
--- a/lib/src/workload/upkeep.rs
+++ b/lib/src/workload/upkeep.rs
@@ -399,7 +399,7 @@
         for task in tasks {
             let Some(job) = self.jobs.get(task.step.job) else { continue };
             let spec = job.step_spec(task.step.step);
-            let is_stopping = job.task(task).placement().is_some_and(|place| place.is_stopping);
+            let is_stopping = job.task(task).placement().is_some_and(|place| place.stop.is_some());
             is_empty &= !spec.lasting && has_waited;
             if spec.lasting && !is_stopping && may_stop_lasting && self.may_take_away(task) {
                 self.stop(task, StopReason::Maintenance);
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -11,6 +11,8 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::lease::LeaseTimes;
+use cowslipport_lib::workload::order::Order;
+use cowslipport_lib::workload::order::StopReason;
 use cowslipport_lib::workload::order_rate::OrderRate;
 use cowslipport_lib::workload::owner_record::NodeLife;
 use cowslipport_lib::workload::owner_record::VmOrders;
@@ -519,3 +521,42 @@
     upkeep.decide(now, round, owner);
     assert_eq!(owner.take_orders().len(), 1);
 }
+
+/// A stop that is repeated, since the worker still shows the task, names the
+/// reason of the first one in the log.
+#[test]
+fn repeated_stop_keeps_its_reason() {
+    let mut fleet = workload_fake::Fleet::new(1, cores(4));
+    let lasting = StepSpec { lasting: true, max_unavailable: Some(1), ..step(1, cores(1)) };
+    fleet.submit(1, job(vec![lasting]), workload_fake::Work { work_ms: 600_000, fails: false });
+    fleet.pass(300);
+    let mut upkeep = Upkeep::default();
+    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
+    upkeep.wave_asked(fleet.time(), wave);
+    let vm = VmEntry {
+        vm: "vm".to_owned(),
+        pool: workload_fake::POOL.to_owned(),
+        state: VmState::Up,
+        worker: Some("w0".to_owned()),
+        data_centre: "a".to_owned(),
+        rack: None,
+        capacity: cores(4),
+    };
+    let (now, busy) = (fleet.time(), BTreeSet::new());
+    let vms = VmList::new(now, vec![vm]);
+    let round = VmRound { vms: &vms, busy: &busy, most_orders: MANY, may_stop_lasting: true };
+    let report = fleet.workers["w0"].report(now);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    upkeep.decide(now, round, owner);
+    let worker = owner.worker_id("w0");
+    owner.worker_reported(now.plus(20), worker, &report);
+    let reasons: Vec<StopReason> = owner
+        .take_orders()
+        .into_iter()
+        .filter_map(|order| match order.order {
+            Order::Stop { reason, .. } => Some(reason),
+            Order::Start(_) | Order::Pace { .. } => None,
+        })
+        .collect();
+    assert_eq!(reasons, [StopReason::Maintenance, StopReason::Maintenance]);
+}
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -627,7 +627,7 @@
         }
     }
 
-    fn report(&self, sent_at: TimeMs) -> WorkerReport {
+    pub(crate) fn report(&self, sent_at: TimeMs) -> WorkerReport {
         let running = self.running.iter().map(|(task, run)| RunningTask {
             task: *task,
             attempt: run.attempt,
