--- a/daemon/src/tasks/jobs.rs
+++ b/daemon/src/tasks/jobs.rs
@@ -37,7 +37,6 @@
 use crate::tasks::placement::PlacementMessage;
 
 const MAILBOX_MESSAGES: usize = 1024;
-const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Messages of the task.
 pub(crate) enum JobsMessage {
@@ -123,9 +122,9 @@
 
 /// Knows the owner of each partition.
 pub(crate) struct JobsTask {
-    config: JobsConfig,
-    state: ControlState,
-    view: View,
+    pub(super) config: JobsConfig,
+    pub(super) state: ControlState,
+    pub(super) view: View,
 }
 
 /// Where a partition is owned.
@@ -173,7 +172,7 @@
         }
     }
 
-    fn organisation_and_key(
+    pub(super) fn organisation_and_key(
         &self,
         presented: &str,
     ) -> Result<(OrganisationId, String), JobsRefusal> {
@@ -325,76 +324,11 @@
             let _ = reply.send(JobsAnswer::Answered { organisation: organisation_name, answer });
         });
     }
-
-    fn list(&mut self, key: &str, reply: oneshot::Sender<Result<Vec<JobSummary>, JobsRefusal>>) {
-        let organisation = match self.organisation_and_key(key) {
-            Ok((organisation, _)) => organisation,
-            Err(refusal) => {
-                let _ = reply.send(Err(refusal));
-                return;
-            }
-        };
-        let name = self
-            .state
-            .organisations
-            .get(organisation)
-            .map(|organisation| organisation.spec.name.clone());
-        let summaries = self.gather(organisation, &name.unwrap_or_default());
-        actix_rt::spawn(async move {
-            let _ = reply.send(Ok(summaries.await));
-        });
-    }
-
-    /// Asks all processes for the jobs of an organisation.
-    fn gather(
-        &mut self,
-        organisation: OrganisationId,
-        organisation_name: &str,
-    ) -> impl Future<Output = Vec<JobSummary>> + use<> {
-        let (reply, own) = oneshot::channel();
-        self.list_here(Some(organisation), reply);
-        let me = self.config.session;
-        let others = self.state.sessions.values().filter(|session| session.open.session != me);
-        let addresses: Vec<SocketAddr> =
-            others.filter_map(|session| session.open.peer_address.parse().ok()).collect();
-        let clients: Vec<Client> =
-            addresses.into_iter().map(|address| self.config.clients.get(address)).collect();
-        let request = raw::ListJobsRequest { organisation: organisation_name.to_owned() };
-        async move {
-            let calls = clients.into_iter().map(|mut client| {
-                let request = request.clone();
-                async move { tokio::time::timeout(LIST_TIMEOUT, client.list_jobs(request)).await }
-            });
-            let replies = futures_util::future::join_all(calls).await;
-            let mut jobs = own.await.unwrap_or_default();
-            for reply in replies.into_iter().flatten().flatten() {
-                jobs.extend(reply.into_inner().jobs.iter().map(JobSummary::from));
-            }
-            jobs.sort_by(|left, right| left.name.cmp(&right.name));
-            jobs
-        }
-    }
-
-    fn list_here(
-        &self,
-        organisation: Option<OrganisationId>,
-        reply: oneshot::Sender<Vec<JobSummary>>,
-    ) {
-        let (views_sender, views) = oneshot::channel();
-        let message = PlacementMessage::List { organisation, reply: views_sender };
-        send(&self.config.placement, message);
-        let state = self.state.clone();
-        actix_rt::spawn(async move {
-            let views = views.await.unwrap_or_default();
-            let summaries = views.iter().map(|view| job_wire::summary(&state, view));
-            let _ = reply.send(summaries.collect());
-        });
-    }
 }
 
 /// Sends without waiting, so that this task and the placement task cannot wait
 /// for each other. A full mailbox drops the reply, which the asker sees.
-fn send(placement: &mpsc::Sender<PlacementMessage>, message: PlacementMessage) {
+pub(super) fn send(placement: &mpsc::Sender<PlacementMessage>, message: PlacementMessage) {
     let _ = placement.try_send(message);
 }
 
--- a/daemon/src/tasks/peer.rs
+++ b/daemon/src/tasks/peer.rs
@@ -8,7 +8,6 @@
 use cowslipport_lib::control::ControlState;
 use cowslipport_lib::freshness::EVIDENCE_MAX_AGE_MS;
 use cowslipport_lib::freshness::FreshnessTracker;
-use cowslipport_lib::freshness::MemberReport;
 use cowslipport_lib::freshness::ViewState;
 use cowslipport_lib::ids::Offset;
 use cowslipport_lib::ids::SessionId;
@@ -27,7 +26,6 @@
 
 use crate::authority::Authority;
 use crate::authority::View;
-use crate::clients::peer;
 use crate::clients::peer::ExchangeError;
 use crate::clients::peer::PeerClients;
 use crate::clock::Clock;
@@ -49,9 +47,6 @@
 const TICK: Duration = Duration::from_millis(100);
 const EXCHANGE_INTERVAL_MS: u64 = 500;
 const OUTAGE_EXCHANGE_INTERVAL_MS: u64 = 200;
-/// Members that one round of exchanges asks.
-const EXCHANGE_FANOUT: usize = 8;
-const FETCH_RECORDS: u32 = 1024;
 const MAILBOX_MESSAGES: usize = 256;
 
 /// Messages of the peer task.
@@ -111,20 +106,20 @@
 
 /// Owner of the exchange table and the session.
 pub(crate) struct PeerTask {
-    config: PeerConfig,
-    me: SessionId,
-    sender: mpsc::WeakSender<PeerMessage>,
-    state: ControlState,
-    freshness: FreshnessTracker,
-    view: ViewState,
-    load: OwnLoad,
-    workers: Vec<WorkerEntry>,
-    others: BTreeMap<SessionId, MemberLoad>,
-    digest: Option<(Offset, StateDigest)>,
-    diverged: bool,
-    exchanged_at: Option<TimeMs>,
-    round: usize,
-    fetching: bool,
+    pub(super) config: PeerConfig,
+    pub(super) me: SessionId,
+    pub(super) sender: mpsc::WeakSender<PeerMessage>,
+    pub(super) state: ControlState,
+    pub(super) freshness: FreshnessTracker,
+    pub(super) view: ViewState,
+    pub(super) load: OwnLoad,
+    pub(super) workers: Vec<WorkerEntry>,
+    pub(super) others: BTreeMap<SessionId, MemberLoad>,
+    pub(super) digest: Option<(Offset, StateDigest)>,
+    pub(super) diverged: bool,
+    pub(super) exchanged_at: Option<TimeMs>,
+    pub(super) round: usize,
+    pub(super) fetching: bool,
 }
 
 impl PeerTask {
@@ -226,7 +221,7 @@
         self.freshness.retain_members(&self.state);
     }
 
-    fn compare_digests(&mut self) {
+    pub(super) fn compare_digests(&mut self) {
         let Some(mine) = self.digest else { return };
         let reports = self.freshness.members().values();
         let same_offset =
@@ -279,73 +274,6 @@
         actix_rt::spawn(async move { control.append(body).await });
     }
 
-    fn exchange(&mut self, now: TimeMs) {
-        let me = self.me;
-        for address in self.exchange_targets() {
-            let mut client = self.config.clients.get(address);
-            let Some(sender) = self.sender.upgrade() else { return };
-            actix_rt::spawn(async move {
-                let result = peer::exchange(&mut client, me).await;
-                let _ = sender.send(PeerMessage::ExchangeDone { sent_at: now, result }).await;
-            });
-        }
-    }
-
-    /// Addresses for this round: all other members, or as many as the fan-out
-    /// allows, in turn.
-    fn exchange_targets(&mut self) -> Vec<SocketAddr> {
-        let others = self.state.sessions.values().filter(|session| session.open.session != self.me);
-        let mut addresses: Vec<SocketAddr> =
-            others.filter_map(|session| session.open.peer_address.parse().ok()).collect();
-        if addresses.is_empty() {
-            addresses.clone_from(&self.config.seeds);
-        }
-        let count = addresses.len();
-        if count > EXCHANGE_FANOUT {
-            addresses.rotate_left(self.round % count);
-            addresses.truncate(EXCHANGE_FANOUT);
-            self.round += EXCHANGE_FANOUT;
-        }
-        addresses
-    }
-
-    fn exchange_done(&mut self, sent_at: TimeMs, result: Result<Vec<MemberEntry>, ExchangeError>) {
-        let Ok(entries) = result else { return };
-        let applied = self.state.next_offset;
-        for entry in entries.into_iter().filter(|entry| entry.session != self.me) {
-            let report = MemberReport {
-                next_offset: entry.next_offset,
-                log_reachable: entry.log_reachable,
-                confirmed_at: entry
-                    .confirmed_age_ms
-                    .and_then(|age_ms| sent_at.0.checked_sub(age_ms + entry.age_ms))
-                    .map(TimeMs),
-                said_at: sent_at.minus(entry.age_ms),
-                digest: entry.digest,
-            };
-            self.freshness.member_said(entry.session, report, applied);
-            if entry.age_ms == 0 {
-                let (session, in_flight) = (entry.session, entry.in_flight);
-                let load = MemberLoad {
-                    said_at: sent_at,
-                    next_offset: entry.next_offset,
-                    in_flight: in_flight.clone(),
-                    waiting: entry.waiting,
-                    workers: entry.workers,
-                };
-                self.others.insert(session, load);
-                let message = RouterMessage::PeerInFlight { session, in_flight };
-                // The next exchange carries newer counts.
-                let _ = self.config.router.try_send(message);
-            }
-        }
-        self.freshness.retain_members(&self.state);
-        self.compare_digests();
-        let sessions = &self.state.sessions;
-        self.others.retain(|session, _| sessions.contains_key(session));
-        self.tell_maintenance();
-    }
-
     /// The member with the lowest id that answers plans maintenance and
     /// watches the VM list. Two that do so for a moment are settled by the
     /// fold.
@@ -361,7 +289,7 @@
         self.view == ViewState::Confirmed && lowest == Some(&self.me)
     }
 
-    fn tell_maintenance(&self) {
+    pub(super) fn tell_maintenance(&self) {
         let now = self.config.clock.now();
         let is_planner = self.is_planner(now);
         let _ = self.config.fleet.try_send(FleetMessage::Watch(is_planner));
@@ -379,45 +307,6 @@
         let _ = self.config.maintenance.try_send(message);
     }
 
-    /// What this process says of itself. Others are not relayed while all
-    /// members can be asked directly.
-    fn entries(&self) -> Vec<MemberEntry> {
-        let now = self.config.clock.now();
-        vec![MemberEntry {
-            session: self.me,
-            next_offset: self.state.next_offset,
-            log_reachable: self.freshness.log_reachable(),
-            confirmed_age_ms: self.freshness.confirmed_at().map(|at| now.since(at)),
-            age_ms: 0,
-            digest: self.digest,
-            in_flight: self.load.in_flight.clone(),
-            waiting: self.load.waiting.clone(),
-            workers: self.workers.clone(),
-        }]
-    }
-
-    fn fetch_if_behind(&mut self, now: TimeMs) {
-        if self.fetching || self.freshness.log_reachable() {
-            return;
-        }
-        let applied = self.state.next_offset;
-        let Some(member) = self.freshness.member_ahead(now, applied) else { return };
-        let address = match self.state.sessions.get(&member) {
-            Some(session) => session.open.peer_address.parse().ok(),
-            None => self.config.seeds.first().copied(),
-        };
-        let (Some(address), Some(sender)) = (address, self.sender.upgrade()) else { return };
-        self.fetching = true;
-        let mut client = self.config.clients.get(address);
-        let control = self.config.control.clone();
-        actix_rt::spawn(async move {
-            if let Some(message) = peer::fetch(&mut client, applied, FETCH_RECORDS).await {
-                control.send(message).await;
-            }
-            let _ = sender.send(PeerMessage::FetchDone).await;
-        });
-    }
-
     fn publish(&mut self) {
         let now = self.config.clock.now();
         let judged = self.freshness.view(now, self.me, &self.state);
--- a/lib/tests/placement_fake/mod.rs
+++ b/lib/tests/placement_fake/mod.rs
@@ -39,8 +39,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::owner::Owner;
 use self::worker::fake_worker;
 
+mod owner;
 mod worker;
 
 /// Length of one step.
@@ -97,20 +99,6 @@
     End { job: JobRef, outcome: JobOutcome },
 }
 
-/// A process that owns, or owned, the partition.
-struct Owner {
-    scheduler: Scheduler,
-    epoch: Epoch,
-    paused: bool,
-    lost: bool,
-    gained_at: TimeMs,
-    worked_at: TimeMs,
-    /// What it was about to send when it was paused.
-    held: Vec<(TimeMs, Message)>,
-    last_answer: BTreeMap<VmId, TimeMs>,
-    next_poll: BTreeMap<VmId, TimeMs>,
-}
-
 /// Faults of the network between the owner and its workers.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Faults {
@@ -223,73 +211,6 @@
         fleet
     }
 
-    /// A new process owns the partition; the former owner is not told.
-    pub(crate) fn add_owner(&mut self, epoch: Epoch) {
-        let mut scheduler = Scheduler::new();
-        let now = self.now;
-        for (organisation, (state, view)) in &self.organisations {
-            let organisation = *organisation;
-            scheduler.handle(
-                now,
-                SchedulerEvent::OrganisationChanged { organisation, view: view.clone() },
-            );
-            let (amount, total) = (state.grant, state.grant);
-            scheduler.handle(now, SchedulerEvent::GrantChanged { organisation, amount, total });
-        }
-        for (vm, worker) in &self.workers {
-            scheduler.handle(now, SchedulerEvent::WorkerPut { vm: *vm, spec: worker.spec });
-        }
-        for spec in self.open.values() {
-            let (job, origin) = (spec.clone(), JobOrigin::Inherited);
-            scheduler.handle(now, SchedulerEvent::JobAccepted { job, origin });
-        }
-        let settled = |owner: &&Owner| owner.worked_at.since(owner.gained_at) > TASK_LEASE_MS;
-        let former = self.owners.iter().rev().find(settled).or(self.owners.first());
-        let former_silent_ms = former.map_or(0, |owner| now.since(owner.worked_at));
-        scheduler.handle(now, SchedulerEvent::OwnershipGained { epoch, former_silent_ms });
-        scheduler.handle(now, SchedulerEvent::StartsAllowed(true));
-        self.owners.push(Owner {
-            scheduler,
-            epoch,
-            paused: false,
-            lost: false,
-            gained_at: now,
-            worked_at: now,
-            held: Vec::new(),
-            last_answer: BTreeMap::new(),
-            next_poll: BTreeMap::new(),
-        });
-        self.current = self.owners.len() - 1;
-        self.faulty_at = now;
-    }
-
-    /// The owner in the fold stops between its decisions and their sending.
-    pub(crate) fn pause_owner(&mut self) {
-        self.owners[self.current].paused = true;
-        self.faulty_at = self.now;
-        self.step_owner(self.current);
-    }
-
-    /// A paused owner goes on with what it was about to send. Then it finds that
-    /// its session has expired.
-    pub(crate) fn resume_owner(&mut self, index: usize) {
-        self.owners[index].paused = false;
-        self.owners[index].scheduler.handle(self.now, SchedulerEvent::OwnershipLost);
-        self.owners[index].lost = true;
-        for (at, message) in std::mem::take(&mut self.owners[index].held) {
-            self.post(index, at.max(self.now), message);
-        }
-    }
-
-    /// All owners but the one in the fold go on.
-    pub(crate) fn resume_former_owners(&mut self) {
-        for index in 0..self.current {
-            if self.owners[index].paused {
-                self.resume_owner(index);
-            }
-        }
-    }
-
     pub(crate) fn scheduler(&self) -> &Scheduler {
         &self.owners[self.current].scheduler
     }
@@ -435,110 +356,4 @@
             self.check_invariants();
         }
     }
-
-    fn run_owner(&mut self, index: usize) {
-        let owner = &self.owners[index];
-        if !owner.paused && !owner.lost {
-            self.step_owner(index);
-        }
-    }
-
-    fn step_owner(&mut self, index: usize) {
-        let owner = &mut self.owners[index];
-        let (now, epoch) = (self.now, owner.epoch);
-        owner.worked_at = now;
-        let urgent = owner.scheduler.urgent_polls();
-        let mut polls = Vec::new();
-        for vm in self.workers.keys() {
-            let last = *owner.last_answer.entry(*vm).or_insert(now);
-            let silent = now.since(last) > 6_000;
-            if silent {
-                owner.scheduler.handle(now, SchedulerEvent::WorkerSilent { vm: *vm });
-            }
-            let next = owner.next_poll.entry(*vm).or_insert(now);
-            let interval = if urgent.contains(vm) { 500 } else { 2_000 };
-            if now >= *next || next.since(now) > interval {
-                *next = now.plus(interval);
-                polls.push(Message::Poll { vm: *vm, sent: now, epoch, renew: !silent });
-            }
-        }
-        let decisions = owner.scheduler.decide(now);
-        for poll in polls {
-            self.send(index, poll);
-        }
-        for decision in decisions {
-            self.carry_out(index, decision);
-        }
-    }
-
-    fn carry_out(&mut self, index: usize, decision: SchedulerDecision) {
-        if std::env::var("TRACE").is_ok() {
-            eprintln!("{} owner {index} {decision:?}", self.now);
-        }
-        self.decisions.push((self.now, decision.clone()));
-        let epoch = self.owners[index].epoch;
-        match decision {
-            SchedulerDecision::Start { task, vm, epoch, ticket, request, .. } => {
-                let answer = StartAnswer::Unknown;
-                let event =
-                    SchedulerEvent::StartAnswered { vm, task: task.clone(), answer, ticket: None };
-                self.post(index, self.now.plus(1_000), Message::Event(event));
-                self.send(index, Message::Start { vm, task, epoch, ticket, request });
-            }
-            SchedulerDecision::Control { task, vm, action, .. } => {
-                self.send(index, Message::Control { vm, task, epoch, action });
-            }
-            SchedulerDecision::Acknowledge { task, vm } => {
-                self.send(index, Message::Acknowledge { vm, task });
-            }
-            SchedulerDecision::TakeGrant { organisation, amount, .. } => {
-                let message =
-                    Message::Grant { organisation, amount, direction: GrantDirection::Take };
-                self.post(index, self.now.plus(40), message);
-            }
-            SchedulerDecision::ReturnGrant { organisation, amount, .. } => {
-                let message =
-                    Message::Grant { organisation, amount, direction: GrantDirection::Return };
-                self.post(index, self.now.plus(400), message);
-            }
-            SchedulerDecision::Quarantine { vm, .. } => {
-                self.quarantined.insert(vm);
-            }
-            SchedulerDecision::Release { vm, .. } => {
-                self.quarantined.remove(&vm);
-            }
-            SchedulerDecision::EndJob { job, outcome, reason, .. } => {
-                if index == self.current && self.open.contains_key(&job) {
-                    self.outcomes.insert(job.clone(), (outcome, reason));
-                }
-                self.post(index, self.now.plus(500), Message::End { job, outcome });
-            }
-            SchedulerDecision::Refused(violation) => panic!("{violation}"),
-        }
-    }
-
-    /// Sends over the lossy network.
-    fn send(&mut self, owner: usize, message: Message) {
-        if self.rng.random_range(0..1_000) < self.faults.lost_permille {
-            return;
-        }
-        let lag = self.rng.random_range(0..=self.faults.lag_ms);
-        self.post(owner, self.now.plus(2 + lag), message);
-    }
-
-    fn reply(&mut self, owner: usize, event: SchedulerEvent) {
-        if self.rng.random_range(0..1_000) < self.faults.duplicated_permille {
-            self.send(owner, Message::Event(event.clone()));
-        }
-        self.send(owner, Message::Event(event));
-    }
-
-    fn post(&mut self, owner: usize, at: TimeMs, message: Message) {
-        if self.owners[owner].paused {
-            self.owners[owner].held.push((at, message));
-            return;
-        }
-        self.sequence += 1;
-        self.messages.insert((at, self.sequence), (owner, message));
-    }
 }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -1,7 +1,6 @@
 //! The scheduler of a partition against a small fleet.
 
 use cowslipport_lib::config::DataCentreOutPolicy;
-use cowslipport_lib::ids::Epoch;
 use cowslipport_lib::ids::OrganisationId;
 use cowslipport_lib::ids::VmId;
 use cowslipport_lib::job::JobOutcome;
@@ -13,7 +12,6 @@
 use cowslipport_lib::scheduler_decision::SchedulerDecision;
 use cowslipport_lib::scheduler_event::WorkerService;
 
-use crate::placement_fake::Faults;
 use crate::placement_fake::Fleet;
 use crate::placement_fake::Truth;
 use crate::placement_fake::cores;
@@ -334,67 +332,6 @@
     assert_eq!(times, 2, "one quarantine and one failed probe");
 }
 
-/// Guards against jobs that are started twice, or ended although they could
-/// run, when replies are lost, repeated or late.
-#[test]
-fn lost_repeated_and_late_replies_start_nothing_twice() {
-    for seed in 0..4 {
-        let mut fleet = Fleet::new(100 + seed, 8, 2);
-        fleet.faults = Faults { lost_permille: 150, duplicated_permille: 150, lag_ms: 900 };
-        for index in 0..80 {
-            let spec = JobSpec {
-                repeatable: index % 2 == 0,
-                ..job(index % 2, &format!("job-{index}"), cores(8))
-            };
-            fleet.submit(spec, runs(4_000, 8));
-        }
-        fleet.run(120_000);
-        assert_eq!((fleet.open.len(), succeeded(&fleet)), (0, 80), "seed {seed}");
-        assert!(fleet.starts.values().all(|starts| *starts == 1), "seed {seed}");
-    }
-}
-
-/// Guards against starts of an owner that was paused while a successor took
-/// over, and against a successor that starts running jobs again.
-#[test]
-fn successor_and_paused_owner_start_nothing_twice() {
-    let mut fleet = Fleet::new(13, 8, 2);
-    fleet.faults = Faults { lag_ms: 100, ..Faults::default() };
-    for index in 0..60 {
-        let spec =
-            JobSpec { repeatable: false, ..job(index % 2, &format!("job-{index}"), cores(8)) };
-        fleet.submit(spec, runs(15_000, 8));
-    }
-    fleet.run(1_000);
-    fleet.pause_owner();
-    fleet.run(10_000);
-    fleet.add_owner(Epoch(2));
-    fleet.run(3_000);
-    fleet.resume_owner(0);
-    fleet.run(60_000);
-    assert_eq!((fleet.open.len(), succeeded(&fleet)), (0, 60));
-}
-
-/// Guards against a successor that starts work beside tasks on a worker that it
-/// cannot reach, and against jobs that stay open when that worker is gone.
-#[test]
-fn successor_waits_for_workers_of_unknown_content() {
-    let mut fleet = Fleet::new(14, 4, 1);
-    fleet.set_limit(0, cores(32));
-    let spec = JobSpec { repeatable: false, ..job(0, "once", cores(8)) };
-    fleet.submit(spec, runs(600_000, 8));
-    submit(&mut fleet, 0, "job", 20, 8, runs(600_000, 8));
-    fleet.run(5_000);
-    fleet.pause_owner();
-    fleet.workers.get_mut(&VmId(0)).expect("the worker exists").reachable = false;
-    fleet.add_owner(Epoch(2));
-    fleet.run(25_000);
-    let held = fleet.used_by(0);
-    assert_eq!(held, cores(32), "running tasks are not affected");
-    fleet.run(60_000);
-    assert_eq!(fleet.used_by(0), cores(32), "the limit is used again");
-}
-
 /// Guards against work that is lost while a data centre goes out and comes
 /// back, and against a burst of starts when it is back.
 #[test]
@@ -443,79 +380,3 @@
     });
     assert!(!failed);
 }
-
-/// A fleet of four workers on which a job that must not run twice has just
-/// ended on worker 0, while its owner is paused.
-fn fleet_with_unrecorded_end(seed: u64) -> Fleet {
-    let mut fleet = Fleet::new(seed, 4, 1);
-    let spec = JobSpec { repeatable: false, ..job(0, "once", cores(8)) };
-    fleet.submit(spec, runs(2_000, 8));
-    fleet.run(2_000);
-    assert_eq!(fleet.live_on(0), 1);
-    fleet.pause_owner();
-    fleet.run(10_500);
-    fleet
-}
-
-/// Guards against an end that a new owner saw while it waited for other
-/// workers, and that was forgotten when its worker restarted.
-#[test]
-fn end_seen_by_a_waiting_successor_is_kept() {
-    let mut fleet = fleet_with_unrecorded_end(17);
-    fleet.workers.get_mut(&VmId(3)).expect("the worker exists").reachable = false;
-    fleet.add_owner(Epoch(2));
-    fleet.run(3_000);
-    fleet.reboot(VmId(0));
-    fleet.run(60_000);
-    let end = Some((JobOutcome::Succeeded, EndReason::TaskSucceeded));
-    assert_eq!(outcome(&fleet, 0, "once"), end);
-    assert_eq!(fleet.starts[&name(0, "once")], 1);
-}
-
-/// Guards against a job that runs again because its worker restarted, and
-/// forgot it, before a new owner reached it.
-#[test]
-fn restart_before_a_successor_asks_repeats_no_job() {
-    let mut fleet = fleet_with_unrecorded_end(18);
-    fleet.reboot(VmId(0));
-    fleet.add_owner(Epoch(2));
-    fleet.run(60_000);
-    assert_eq!(outcome(&fleet, 0, "once"), Some((JobOutcome::Lost, EndReason::MayHaveRun)));
-    assert_eq!(fleet.starts[&name(0, "once")], 1);
-}
-
-/// Guards against a job that runs again because the answer to its start was
-/// lost and the worker restarted before the next poll.
-#[test]
-fn restart_after_a_lost_answer_repeats_no_job() {
-    let mut fleet = Fleet::new(19, 1, 1);
-    fleet.run(1_000);
-    let spec = JobSpec { repeatable: false, ..job(0, "once", cores(8)) };
-    fleet.submit(spec, runs(60_000, 8));
-    while fleet.starts.is_empty() {
-        fleet.run(20);
-    }
-    fleet.lose_messages();
-    fleet.reboot(VmId(0));
-    fleet.run(20_000);
-    assert_eq!(outcome(&fleet, 0, "once"), Some((JobOutcome::Lost, EndReason::WorkerLost)));
-    assert_eq!(fleet.starts[&name(0, "once")], 1);
-}
-
-/// Guards against a job that runs again because its worker restarted while
-/// neither of two owners in turn reached it.
-#[test]
-#[ignore = "known red: KNOWN-RED.txt, restart unseen by two owners"]
-fn restart_unseen_by_two_owners_repeats_no_job() {
-    let mut fleet = fleet_with_unrecorded_end(20);
-    fleet.workers.get_mut(&VmId(0)).expect("the worker exists").reachable = false;
-    fleet.reboot(VmId(0));
-    fleet.add_owner(Epoch(2));
-    fleet.run(40_000);
-    fleet.pause_owner();
-    fleet.run(10_500);
-    fleet.workers.get_mut(&VmId(0)).expect("the worker exists").reachable = true;
-    fleet.add_owner(Epoch(3));
-    fleet.run(60_000);
-    assert_eq!(fleet.starts[&name(0, "once")], 1);
-}
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -11,8 +11,6 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::lease::LeaseTimes;
-use cowslipport_lib::workload::order::Order;
-use cowslipport_lib::workload::order::StopReason;
 use cowslipport_lib::workload::order_rate::OrderRate;
 use cowslipport_lib::workload::owner_record::NodeLife;
 use cowslipport_lib::workload::owner_record::VmOrders;
@@ -21,8 +19,6 @@
 use cowslipport_lib::workload::report::WorkerReport;
 use cowslipport_lib::workload::spec::JobSpec;
 use cowslipport_lib::workload::spec::StepSpec;
-use cowslipport_lib::workload::upkeep::Upkeep;
-use cowslipport_lib::workload::upkeep::WaveSpec;
 use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmEntry;
 use cowslipport_lib::workload::vm::VmList;
@@ -224,50 +220,6 @@
     assert_eq!(pools.pass(1_000).len(), 1);
 }
 
-/// A wave must not take a task away while another of its step is on a worker
-/// that does not answer, though that worker was well when it last did.
-#[test]
-fn task_on_a_silent_worker_counts_as_away() {
-    let mut fleet = workload_fake::Fleet::new(4, cores(4));
-    let spread = StepSpec {
-        lasting: true,
-        max_tasks_per_worker: Some(1),
-        max_unavailable: Some(1),
-        ..step(3, cores(1))
-    };
-    fleet.submit(1, job(vec![spread]), workload_fake::Work { work_ms: 100, fails: false });
-    fleet.pass(300);
-    fleet.worker("w0").is_reachable = false;
-    fleet.pass(100);
-    let mut upkeep = Upkeep::default();
-    upkeep.wave_asked(
-        fleet.time(),
-        WaveSpec { wave: 1, vms: vec!["vm1".to_owned()], deadline_ms: 10_000, max_down: 1 },
-    );
-    let vm = VmEntry {
-        vm: "vm1".to_owned(),
-        pool: workload_fake::POOL.to_owned(),
-        state: VmState::Up,
-        worker: Some("w1".to_owned()),
-        data_centre: "a".to_owned(),
-        rack: None,
-        capacity: cores(4),
-    };
-    let vms = VmList::new(fleet.time(), vec![vm]);
-    let busy = BTreeSet::new();
-    let round = VmRound { vms: &vms, busy: &busy, most_orders: MANY, may_stop_lasting: true };
-    let now = fleet.time();
-    let owner = fleet.owner.as_mut().expect("an owner");
-    assert!(upkeep.decide(now, round, owner).is_empty());
-    assert!(owner.take_orders().is_empty(), "no task is stopped");
-    fleet.worker("w0").is_reachable = true;
-    fleet.pass(100);
-    let now = fleet.time();
-    let owner = fleet.owner.as_mut().expect("an owner");
-    upkeep.decide(now, round, owner);
-    assert_eq!(owner.take_orders().len(), 1, "now one may go");
-}
-
 #[test]
 fn orders_keep_below_the_accepted_rate() {
     let mut rate = OrderRate::new(TimeMs(0), 64);
@@ -313,105 +265,6 @@
     assert!(to("b") >= 2, "the pool that lacks most gets not all: {targets:?}");
 }
 
-/// The hunt of predah-sched-grown, mix --seed 647923003744: a task was stopped
-/// for maintenance, its VM went down, and the owner was replaced before the
-/// store held the end. The successor waited 12 s for a worker that was gone.
-#[test]
-fn vm_goes_down_only_once_the_ends_of_its_tasks_are_stored() {
-    let mut fleet = workload_fake::Fleet::new(2, cores(4));
-    let lasting = StepSpec { lasting: true, max_unavailable: Some(1), ..step(1, cores(1)) };
-    fleet.submit(1, job(vec![lasting]), workload_fake::Work { work_ms: 600_000, fails: false });
-    fleet.pass(300);
-    let holder = fleet.workers.values().find(|worker| !worker.running.is_empty());
-    let holder = holder.expect("a worker runs the task").name.clone();
-    let mut upkeep = Upkeep::default();
-    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
-    upkeep.wave_asked(fleet.time(), wave);
-    let vm = VmEntry {
-        vm: "vm".to_owned(),
-        pool: workload_fake::POOL.to_owned(),
-        state: VmState::Up,
-        worker: Some(holder.clone()),
-        data_centre: "a".to_owned(),
-        rack: None,
-        capacity: cores(4),
-    };
-    let vms = VmList::new(fleet.time(), vec![vm]);
-    let decide = |upkeep: &mut Upkeep, fleet: &mut workload_fake::Fleet| {
-        let round = VmRound {
-            vms: &vms,
-            busy: &BTreeSet::new(),
-            most_orders: MANY,
-            may_stop_lasting: true,
-        };
-        let now = fleet.time();
-        upkeep.decide(now, round, fleet.owner.as_mut().expect("an owner")).len()
-    };
-    assert_eq!(decide(&mut upkeep, &mut fleet), 0, "the task has to be stopped first");
-    fleet.store_is_up = false;
-    fleet.pass(1_000);
-    assert!(fleet.workers[&holder].running.is_empty(), "it has stopped");
-    assert_eq!(decide(&mut upkeep, &mut fleet), 0, "a successor would wait for the worker");
-    fleet.store_is_up = true;
-    fleet.pass(100);
-    assert_eq!(decide(&mut upkeep, &mut fleet), 1);
-}
-
-/// An order for a VM that was maintained before is accepted and ends nothing:
-/// only the list tells that the VM is down.
-#[test]
-fn tasks_of_a_vm_are_free_once_the_list_shows_it_down() {
-    let mut fleet = workload_fake::Fleet::new(1, cores(4));
-    fleet.submit(
-        1,
-        job(vec![step(1, cores(1))]),
-        workload_fake::Work { work_ms: 600_000, fails: false },
-    );
-    fleet.pass(300);
-    let mut upkeep = Upkeep::default();
-    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
-    upkeep.wave_asked(fleet.time(), wave);
-    let vm = |state| VmEntry {
-        vm: "vm".to_owned(),
-        pool: workload_fake::POOL.to_owned(),
-        state,
-        worker: (state == VmState::Up).then(|| "w0".to_owned()),
-        data_centre: "a".to_owned(),
-        rack: None,
-        capacity: cores(4),
-    };
-    let mut orders = 0;
-    while orders == 0 && fleet.now < 10_000 {
-        fleet.pass(100);
-        let now = fleet.time();
-        let vms = VmList::new(now, vec![vm(VmState::Up)]);
-        let round = VmRound {
-            vms: &vms,
-            busy: &BTreeSet::new(),
-            most_orders: MANY,
-            may_stop_lasting: true,
-        };
-        orders = upkeep.decide(now, round, fleet.owner.as_mut().expect("an owner")).len();
-    }
-    assert_eq!(orders, 1, "the task has had its time");
-    let now = fleet.time();
-    let owner = fleet.owner.as_mut().expect("an owner");
-    let worker = owner.worker_id("w0");
-    upkeep.answered(now.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
-    upkeep.listed(&VmList::new(now.plus(10), vec![vm(VmState::Up)]), owner);
-    assert!(owner.has_tasks(worker), "it may still run");
-    let mut repeated = upkeep.clone();
-    upkeep.listed(&VmList::new(now.plus(500), vec![vm(VmState::Maintenance)]), owner);
-    assert!(!owner.has_tasks(worker));
-    // A former owner had it maintained: it stays up, and is not ordered again.
-    let vms = VmList::new(now.plus(500), vec![vm(VmState::Up)]);
-    repeated.listed(&vms, owner);
-    let round =
-        VmRound { vms: &vms, busy: &BTreeSet::new(), most_orders: MANY, may_stop_lasting: true };
-    assert!(repeated.decide(now.plus(10_000), round, owner).is_empty());
-    assert!(repeated.take_changed().iter().any(|(_, progress)| progress.completed));
-}
-
 /// A turn of a queue begins: many jobs in a short time say how many VMs it will
 /// need, though the first ones still fit.
 #[test]
@@ -489,74 +342,3 @@
     ];
     assert_eq!(targets, expected);
 }
-
-/// The hunt of predah-sched, hunt-202f-11: the owner before had stopped a task
-/// of the step, whose worker still showed it at work, as its successor stopped
-/// another.
-#[test]
-fn new_owner_stops_no_lasting_task_at_first() {
-    let mut fleet = workload_fake::Fleet::new(2, cores(4));
-    let lasting = StepSpec { lasting: true, max_unavailable: Some(1), ..step(2, cores(1)) };
-    fleet.submit(1, job(vec![lasting]), workload_fake::Work { work_ms: 600_000, fails: false });
-    fleet.pass(300);
-    let mut upkeep = Upkeep::default();
-    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
-    upkeep.wave_asked(fleet.time(), wave);
-    let vm = VmEntry {
-        vm: "vm".to_owned(),
-        pool: workload_fake::POOL.to_owned(),
-        state: VmState::Up,
-        worker: Some("w0".to_owned()),
-        data_centre: "a".to_owned(),
-        rack: None,
-        capacity: cores(4),
-    };
-    let (now, busy) = (fleet.time(), BTreeSet::new());
-    let vms = VmList::new(now, vec![vm]);
-    let owner = fleet.owner.as_mut().expect("an owner");
-    let mut round = VmRound { vms: &vms, busy: &busy, most_orders: MANY, may_stop_lasting: false };
-    upkeep.decide(now, round, owner);
-    assert!(owner.take_orders().is_empty());
-    round.may_stop_lasting = true;
-    upkeep.decide(now, round, owner);
-    assert_eq!(owner.take_orders().len(), 1);
-}
-
-/// A stop that is repeated, since the worker still shows the task, names the
-/// reason of the first one in the log.
-#[test]
-fn repeated_stop_keeps_its_reason() {
-    let mut fleet = workload_fake::Fleet::new(1, cores(4));
-    let lasting = StepSpec { lasting: true, max_unavailable: Some(1), ..step(1, cores(1)) };
-    fleet.submit(1, job(vec![lasting]), workload_fake::Work { work_ms: 600_000, fails: false });
-    fleet.pass(300);
-    let mut upkeep = Upkeep::default();
-    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
-    upkeep.wave_asked(fleet.time(), wave);
-    let vm = VmEntry {
-        vm: "vm".to_owned(),
-        pool: workload_fake::POOL.to_owned(),
-        state: VmState::Up,
-        worker: Some("w0".to_owned()),
-        data_centre: "a".to_owned(),
-        rack: None,
-        capacity: cores(4),
-    };
-    let (now, busy) = (fleet.time(), BTreeSet::new());
-    let vms = VmList::new(now, vec![vm]);
-    let round = VmRound { vms: &vms, busy: &busy, most_orders: MANY, may_stop_lasting: true };
-    let report = fleet.workers["w0"].report(now);
-    let owner = fleet.owner.as_mut().expect("an owner");
-    upkeep.decide(now, round, owner);
-    let worker = owner.worker_id("w0");
-    owner.worker_reported(now.plus(20), worker, &report);
-    let reasons: Vec<StopReason> = owner
-        .take_orders()
-        .into_iter()
-        .filter_map(|order| match order.order {
-            Order::Stop { reason, .. } => Some(reason),
-            Order::Start(_) | Order::Pace { .. } => None,
-        })
-        .collect();
-    assert_eq!(reasons, [StopReason::Maintenance, StopReason::Maintenance]);
-}
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -17,27 +17,22 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
-use cowslipport_lib::workload::key::WorkerId;
-use cowslipport_lib::workload::lease::LeaseTimes;
-use cowslipport_lib::workload::order::Acknowledgement;
 use cowslipport_lib::workload::order::Batch;
-use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::order::StartOrder;
-use cowslipport_lib::workload::owner_record::NodeLife;
-use cowslipport_lib::workload::owner_record::Silence;
-use cowslipport_lib::workload::owner_record::Tenure;
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordKey;
-use cowslipport_lib::workload::report::EndedTask;
-use cowslipport_lib::workload::report::RunningTask;
 use cowslipport_lib::workload::report::StartAnswer;
 use cowslipport_lib::workload::report::TaskEnd;
-use cowslipport_lib::workload::report::WorkerEntry;
-use cowslipport_lib::workload::report::WorkerReport;
 use cowslipport_lib::workload::spec::JobSpec;
 use cowslipport_lib::workload::spec::QueueRules;
 use cowslipport_lib::workload::spec::StepSpec;
 
+pub(crate) use self::worker::FakeWorker;
+pub(crate) use self::worker::Run;
+
+mod owner;
+mod worker;
+
 pub(crate) const LEASE_MS: u64 = 4_000;
 pub(crate) const FORMER_RENEWS_MS: u64 = 8_000;
 pub(crate) const STATUS_KEPT_MS: u64 = 120_000;
@@ -47,46 +42,6 @@
 pub(crate) const QUEUE: &str = "queue";
 pub(crate) const ORGANISATION: &str = "organisation";
 
-/// What a worker runs.
-#[derive(Clone, Debug)]
-pub(crate) struct Run {
-    pub(crate) attempt: u32,
-    pub(crate) until: Option<u64>,
-    pub(crate) fails: bool,
-    pub(crate) stops_at: Option<u64>,
-    pub(crate) checkpoint: Option<String>,
-    pub(crate) request: Resources,
-}
-
-/// One worker, as it really is.
-#[derive(Clone, Debug)]
-pub(crate) struct FakeWorker {
-    pub(crate) name: String,
-    pub(crate) data_centre: String,
-    pub(crate) capacity: Resources,
-    pub(crate) labels: BTreeSet<String>,
-    pub(crate) born: u64,
-    pub(crate) highest_epoch: u64,
-    pub(crate) lease_until: u64,
-    pub(crate) running: BTreeMap<TaskName, Run>,
-    pub(crate) barred: BTreeMap<TaskName, u32>,
-    pub(crate) ended: Vec<EndedTask>,
-    pub(crate) next_end: u64,
-    /// Ends up to this number came before the lease last ran out. Whether they
-    /// are taken note of does not count.
-    pub(crate) ends_before_lapse: u64,
-    /// It can be reached.
-    pub(crate) is_reachable: bool,
-    pub(crate) is_up: bool,
-    /// Owners that take over from now on do not know where it is.
-    pub(crate) has_no_entry: bool,
-    pub(crate) is_draining: bool,
-    /// All that it starts fails at once.
-    pub(crate) is_grey: bool,
-    /// What it starts stands still.
-    pub(crate) hangs: bool,
-}
-
 /// A promise was broken.
 pub(crate) type Violations = Vec<String>;
 
@@ -97,6 +52,9 @@
     pub(crate) fails: bool,
 }
 
+/// A short job that ends well.
+pub(crate) const QUICK: Work = Work { work_ms: 500, fails: false };
+
 /// The fleet, the store, and the owner.
 pub(crate) struct Fleet {
     pub(crate) now: u64,
@@ -245,59 +203,6 @@
         TimeMs(self.now)
     }
 
-    /// A new owner follows. Unless `is_clean`, the former one says nothing.
-    pub(crate) fn take_over(&mut self, is_clean: bool) {
-        if is_clean && let Some(owner) = &mut self.owner {
-            owner.release();
-            let batch = owner.take_batch(TimeMs(self.now));
-            self.persist(&batch);
-        }
-        self.in_flight = None;
-        self.epoch += 1;
-        let now = self.time();
-        let life = NodeLife { node: format!("n{}", self.epoch), life: self.epoch };
-        let times = LeaseTimes { lease_ms: LEASE_MS, former_renews_ms: FORMER_RENEWS_MS };
-        let mut owner = Dispatcher::new(self.epoch, life, now, times, STATUS_KEPT_MS);
-        let tenure = self.store.get(&RecordKey::Tenure);
-        owner.former_tenure(now, tenure.map(|bytes| Tenure::decode(bytes).expect("a tenure")));
-        for (key, value) in &self.store {
-            if let RecordKey::Silence(worker) = key {
-                owner.silence_recorded(now, worker, Silence::decode(value).expect("a silence"));
-            }
-        }
-        for (key, spec) in &self.jobs {
-            let progress = self.store.get(&RecordKey::Progress(*key));
-            let progress = progress.map(|bytes| Progress::decode(bytes).expect("progress"));
-            owner.submitted(now, &mut self.catalog, *key, spec.clone(), progress.as_ref());
-        }
-        for key in &self.cancelled {
-            owner.cancelled(*key);
-        }
-        owner.recovered();
-        self.owner = Some(owner);
-        self.list_workers();
-    }
-
-    /// The owner reads the registry.
-    pub(crate) fn list_workers(&mut self) {
-        let Some(owner) = &mut self.owner else { return };
-        let has_entry = |worker: &&FakeWorker| worker.is_up && !worker.has_no_entry;
-        for worker in self.workers.values().filter(has_entry) {
-            let entry = WorkerEntry {
-                name: worker.name.clone(),
-                pool: POOL.to_owned(),
-                address: ([127, 0, 0, 1], 1).into(),
-                data_centre: worker.data_centre.clone(),
-                capacity: worker.capacity,
-                rack: Some(format!("rack-{}", worker.data_centre)),
-                labels: worker.labels.clone(),
-                is_draining: worker.is_draining,
-                born_unix_ms: Some(worker.born),
-            };
-            owner.worker_listed(&mut self.catalog, &entry);
-        }
-    }
-
     pub(crate) fn submit(&mut self, key: u64, spec: JobSpec, work: Work) -> JobKey {
         let key = JobKey(key);
         spec.check().expect("the job is valid");
@@ -362,144 +267,6 @@
         }
     }
 
-    fn advance_owner(&mut self) {
-        if self.owner.is_none() {
-            return;
-        }
-        let names: Vec<String> = self.workers.keys().cloned().collect();
-        for name in names {
-            self.ask(&name);
-        }
-        let now = self.time();
-        if let Some(owner) = &mut self.owner {
-            owner.end_leases(now);
-            owner.decide(now, self.now, &self.catalog);
-        }
-        self.store_batch();
-        self.send_orders();
-    }
-
-    /// Stores the batch of the last step and takes the next.
-    fn store_batch(&mut self) {
-        if !self.store_is_up {
-            return;
-        }
-        if let Some(batch) = self.in_flight.take() {
-            self.persist(&batch);
-            let now = self.time();
-            if let Some(owner) = &mut self.owner {
-                owner.batch_stored(now, &batch, true);
-            }
-            for acknowledgement in &batch.acknowledged {
-                self.acknowledge(*acknowledgement);
-            }
-        }
-        let now = self.time();
-        self.in_flight = self.owner.as_mut().map(|owner| owner.take_batch(now));
-    }
-
-    fn persist(&mut self, batch: &Batch) {
-        for (key, value) in &batch.records {
-            if value.is_empty() {
-                self.dropped.insert(key.clone());
-            }
-            match value.is_empty() {
-                true => self.store.remove(key),
-                false => self.store.insert(key.clone(), value.clone()),
-            };
-        }
-    }
-
-    fn acknowledge(&mut self, acknowledgement: Acknowledgement) {
-        let Some(owner) = &self.owner else { return };
-        let name = owner.worker_name(acknowledgement.worker).to_owned();
-        let Some(worker) = self.workers.get_mut(&name) else { return };
-        let is_this_life = acknowledgement.born_unix_ms == Some(worker.born);
-        if !worker.is_reachable || !is_this_life {
-            return;
-        }
-        let number = acknowledgement.number;
-        let counted = worker.ends_before_lapse + 1..=number;
-        let noted = worker.ended.iter().filter(|ended| counted.contains(&ended.number));
-        let done = noted.filter(|ended| ended.end == TaskEnd::Done).map(|ended| ended.task);
-        self.noted_done.extend(done);
-        worker.ended.retain(|ended| ended.number > number);
-    }
-
-    /// Asks a worker for its lists and renews its leases.
-    fn ask(&mut self, name: &str) {
-        let now = self.time();
-        let Some(owner) = &mut self.owner else { return };
-        let id = owner.worker_id(name);
-        let renews = owner.may_renew(id);
-        let (epoch, now_ms) = (self.epoch, self.now);
-        let worker = self.workers.get_mut(name).expect("the worker exists");
-        if worker.has_no_entry {
-            return;
-        }
-        if !worker.is_up || !worker.is_reachable {
-            owner.worker_silent(id, None);
-            return;
-        }
-        if epoch < worker.highest_epoch {
-            return;
-        }
-        worker.highest_epoch = epoch;
-        if renews {
-            worker.lease_until = worker.lease_until.max(now_ms + LEASE_MS);
-        }
-        let report = worker.report(now);
-        owner.worker_reported(now, id, &report);
-    }
-
-    fn send_orders(&mut self) {
-        loop {
-            let Some(owner) = &mut self.owner else { return };
-            let orders = owner.take_orders();
-            if orders.is_empty() {
-                return;
-            }
-            for order in orders {
-                let name = self
-                    .owner
-                    .as_ref()
-                    .map(|owner| owner.worker_name(order.worker).to_owned())
-                    .unwrap_or_default();
-                self.send_order(&name, order.worker, &order.order);
-            }
-        }
-    }
-
-    fn send_order(&mut self, name: &str, id: WorkerId, order: &Order) {
-        let now = self.time();
-        let reachable = self.workers.get(name).is_some_and(|w| w.is_up && w.is_reachable);
-        match order {
-            Order::Start(start) => {
-                let lease_until = self.now + LEASE_MS;
-                let answer = if self.late_worker.as_deref() == Some(name) {
-                    let late = (self.now + 3_000, name.to_owned(), self.epoch);
-                    self.late.push((late.0, late.1, late.2, lease_until, start.clone()));
-                    StartAnswer::Unknown
-                } else if reachable {
-                    self.start(name, self.epoch, lease_until, start)
-                } else {
-                    StartAnswer::Unknown
-                };
-                if let Some(owner) = &mut self.owner {
-                    owner.start_answered(now, id, start.key, start.attempt, answer);
-                }
-            }
-            Order::Stop { task, attempt, .. } => {
-                let Some(worker) = self.workers.get_mut(name).filter(|_| reachable) else { return };
-                worker.stop(self.now, *task, *attempt);
-                if let Some(owner) = &mut self.owner {
-                    owner.stop_answered(now, id, *task, *attempt);
-                }
-            }
-            Order::Pace { .. } => {}
-        }
-    }
-
     /// A start arrives at a worker.
     pub(crate) fn start(
         &mut self,
@@ -605,41 +372,3 @@
         assert!(self.violations.is_empty(), "{:#?}", self.violations);
     }
 }
-
-impl FakeWorker {
-    fn end(&mut self, task: TaskName, run: &Run, end: TaskEnd) {
-        self.barred.insert(task, run.attempt);
-        self.ended.push(EndedTask {
-            number: self.next_end,
-            task,
-            attempt: run.attempt,
-            end,
-            checkpoint: run.checkpoint.clone(),
-        });
-        self.next_end += 1;
-    }
-
-    fn stop(&mut self, now: u64, task: TaskName, attempt: u32) {
-        let barred = self.barred.entry(task).or_default();
-        *barred = (*barred).max(attempt);
-        if let Some(run) = self.running.get_mut(&task).filter(|run| run.attempt <= attempt) {
-            run.stops_at.get_or_insert(now + STOP_MS);
-        }
-    }
-
-    pub(crate) fn report(&self, sent_at: TimeMs) -> WorkerReport {
-        let running = self.running.iter().map(|(task, run)| RunningTask {
-            task: *task,
-            attempt: run.attempt,
-            checkpoint: run.checkpoint.clone(),
-            percent: if self.hangs { 0 } else { 100 },
-            reading: 0,
-        });
-        WorkerReport {
-            sent_at,
-            born_unix_ms: Some(self.born),
-            running: running.collect(),
-            ended: self.ended.clone(),
-        }
-    }
-}
--- /dev/null
+++ b/lib/tests/workload_fake/owner.rs
@@ -0,0 +1,217 @@
+//! The owner of the fleet, its store, and what passes between it and workers.
+
+use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::dispatcher::Dispatcher;
+use cowslipport_lib::workload::key::WorkerId;
+use cowslipport_lib::workload::lease::LeaseTimes;
+use cowslipport_lib::workload::order::Acknowledgement;
+use cowslipport_lib::workload::order::Batch;
+use cowslipport_lib::workload::order::Order;
+use cowslipport_lib::workload::owner_record::NodeLife;
+use cowslipport_lib::workload::owner_record::Silence;
+use cowslipport_lib::workload::owner_record::Tenure;
+use cowslipport_lib::workload::record::Progress;
+use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::report::TaskEnd;
+use cowslipport_lib::workload::report::WorkerEntry;
+
+use super::FORMER_RENEWS_MS;
+use super::FakeWorker;
+use super::Fleet;
+use super::LEASE_MS;
+use super::POOL;
+use super::STATUS_KEPT_MS;
+
+impl Fleet {
+    /// A new owner follows. Unless `is_clean`, the former one says nothing.
+    pub(crate) fn take_over(&mut self, is_clean: bool) {
+        if is_clean && let Some(owner) = &mut self.owner {
+            owner.release();
+            let batch = owner.take_batch(TimeMs(self.now));
+            self.persist(&batch);
+        }
+        self.in_flight = None;
+        self.epoch += 1;
+        let now = self.time();
+        let life = NodeLife { node: format!("n{}", self.epoch), life: self.epoch };
+        let times = LeaseTimes { lease_ms: LEASE_MS, former_renews_ms: FORMER_RENEWS_MS };
+        let mut owner = Dispatcher::new(self.epoch, life, now, times, STATUS_KEPT_MS);
+        let tenure = self.store.get(&RecordKey::Tenure);
+        owner.former_tenure(now, tenure.map(|bytes| Tenure::decode(bytes).expect("a tenure")));
+        for (key, value) in &self.store {
+            if let RecordKey::Silence(worker) = key {
+                owner.silence_recorded(now, worker, Silence::decode(value).expect("a silence"));
+            }
+        }
+        for (key, spec) in &self.jobs {
+            let progress = self.store.get(&RecordKey::Progress(*key));
+            let progress = progress.map(|bytes| Progress::decode(bytes).expect("progress"));
+            owner.submitted(now, &mut self.catalog, *key, spec.clone(), progress.as_ref());
+        }
+        for key in &self.cancelled {
+            owner.cancelled(*key);
+        }
+        owner.recovered();
+        self.owner = Some(owner);
+        self.list_workers();
+    }
+
+    /// The owner reads the registry.
+    pub(crate) fn list_workers(&mut self) {
+        let Some(owner) = &mut self.owner else { return };
+        let has_entry = |worker: &&FakeWorker| worker.is_up && !worker.has_no_entry;
+        for worker in self.workers.values().filter(has_entry) {
+            let entry = WorkerEntry {
+                name: worker.name.clone(),
+                pool: POOL.to_owned(),
+                address: ([127, 0, 0, 1], 1).into(),
+                data_centre: worker.data_centre.clone(),
+                capacity: worker.capacity,
+                rack: Some(format!("rack-{}", worker.data_centre)),
+                labels: worker.labels.clone(),
+                is_draining: worker.is_draining,
+                born_unix_ms: Some(worker.born),
+            };
+            owner.worker_listed(&mut self.catalog, &entry);
+        }
+    }
+
+    pub(crate) fn advance_owner(&mut self) {
+        if self.owner.is_none() {
+            return;
+        }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.ask(&name);
+        }
+        let now = self.time();
+        if let Some(owner) = &mut self.owner {
+            owner.end_leases(now);
+            owner.decide(now, self.now, &self.catalog);
+        }
+        self.store_batch();
+        self.send_orders();
+    }
+
+    /// Stores the batch of the last step and takes the next.
+    pub(crate) fn store_batch(&mut self) {
+        if !self.store_is_up {
+            return;
+        }
+        if let Some(batch) = self.in_flight.take() {
+            self.persist(&batch);
+            let now = self.time();
+            if let Some(owner) = &mut self.owner {
+                owner.batch_stored(now, &batch, true);
+            }
+            for acknowledgement in &batch.acknowledged {
+                self.acknowledge(*acknowledgement);
+            }
+        }
+        let now = self.time();
+        self.in_flight = self.owner.as_mut().map(|owner| owner.take_batch(now));
+    }
+
+    pub(crate) fn persist(&mut self, batch: &Batch) {
+        for (key, value) in &batch.records {
+            if value.is_empty() {
+                self.dropped.insert(key.clone());
+            }
+            match value.is_empty() {
+                true => self.store.remove(key),
+                false => self.store.insert(key.clone(), value.clone()),
+            };
+        }
+    }
+
+    pub(crate) fn acknowledge(&mut self, acknowledgement: Acknowledgement) {
+        let Some(owner) = &self.owner else { return };
+        let name = owner.worker_name(acknowledgement.worker).to_owned();
+        let Some(worker) = self.workers.get_mut(&name) else { return };
+        let is_this_life = acknowledgement.born_unix_ms == Some(worker.born);
+        if !worker.is_reachable || !is_this_life {
+            return;
+        }
+        let number = acknowledgement.number;
+        let counted = worker.ends_before_lapse + 1..=number;
+        let noted = worker.ended.iter().filter(|ended| counted.contains(&ended.number));
+        let done = noted.filter(|ended| ended.end == TaskEnd::Done).map(|ended| ended.task);
+        self.noted_done.extend(done);
+        worker.ended.retain(|ended| ended.number > number);
+    }
+
+    /// Asks a worker for its lists and renews its leases.
+    pub(crate) fn ask(&mut self, name: &str) {
+        let now = self.time();
+        let Some(owner) = &mut self.owner else { return };
+        let id = owner.worker_id(name);
+        let renews = owner.may_renew(id);
+        let (epoch, now_ms) = (self.epoch, self.now);
+        let worker = self.workers.get_mut(name).expect("the worker exists");
+        if worker.has_no_entry {
+            return;
+        }
+        if !worker.is_up || !worker.is_reachable {
+            owner.worker_silent(id, None);
+            return;
+        }
+        if epoch < worker.highest_epoch {
+            return;
+        }
+        worker.highest_epoch = epoch;
+        if renews {
+            worker.lease_until = worker.lease_until.max(now_ms + LEASE_MS);
+        }
+        let report = worker.report(now);
+        owner.worker_reported(now, id, &report);
+    }
+
+    pub(crate) fn send_orders(&mut self) {
+        loop {
+            let Some(owner) = &mut self.owner else { return };
+            let orders = owner.take_orders();
+            if orders.is_empty() {
+                return;
+            }
+            for order in orders {
+                let name = self
+                    .owner
+                    .as_ref()
+                    .map(|owner| owner.worker_name(order.worker).to_owned())
+                    .unwrap_or_default();
+                self.send_order(&name, order.worker, &order.order);
+            }
+        }
+    }
+
+    pub(crate) fn send_order(&mut self, name: &str, id: WorkerId, order: &Order) {
+        let now = self.time();
+        let reachable = self.workers.get(name).is_some_and(|w| w.is_up && w.is_reachable);
+        match order {
+            Order::Start(start) => {
+                let lease_until = self.now + LEASE_MS;
+                let answer = if self.late_worker.as_deref() == Some(name) {
+                    let late = (self.now + 3_000, name.to_owned(), self.epoch);
+                    self.late.push((late.0, late.1, late.2, lease_until, start.clone()));
+                    StartAnswer::Unknown
+                } else if reachable {
+                    self.start(name, self.epoch, lease_until, start)
+                } else {
+                    StartAnswer::Unknown
+                };
+                if let Some(owner) = &mut self.owner {
+                    owner.start_answered(now, id, start.key, start.attempt, answer);
+                }
+            }
+            Order::Stop { task, attempt, .. } => {
+                let Some(worker) = self.workers.get_mut(name).filter(|_| reachable) else { return };
+                worker.stop(self.now, *task, *attempt);
+                if let Some(owner) = &mut self.owner {
+                    owner.stop_answered(now, id, *task, *attempt);
+                }
+            }
+            Order::Pace { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/workload_fake/worker.rs
@@ -0,0 +1,92 @@
+//! A worker, as it really is.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cowslipport_lib::resources::Resources;
+use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::key::TaskName;
+use cowslipport_lib::workload::report::EndedTask;
+use cowslipport_lib::workload::report::RunningTask;
+use cowslipport_lib::workload::report::TaskEnd;
+use cowslipport_lib::workload::report::WorkerReport;
+
+use super::STOP_MS;
+
+/// What a worker runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) attempt: u32,
+    pub(crate) until: Option<u64>,
+    pub(crate) fails: bool,
+    pub(crate) stops_at: Option<u64>,
+    pub(crate) checkpoint: Option<String>,
+    pub(crate) request: Resources,
+}
+
+/// One worker, as it really is.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeWorker {
+    pub(crate) name: String,
+    pub(crate) data_centre: String,
+    pub(crate) capacity: Resources,
+    pub(crate) labels: BTreeSet<String>,
+    pub(crate) born: u64,
+    pub(crate) highest_epoch: u64,
+    pub(crate) lease_until: u64,
+    pub(crate) running: BTreeMap<TaskName, Run>,
+    pub(crate) barred: BTreeMap<TaskName, u32>,
+    pub(crate) ended: Vec<EndedTask>,
+    pub(crate) next_end: u64,
+    /// Ends up to this number came before the lease last ran out. Whether they
+    /// are taken note of does not count.
+    pub(crate) ends_before_lapse: u64,
+    /// It can be reached.
+    pub(crate) is_reachable: bool,
+    pub(crate) is_up: bool,
+    /// Owners that take over from now on do not know where it is.
+    pub(crate) has_no_entry: bool,
+    pub(crate) is_draining: bool,
+    /// All that it starts fails at once.
+    pub(crate) is_grey: bool,
+    /// What it starts stands still.
+    pub(crate) hangs: bool,
+}
+
+impl FakeWorker {
+    pub(crate) fn end(&mut self, task: TaskName, run: &Run, end: TaskEnd) {
+        self.barred.insert(task, run.attempt);
+        self.ended.push(EndedTask {
+            number: self.next_end,
+            task,
+            attempt: run.attempt,
+            end,
+            checkpoint: run.checkpoint.clone(),
+        });
+        self.next_end += 1;
+    }
+
+    pub(crate) fn stop(&mut self, now: u64, task: TaskName, attempt: u32) {
+        let barred = self.barred.entry(task).or_default();
+        *barred = (*barred).max(attempt);
+        if let Some(run) = self.running.get_mut(&task).filter(|run| run.attempt <= attempt) {
+            run.stops_at.get_or_insert(now + STOP_MS);
+        }
+    }
+
+    pub(crate) fn report(&self, sent_at: TimeMs) -> WorkerReport {
+        let running = self.running.iter().map(|(task, run)| RunningTask {
+            task: *task,
+            attempt: run.attempt,
+            checkpoint: run.checkpoint.clone(),
+            percent: if self.hangs { 0 } else { 100 },
+            reading: 0,
+        });
+        WorkerReport {
+            sent_at,
+            born_unix_ms: Some(self.born),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
