--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -146,7 +146,7 @@
             CoreMessage::Members { members } => self.state.candidacy.members_seen(&members),
             CoreMessage::SeatLeft => {
                 self.state.seat.give_up();
-                self.state.candidacy.made_room(self.clock.now());
+                self.state.candidacy.stepped_down(self.clock.now());
             }
             CoreMessage::Owner { epoch, message } => {
                 self.with_owner(|owner, view| {
@@ -202,14 +202,14 @@
             // The process may have stopped waiting.
             let _ = done.send(());
         }
-        self.stand_or_make_room();
+        self.follow_candidacy();
         let is_ready = self.is_ready();
         self.readiness.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
     }
 
     /// Stands for the seat, or stays out of the group. An owner that a larger
     /// node is to replace gives its ownership up before it leaves.
-    fn stand_or_make_room(&mut self) {
+    fn follow_candidacy(&mut self) {
         let now = self.clock.now();
         let state = &mut self.state;
         let is_owner = state.owner.is_some();
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -16,8 +16,8 @@
 /// Pause between two calls that keep the seat: three fit into its shortest
 /// time to live.
 pub const JOIN_PAUSE: Duration = Duration::from_millis(300);
-/// Time between two looks at who else stands, on an owner that a larger node may
-/// replace.
+/// Time between two questions for the members of the group, by an owner that a
+/// larger node may replace.
 pub const MEMBERS_INTERVAL_MS: u64 = 1_000;
 /// An owner that the store does not answer goes on renewing leases for this
 /// time, since the store is more often down for all than for one. A successor
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -144,9 +144,11 @@
     pub async fn hand_over(&mut self) {
         self.seat.abort_all();
         let (done, is_done) = oneshot::channel();
-        if self.core.send(CoreMessage::Stop { done }).await.is_ok() {
-            // What is not stored in time the successor learns from the workers.
-            let _ = timeout(HAND_OVER_WITHIN, is_done).await;
+        if self.core.send(CoreMessage::Stop { done }).await.is_ok()
+            && timeout(HAND_OVER_WITHIN, is_done).await.is_err()
+        {
+            warn!(self.logger, "release is not stored in time";
+                "effect" => "the successor waits for workers that do not answer");
         }
         seat_task::leave(self.platform.store(), &self.settings.name, &self.logger).await;
     }
--- a/daemon/src/tasks/peer_exchange.rs
+++ b/daemon/src/tasks/peer_exchange.rs
@@ -16,6 +16,7 @@
 
 /// Members that one round of exchanges asks.
 const EXCHANGE_FANOUT: usize = 8;
+/// Records of one fetch, as many as one read of the log asks for.
 const FETCH_RECORDS: u32 = 1024;
 
 impl PeerTask {
--- a/lib/src/workload/candidacy.rs
+++ b/lib/src/workload/candidacy.rs
@@ -2,7 +2,7 @@
 //!
 //! Ordering workers takes processor time, and nodes differ in what they have. A
 //! node with much less than the largest stays out of the group while there is
-//! an owner. It stands once no owner has been seen for a while, and makes room
+//! an owner. It stands once no tenure record has come for a while, and steps down
 //! when it learns that a larger node stands.
 
 use std::collections::BTreeMap;
@@ -12,12 +12,12 @@
 /// A node with this part of the processor of the largest, in percent, stands
 /// as it does.
 const ENOUGH_PERCENT: u64 = 50;
-/// An owner says this often that it is there.
+/// Time between two tenure records of an owner that has nothing to add.
 pub(crate) const PRESENCE_INTERVAL_MS: u64 = 1_000;
-/// A smaller node stands after this time without word of an owner: the time to
-/// live of a larger one's seat (1 s) and two words of its successor.
+/// A smaller node stands after this time without a tenure record: the time to
+/// live of a larger one's seat (1 s) and two records of its successor.
 const OWNERLESS_MS: u64 = 3_000;
-/// Without word of an owner in a view this old, nothing follows.
+/// In a view this old, a missing tenure record means nothing.
 const VIEW_AGE_MAX_MS: u64 = 1_500;
 
 /// What a node knows of those that may stand.
@@ -50,7 +50,7 @@
         self.processors.insert(node.to_owned(), processor_milli);
     }
 
-    /// Takes over the word of an owner.
+    /// Takes over the tenure record of an owner.
     pub fn owner_seen(&mut self, now: TimeMs, node: &str) {
         if node != self.node {
             self.owner_seen_at = now;
@@ -65,8 +65,8 @@
                 .any(|member| self.processors.get(member).is_some_and(|p| self.is_large(*p)));
     }
 
-    /// This node has given the seat up to a larger one.
-    pub fn made_room(&mut self, now: TimeMs) {
+    /// This node has left the group for a larger one.
+    pub fn stepped_down(&mut self, now: TimeMs) {
         self.is_outranked = false;
         self.owner_seen_at = now;
     }
--- a/lib/src/workload/ended.rs
+++ b/lib/src/workload/ended.rs
@@ -7,8 +7,9 @@
 use crate::workload::key::JobKey;
 use crate::workload::record::RecordKey;
 
-/// Jobs whose records are dropped with one batch, which bounds its size. At 20
-/// batches a second the store shrinks faster than any deployment fills it.
+/// Jobs whose records are dropped with one batch, which bounds it to a hundred
+/// short records. While jobs are due, each round of the owner makes a batch, at
+/// least 20 a second.
 const DROPPED_A_BATCH: usize = 32;
 
 /// Jobs that have ended; their submission may be repeated until they are
--- a/lib/src/workload/order_rate.rs
+++ b/lib/src/workload/order_rate.rs
@@ -7,7 +7,7 @@
 /// Part of the accepted rate, in percent, that an owner uses. The rest is for
 /// the last orders of the owner before it.
 const USED_PERCENT: u64 = 90;
-/// Time whose orders may be given at once.
+/// Time whose orders may be given at once: five rounds of an owner that waits.
 const BURST_MS: u64 = 250;
 
 /// Orders that may be given now.
--- a/lib/src/workload/place.rs
+++ b/lib/src/workload/place.rs
@@ -21,8 +21,8 @@
 use crate::workload::worker::Contact;
 use crate::workload::worker::Neighbours;
 
-/// A task waits for this time for room on a worker on which it has not failed.
-/// Most tasks run for less, so that others have ended by then.
+/// A task waits for this time for room on a worker on which it has not failed:
+/// the mean run time of the longer tasks at the users' sites.
 const WAIT_FOR_OTHER_MS: u64 = 2_000;
 
 /// Workers of one pool that may get tasks in this round.
--- a/lib/src/workload/pool_balance.rs
+++ b/lib/src/workload/pool_balance.rs
@@ -14,7 +14,6 @@
 /// Arrivals of this time tell what a pool will need when a VM has come: a turn
 /// begins with jobs whose later steps have yet to ask for room.
 const ARRIVAL_WINDOW_MS: u64 = 700;
-
 /// Few arrivals raise the need to at most this multiple of the present one.
 const NEED_MAX_FACTOR: u64 = 2;
 
--- a/lib/src/workload/silence.rs
+++ b/lib/src/workload/silence.rs
@@ -17,8 +17,8 @@
 /// change of owners adds to the wait for its tasks.
 const RECORD_INTERVAL_MS: u64 = 500;
 
-/// A worker that has not answered a new owner for this time counts as silent;
-/// most answer within 50 ms.
+/// A worker that has not answered a new owner for this time counts as silent:
+/// many round trips within a region. One that answers later costs two records.
 const UNREACHED_AFTER_MS: u64 = 300;
 
 impl Dispatcher {
--- a/lib/tests/test_workload_candidacy.rs
+++ b/lib/tests/test_workload_candidacy.rs
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn small_owner_makes_room_for_a_large_node() {
+fn small_owner_steps_down_for_a_large_node() {
     let mut candidacy = small_among_large();
     let holds = |candidacy: &Candidacy, now| candidacy.stands(TimeMs(now), Some(TimeMs(now)), true);
     assert!(holds(&candidacy, 5_000));
@@ -53,7 +53,7 @@
     assert!(holds(&candidacy, 5_100), "the large one is not there");
     candidacy.members_seen(&["large".to_owned(), "small".to_owned()]);
     assert!(!holds(&candidacy, 5_200));
-    candidacy.made_room(TimeMs(5_300));
+    candidacy.stepped_down(TimeMs(5_300));
     assert!(!stands(&candidacy, 8_200), "the large one needs time to tell that it owns");
     assert!(stands(&candidacy, 8_400), "it did not take the seat");
 }
