tenure: a former owner is doubted from the change of the seat on

The one before lost the seat as the successor gained it.

The time counts from the moment at which the seat was gained. The test failed before.

--- a/lib/src/workload/tenure.rs
+++ b/lib/src/workload/tenure.rs
@@ -71,9 +71,11 @@
     /// Takes over who owned last, as the store tells after that owner was
     /// fenced.
     pub fn former_tenure(&mut self, now: TimeMs, tenure: Option<Tenure>) {
+        // The one before lost the seat when this one gained it, and renews no
+        // longer than if its last contact with the store had been then.
+        let until = self.former.renew_until();
         let mut former = FormerOwners { gone_at: now, is_changed: true, ..FormerOwners::default() };
         if let Some(tenure) = tenure {
-            let until = now.plus(self.lease_times.former_renews_ms);
             // An earlier life of this process is over.
             let is_gone = tenure.is_over || tenure.owner.node == self.owner.node;
             former.doubts.extend((!is_gone).then_some(Doubt { owner: tenure.owner, until }));
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -266,3 +266,25 @@
     assert!(fleet.store.contains_key(&RecordKey::Progress(open)));
     fleet.check();
 }
+
+/// pvbc-sched, trouble-2 --seed 947487340256: a slow store took 2.5 s to hand the
+/// jobs over. The former owner lost the seat when its successor gained it, so its
+/// time without the store counts from then.
+#[test]
+fn former_owner_is_doubted_from_the_change_of_the_seat_on() {
+    let mut fleet = Fleet::new(2, cores(4));
+    let lasting = StepSpec { lasting: true, ..step(1, cores(1)) };
+    fleet.submit(1, job(vec![lasting]), Work { work_ms: 600_000, fails: false });
+    fleet.pass(500);
+    let holder = fleet.workers.values().find(|worker| !worker.running.is_empty());
+    let holder = holder.expect("a worker runs the task").name.clone();
+    fleet.worker(&holder).is_up = false;
+    fleet.worker(&holder).has_no_entry = true;
+    fleet.worker(&holder).running.clear();
+    let read_ms = 2_500;
+    fleet.pass(read_ms);
+    fleet.take_over_after(false, read_ms);
+    fleet.pass(FORMER_RENEWS_MS + LEASE_MS + 500 - read_ms);
+    assert_eq!(fleet.running(), 1, "it runs on the other worker");
+    fleet.check();
+}
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -26,6 +26,11 @@
 impl Fleet {
     /// A new owner follows. Unless `is_clean`, the former one says nothing.
     pub(crate) fn take_over(&mut self, is_clean: bool) {
+        self.take_over_after(is_clean, 0);
+    }
+
+    /// The same, if reading the store took some time.
+    pub(crate) fn take_over_after(&mut self, is_clean: bool, read_ms: u64) {
         if is_clean && let Some(owner) = &mut self.owner {
             owner.release();
             let batch = owner.take_batch(TimeMs(self.now));
@@ -36,7 +41,8 @@
         let now = self.time();
         let life = NodeLife { node: format!("n{}", self.epoch), life: self.epoch };
         let times = LeaseTimes { lease_ms: LEASE_MS, former_renews_ms: FORMER_RENEWS_MS };
-        let mut owner = Dispatcher::new(self.epoch, life, now, times, STATUS_KEPT_MS);
+        let mut owner =
+            Dispatcher::new(self.epoch, life, now.minus(read_ms), times, STATUS_KEPT_MS);
         let tenure = self.store.get(&RecordKey::Tenure);
         owner.former_tenure(now, tenure.map(|bytes| Tenure::decode(bytes).expect("a tenure")));
         for (key, value) in &self.store {
