patience: an append that was not answered is waited for longer next time

The wait doubles with each append that is not answered, up to 2.8 s for the owner (the store turns away what would wait 2 s) and 1.5 s for callers, and is short again after an answer. That decision moves from the adapter to the node.

--- a/daemon/src/node/edges.rs
+++ b/daemon/src/node/edges.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cowslipport_lib::findings::Findings;
@@ -127,12 +128,13 @@
 
 /// A link to the store.
 pub trait Store: 'static {
-    /// Appends records, all or none.
+    /// Appends records, all or none; waits for the answer for a time.
     fn append(
         &mut self,
         topic: Topic,
         fence: Option<WriterFence>,
         records: &[KeyedRecord],
+        wait: Duration,
     ) -> impl Future<Output = Result<(), AppendError>>;
 
     /// Reads from an offset; waits up to `wait_ms` for a record.
--- a/daemon/src/node/mod.rs
+++ b/daemon/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod owner_vms;
 mod owner_workers;
 mod owner_writer;
+mod patience;
 mod recovery;
 mod seat_task;
 pub mod settings;
--- a/daemon/src/node/owner_tasks.rs
+++ b/daemon/src/node/owner_tasks.rs
@@ -17,6 +17,8 @@
 use crate::node::edges::Topic;
 use crate::node::messages::OwnerMailbox;
 use crate::node::owner_writer;
+use crate::node::patience;
+use crate::node::patience::Patience;
 use crate::node::recovery;
 use crate::node::settings::NodeSettings;
 use crate::node::settings::OWNER_PAUSE;
@@ -81,7 +83,9 @@
     /// Pause before the status is written again.
     const RETRY: Duration = Duration::from_millis(200);
     while let Some(records) = mailbox.recv().await {
-        while let Err(error) = store.append(Topic::Status, None, &records).await {
+        let mut patience = Patience::new(patience::OWNER_MAX);
+        while let Err(error) = store.append(Topic::Status, None, &records, patience.wait()).await {
+            patience.unanswered();
             warn!(logger, "status of waves is written again"; "error" => %error);
             tokio::time::sleep(RETRY).await;
         }
--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -14,6 +14,8 @@
 use crate::node::edges::WriterFence;
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
+use crate::node::patience;
+use crate::node::patience::Patience;
 
 /// First pause after a failed append; it doubles up to `RETRY_MAX`.
 const RETRY_MIN: Duration = Duration::from_millis(20);
@@ -34,12 +36,21 @@
     S: Store,
 {
     let mut sequence = FIRST_SEQUENCE + 1;
+    let mut patience = Patience::new(patience::OWNER_MAX);
     while let Some(records) = batches.recv().await {
-        let message =
-            match append(&mut store, mailbox.epoch, &mut sequence, &records, &logger).await {
-                Ok(()) => OwnerMessage::Stored,
-                Err(Fenced) => OwnerMessage::Fenced,
-            };
+        let message = match append(
+            &mut store,
+            mailbox.epoch,
+            &mut sequence,
+            &mut patience,
+            &records,
+            &logger,
+        )
+        .await
+        {
+            Ok(()) => OwnerMessage::Stored,
+            Err(Fenced) => OwnerMessage::Fenced,
+        };
         if !mailbox.send(message).await {
             return;
         }
@@ -54,6 +65,7 @@
     store: &mut S,
     epoch: u64,
     sequence: &mut u64,
+    patience: &mut Patience,
     records: &[KeyedRecord],
     logger: &Logger,
 ) -> Result<(), Fenced>
@@ -64,8 +76,9 @@
     let mut may_be_stored = false;
     loop {
         let fence = WriterFence { epoch, sequence: *sequence };
-        match store.append(Topic::Jobs, Some(fence), records).await {
+        match store.append(Topic::Jobs, Some(fence), records, patience.wait()).await {
             Ok(()) => {
+                patience.answered();
                 *sequence += 1;
                 return Ok(());
             }
@@ -82,6 +95,7 @@
             }
             Err(error @ AppendError::Unknown { .. }) => {
                 may_be_stored = true;
+                patience.unanswered();
                 warn!(logger, "append of the owner is repeated"; "error" => %error);
             }
             Err(error @ AppendError::Refused { .. }) => {
--- a/daemon/src/node/recovery.rs
+++ b/daemon/src/node/recovery.rs
@@ -14,6 +14,8 @@
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
 use crate::node::owner_writer;
+use crate::node::patience;
+use crate::node::patience::Patience;
 use crate::node::tail;
 
 /// Pause before the jobs are read again.
@@ -26,7 +28,11 @@
 {
     let began_at = clock.now();
     let mut sequence = owner_writer::FIRST_SEQUENCE;
-    let fenced = owner_writer::append(&mut store, mailbox.epoch, &mut sequence, &[], &logger).await;
+    let mut patience = Patience::new(patience::OWNER_MAX);
+    let (epoch, no_records) = (mailbox.epoch, &[]);
+    let fenced =
+        owner_writer::append(&mut store, epoch, &mut sequence, &mut patience, no_records, &logger)
+            .await;
     if fenced.is_err() {
         mailbox.send(OwnerMessage::Fenced).await;
         return;
--- a/daemon/src/node/submissions.rs
+++ b/daemon/src/node/submissions.rs
@@ -12,6 +12,8 @@
 use crate::node::edges::KeyedRecord;
 use crate::node::edges::Store;
 use crate::node::edges::Topic;
+use crate::node::patience;
+use crate::node::patience::Patience;
 
 /// Records that wait. Each is at most a few kilobytes, so this bounds the
 /// memory to a few megabytes; callers beyond it are refused at once.
@@ -47,11 +49,12 @@
     S: Store,
 {
     let mut waiting = Vec::new();
+    let mut patience = Patience::new(patience::CALLER_MAX);
     while mailbox.recv_many(&mut waiting, BATCH_RECORDS).await > 0 {
         let submissions = std::mem::take(&mut waiting);
         let records: Vec<KeyedRecord> =
             submissions.iter().map(|submission| submission.record.clone()).collect();
-        let outcome = append(&mut store, &records).await;
+        let outcome = append(&mut store, &records, &mut patience).await;
         for submission in submissions {
             // The caller may have gone.
             let _ = submission.reply.send(outcome);
@@ -61,22 +64,28 @@
 
 /// Appends records until their outcome is known or it takes too long. A
 /// repeated record has the same key and value, so it changes nothing.
-async fn append<S>(store: &mut S, records: &[KeyedRecord]) -> StoreOutcome
+async fn append<S>(store: &mut S, records: &[KeyedRecord], patience: &mut Patience) -> StoreOutcome
 where
     S: Store,
 {
     let began_at = Instant::now();
     let mut may_be_stored = false;
     loop {
-        match store.append(Topic::Jobs, None, records).await {
-            Ok(()) => return StoreOutcome::Stored,
+        match store.append(Topic::Jobs, None, records, patience.wait()).await {
+            Ok(()) => {
+                patience.answered();
+                return StoreOutcome::Stored;
+            }
             Err(AppendError::Refused { .. } | AppendError::Fenced) if !may_be_stored => {
                 return StoreOutcome::NotStored(NotRunReason::StoreRefused);
             }
             Err(AppendError::WrongSequence { .. }) if !may_be_stored => {
                 return StoreOutcome::NotStored(NotRunReason::StoreRefused);
             }
-            Err(AppendError::Unknown { .. }) => may_be_stored = true,
+            Err(AppendError::Unknown { .. }) => {
+                patience.unanswered();
+                may_be_stored = true;
+            }
             // An earlier append of the same records may still take effect.
             Err(
                 AppendError::Refused { .. }
