workload: keys of ended jobs are not reused

Cause: the arena of jobs gave the place of an ended job to the next one. A batch of records that was being stored, or an answer to a start, then named a task of another job. If that job had fewer steps or tasks, the process panicked, which ends it in a release build; else a start could be sent before its placement was stored. The random test of the dispatcher met the panic once the order of placement changed.

Change: the arena of jobs is generational; a key of an ended job finds nothing.

Test: start_of_an_ended_job_does_not_reach_the_next_job panics with the former arena (index out of bounds: the len is 1 but the index is 1) and passes now.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 mod fold_sessions;
 mod fold_vms;
 pub mod freshness;
+pub mod generational_arena;
 pub mod idempotency;
 pub mod ids;
 pub mod invariant;
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 
 use crate::arena::Arena;
+use crate::generational_arena::GenerationalArena;
 use crate::ids::OrganisationId;
 use crate::ids::PoolId;
 use crate::resources::Resources;
@@ -54,8 +55,7 @@
     pub(crate) owner: NodeIncarnation,
     pub(crate) former_owners: FormerOwners,
     pub(crate) is_released: bool,
-    pub(crate) jobs: Arena<JobId, Job>,
-    free_job_ids: Vec<JobId>,
+    pub(crate) jobs: GenerationalArena<JobId, Job>,
     by_key: BTreeMap<JobKey, JobId>,
     pub(crate) ended: EndedJobs,
     /// Cancellations that arrived before the submission of their job.
@@ -100,8 +100,7 @@
             owner,
             former_owners: FormerOwners::unknown(gained_at, lease_times),
             is_released: false,
-            jobs: Arena::default(),
-            free_job_ids: Vec::new(),
+            jobs: GenerationalArena::default(),
             by_key: BTreeMap::new(),
             ended: EndedJobs::new(status_kept_ms),
             early_cancellations: BTreeSet::new(),
@@ -164,23 +163,13 @@
         if self.is_recovered && !job.spec.is_long_running() && job.spec.schedule.is_none() {
             self.arrivals.add(now, pool, job.remaining_work());
         }
-        let id = self.insert_job(job);
+        let id = self.jobs.insert(job);
         self.by_key.insert(key, id);
         self.reserve_restored_placements(id);
         self.refresh_job(catalog, id);
         self.close_if_finished(id);
     }
 
-    fn insert_job(&mut self, job: Job) -> JobId {
-        match self.free_job_ids.pop() {
-            Some(id) => {
-                self.jobs.insert_at(id, job);
-                id
-            }
-            None => self.jobs.insert(job),
-        }
-    }
-
     /// Reserves resources for the placements that a former owner has recorded.
     fn reserve_restored_placements(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(id) else { return };
@@ -337,7 +326,6 @@
         let is_cancelled = job.is_cancelled;
         self.jobs.remove(id);
         self.tickets.forget(id);
-        self.free_job_ids.push(id);
         self.dirty.remove(&id);
         self.by_key.remove(&key);
         self.ended.insert(key, is_cancelled);
--- a/lib/src/workload/key.rs
+++ b/lib/src/workload/key.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use crate::arena::ArenaKey;
+use crate::generational_arena::GenerationalKey;
 
 /// Key of a job, chosen by the submitter: sixteen hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -35,17 +36,25 @@
     }
 }
 
-/// Index of a job in the owner's arena of jobs.
+/// Key of a job in the owner's arena of jobs. An order that is under way may
+/// outlive its job, so the key of an ended job is not reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct JobId(pub u32);
+pub struct JobId {
+    index: u32,
+    generation: u32,
+}
 
-impl ArenaKey for JobId {
-    fn from_index(index: usize) -> Self {
-        Self(u32::try_from(index).expect("an arena holds fewer than 2^32 entries"))
+impl GenerationalKey for JobId {
+    fn new(index: u32, generation: u32) -> Self {
+        Self { index, generation }
     }
 
-    fn index(self) -> usize {
-        self.0 as usize
+    fn index(self) -> u32 {
+        self.index
+    }
+
+    fn generation(self) -> u32 {
+        self.generation
     }
 }
 
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -11,6 +11,7 @@
 use cowslipport_lib::workload::spec::StepSpec;
 
 use crate::workload_fake::Fleet;
+use crate::workload_fake::LEASE_MS;
 use crate::workload_fake::SHORT_WORK;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
@@ -320,3 +321,36 @@
     assert_eq!(fleet.outcome(failing), Some(JobOutcome::Failed), "all attempts were used up");
     fleet.assert_no_violations();
 }
+
+/// A worker that was cut off had completed a task, and its report arrives while
+/// the record of a further attempt is being stored. The job ends, and another
+/// job takes its place before the record is stored. The stored start belongs to
+/// neither.
+#[test]
+fn start_of_an_ended_job_does_not_reach_the_next_job() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.submit(1, job(vec![step(2, cores(4))]), SHORT_WORK);
+    fleet.advance(100);
+    for worker in fleet.workers.values_mut() {
+        worker.is_reachable = false;
+    }
+    // Both tasks complete, and then their leases expire.
+    fleet.advance(LEASE_MS + 1_000);
+    fleet.worker("w0").is_reachable = true;
+    fleet.poll("w0");
+    fleet.store_is_up = false;
+    let now = fleet.time();
+    let unix_now_ms = fleet.now;
+    let owner = fleet.owner.as_mut().expect("an owner");
+    owner.place_tasks(now, unix_now_ms, &fleet.catalog);
+    let batch = owner.take_batch(now);
+    assert_eq!(batch.starts.len(), 1, "the other task is placed again");
+    fleet.worker("w1").is_reachable = true;
+    fleet.poll("w1");
+    let ended = fleet.owner.as_ref().expect("an owner").open_jobs();
+    assert_eq!(ended, 0, "the late report ends the job");
+    fleet.submit(2, job(vec![step(1, cores(1))]), SHORT_WORK);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    owner.batch_stored(now, &batch, true);
+    assert!(owner.take_orders().is_empty());
+}
