workload: jobs keep their age under a new owner

Cause: a new owner took the time of its recovery for the time at which each stored job was accepted. After a loss of the owner, and after one of all nodes, jobs that had long missed their objective counted as new and took the workers before jobs that could still meet theirs. The stored time of acceptance was not read.

Change: the recovery sets the age of stored jobs from the time of day. Jobs that arrive later are timed by the process's own clock, as before, so that a step of the time of day affects only the order of the jobs of a recovery.

Test: jobs_keep_their_age_under_a_new_owner.

--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -141,6 +141,7 @@
         }
         info!(self.logger, "record of the former owner read"; "tenure" => format!("{ownership:?}"));
         self.dispatcher.restore_former_owners(view.now, ownership);
+        self.dispatcher.begin_recovery(view.now_unix_ms);
         self.apply_records(view, records, &progress);
         let deferred = self.deferred_records.take().unwrap_or_default();
         self.apply_records(view, &deferred, &progress);
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -52,6 +52,8 @@
     /// ignored, because their tasks would seem to belong to no job.
     pub(crate) is_recovered: bool,
     pub(crate) lease_times: LeaseTimes,
+    /// Time of day at the recovery, from which the ages of stored jobs follow.
+    recovered_unix_ms: Option<u64>,
     pub(crate) owner: NodeIncarnation,
     pub(crate) former_owners: FormerOwners,
     pub(crate) is_released: bool,
@@ -103,6 +105,7 @@
             jobs: GenerationalArena::default(),
             by_key: BTreeMap::new(),
             ended: EndedJobs::new(status_kept_ms),
+            recovered_unix_ms: None,
             early_cancellations: BTreeSet::new(),
             workers: Arena::default(),
             worker_names: BTreeMap::new(),
@@ -140,6 +143,18 @@
     pub fn submitted(
         &mut self,
         now: TimeMs,
+    /// Limits the starts to what the link of the owner carries. Without a
+    /// budget they are not limited.
+    pub fn set_start_budget(&mut self, budget: StartBudget) {
+        self.start_budget = budget;
+    }
+
+    /// Sets the time of day for the recovery. The jobs that are applied before
+    /// [`Self::recovered`] keep the age that they had under former owners.
+    pub fn begin_recovery(&mut self, now_unix_ms: u64) {
+        self.recovered_unix_ms = Some(now_unix_ms);
+    }
+
         catalog: &mut Catalog,
         key: JobKey,
         spec: JobSpec,
@@ -150,7 +165,11 @@
         }
         let pool = catalog.pool_id(&spec.pool);
         let organisation = spec.organisation.as_deref().map(|name| catalog.organisation_id(name));
-        let mut job = Job::new(key, spec, pool, organisation, now);
+        let age_ms = match self.recovered_unix_ms.filter(|_| !self.is_recovered) {
+            Some(now_unix_ms) => now_unix_ms.saturating_sub(spec.accepted_unix_ms),
+            None => 0,
+        };
+        let mut job = Job::new(key, spec, pool, organisation, now, age_ms);
         if let Some(progress) = progress {
             let worker_id = |name: &str| self.worker_id(name);
             job_record::restore(&mut job, now, progress, worker_id);
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -26,7 +26,10 @@
     pub(crate) pool: PoolId,
     pub(crate) rules: QueueRules,
     pub(crate) organisation: Option<OrganisationId>,
-    pub(crate) accepted_at: TimeMs,
+    /// When this process learned of the job.
+    known_at: TimeMs,
+    /// Age of the job when this process learned of it.
+    known_at_age_ms: u64,
     /// Declared run time of the critical path through the steps.
     pub(crate) critical_path_ms: u64,
     pub(crate) is_cancelled: bool,
@@ -201,7 +204,8 @@
         spec: JobSpec,
         pool: PoolId,
         organisation: Option<OrganisationId>,
-        accepted_at: TimeMs,
+        known_at: TimeMs,
+        known_at_age_ms: u64,
     ) -> Self {
         let steps: Vec<Step> = spec.steps.iter().map(Step::new).collect();
         Self {
@@ -210,7 +214,8 @@
             pool,
             rules: spec.rules,
             organisation,
-            accepted_at,
+            known_at,
+            known_at_age_ms,
             critical_path_ms: spec.critical_path_ms(),
             is_cancelled: false,
             outcome: None,
@@ -220,6 +225,11 @@
         }
     }
 
+    /// Time since the job was accepted.
+    pub(crate) fn age_ms(&self, now: TimeMs) -> u64 {
+        now.since(self.known_at).saturating_add(self.known_at_age_ms)
+    }
+
     pub(crate) fn step_spec(&self, step: u32) -> &StepSpec {
         &self.spec.steps[step as usize]
     }
--- a/lib/src/workload/rank.rs
+++ b/lib/src/workload/rank.rs
@@ -1,5 +1,7 @@
 //! Order in which the tasks of waiting jobs are placed.
 
+use std::cmp::Reverse;
+
 use crate::time::TimeMs;
 use crate::workload::job::Job;
 use crate::workload::key::JobId;
@@ -14,7 +16,8 @@
     value_class: ValueClass,
     priority: u32,
     remaining_work: u64,
-    accepted_at: TimeMs,
+    /// The older job comes first.
+    age_ms: Reverse<u64>,
     id: JobId,
 }
 
@@ -35,7 +38,7 @@
 /// The rank of a job at `now`.
 pub(crate) fn rank(now: TimeMs, id: JobId, job: &Job) -> Rank {
     let objective_ms = objective_ms(job);
-    let age_ms = now.since(job.accepted_at);
+    let age_ms = job.age_ms(now);
     let value_class = if job.spec.is_long_running() {
         ValueClass::LongRunning
     } else if age_ms <= objective_ms {
@@ -49,7 +52,7 @@
         value_class,
         priority: job.rules.priority,
         remaining_work: job.remaining_work(),
-        accepted_at: job.accepted_at,
+        age_ms: Reverse(age_ms),
         id,
     }
 }
@@ -57,7 +60,7 @@
 /// True if a job has no value left for its submitter.
 pub(crate) fn is_overdue(now: TimeMs, job: &Job) -> bool {
     let bound_ms = objective_ms(job).saturating_mul(OVERDUE_FACTOR);
-    !job.spec.is_long_running() && now.since(job.accepted_at) > bound_ms
+    !job.spec.is_long_running() && job.age_ms(now) > bound_ms
 }
 
 /// Time from acceptance within which a job should be completed.
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -14,6 +14,7 @@
 use cowslipport_lib::workload::report::RunningTask;
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerReport;
+use cowslipport_lib::workload::spec::JobSpec;
 use cowslipport_lib::workload::spec::StepSpec;
 
 use crate::workload_fake::FORMER_RENEWS_MS;
@@ -303,3 +304,26 @@
     assert_eq!(fleet.running(), 1, "the task runs on the other worker");
     fleet.assert_no_violations();
 }
+
+/// All nodes were lost while jobs waited for capacity. Under the new owner, a
+/// job that has long missed its objective must not come before one that can
+/// still meet it.
+#[test]
+fn jobs_keep_their_age_under_a_new_owner() {
+    let old = JobKey(1);
+    let new = JobKey(2);
+    let mut fleet = Fleet::new(1, cores(1));
+    fleet.owner = None;
+    let spec = |accepted_unix_ms, estimate_ms| JobSpec {
+        accepted_unix_ms,
+        ..job(vec![StepSpec { estimate_ms, ..step(1, cores(1)) }])
+    };
+    fleet.now = 60_000;
+    // By remaining work the old job would come first.
+    fleet.submit(old.0, spec(30_000, 400), SHORT_WORK);
+    fleet.submit(new.0, spec(59_500, 500), SHORT_WORK);
+    fleet.replace_owner(false);
+    fleet.advance(300);
+    let running: Vec<JobKey> = fleet.workers["w0"].running.keys().map(|task| task.job).collect();
+    assert_eq!(running, [new]);
+}
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -46,6 +46,8 @@
         let times = LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: FORMER_RENEWS_MS };
         let mut owner =
             Dispatcher::new(self.epoch, incarnation, now.minus(read_ms), times, STATUS_KEPT_MS);
+        // The clock of the fleet also serves as the time of day.
+        owner.begin_recovery(self.now);
         let ownership = self.store.get(&RecordKey::Ownership);
         owner.restore_former_owners(
             now,
