workload: the VM list tells which unreachable workers have ended

Change: a worker that does not answer and that two complete VM lists in a row do not show has ended with its VM. Its placements are released if they are older than the list may lag. A list with a VM whose worker is not named proves nothing.

A worker that is cut off and runs on, and a new one that the list does not show yet, keep their tasks.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -264,6 +264,7 @@
                 self.maintenance.vms_listed(&vms, &mut self.dispatcher);
                 self.pool_autoscaler.vms_listed(now, &vms, view.catalog);
                 self.vms = Some(vms);
+                self.dispatcher.vms_listed(now, &vms);
             }
             OwnerMessage::AdviceAnswered { request, answer } => {
                 self.dispatcher.handle_advice_answer(now, &request, answer.as_ref());
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -79,6 +79,12 @@
     pub(crate) waits: WaitTracker,
     pub(crate) arrivals: Arrivals,
     /// Number of the next batch, which will contain changes made now.
+    pub(crate) start_budget: StartBudget,
+    /// Time until the budget allows a start that is requested now, as of the
+    /// last placement round.
+    pub(crate) start_delay_ms: u64,
+    /// Workers that do not answer and were missing from the last VM list.
+    pub(crate) unlisted_by_vms: BTreeSet<WorkerId>,
     pub(crate) next_batch: u64,
     pub(crate) stored_batch: Option<u64>,
     /// When the first batch was taken.
@@ -123,6 +129,9 @@
             waits: WaitTracker::default(),
             arrivals: Arrivals::default(),
             next_batch: 0,
+            start_budget: StartBudget::default(),
+            start_delay_ms: 0,
+            unlisted_by_vms: BTreeSet::new(),
             stored_batch: None,
             first_batch_at: None,
         }
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -128,6 +128,8 @@
     NotSent,
     /// The VM went down for maintenance.
     VmDown,
+    /// The worker does not answer, and the VM list shows that it has ended.
+    WorkerGone,
 }
 
 impl PlacementReleaseReason {
@@ -141,6 +143,7 @@
             Self::WorkerReplaced => "worker_replaced",
             Self::NotSent => "not_sent",
             Self::VmDown => "vm_down",
+            Self::WorkerGone => "worker_gone",
         }
     }
 }
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -212,6 +212,7 @@
                     }
                 }
                 VmState::Down | VmState::Moving => *seen_down = true,
+                VmState::Unknown => {}
                 VmState::Up => {
                     // The order has no effect if a former owner has already had
                     // the VM maintained: the VM stays up.
--- a/lib/src/workload/unreachable.rs
+++ b/lib/src/workload/unreachable.rs
@@ -2,15 +2,20 @@
 //! that tell a successor how much of the wait is left.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::time::TimeMs;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::PlacementReleaseReason;
+use crate::workload::job::AttemptState;
 use crate::workload::key::WorkerId;
 use crate::workload::lease::LeaseTracker;
 use crate::workload::lease::UnreachableRecord;
 use crate::workload::owner_record::Unreachable;
 use crate::workload::record::RecordKey;
+use crate::workload::vm::VmEntry;
+use crate::workload::vm::VmList;
+use crate::workload::vm::VmState;
 use crate::workload::worker::Reachability;
 
 /// Time between two records of one unreachable worker. It bounds the time that
@@ -22,6 +27,10 @@
 /// answers later costs two records.
 const UNREACHABLE_AFTER_MS: u64 = 300;
 
+/// A worker that has just started may not be in the VM list yet. A placement
+/// that is older than this shows that the worker is not new.
+const VM_LIST_LAG_MS: u64 = 2_000;
+
 impl Dispatcher {
     /// Applies a former owner's record of an unreachable worker.
     pub fn restore_unreachable(&mut self, now: TimeMs, name: &str, unreachable: Unreachable) {
@@ -69,6 +78,39 @@
         }
     }
 
+    /// Releases the placements on workers that do not answer and that two VM
+    /// lists in a row do not show: their VMs were moved, maintained or
+    /// restarted, which ended all their tasks. Without the list, a new owner
+    /// would wait until the leases that a former owner may have renewed expire.
+    pub fn vms_listed(&mut self, now: TimeMs, vms: &VmList) {
+        let may_run = |entry: &&VmEntry| match entry.state {
+            VmState::Up | VmState::Down | VmState::Unknown => true,
+            VmState::Moving | VmState::Maintenance => false,
+        };
+        let workers = vms.iter().filter(may_run).map(|entry| entry.worker.as_deref());
+        let Some(listed) = workers.collect::<Option<BTreeSet<&str>>>() else {
+            // A VM without a worker in the list may be that of any worker.
+            self.unlisted_by_vms.clear();
+            return;
+        };
+        let mut missing = BTreeSet::new();
+        for (id, worker) in self.workers.iter() {
+            if worker.reachability != Reachability::Reachable
+                && !worker.tasks.is_empty()
+                && !listed.contains(worker.name.as_str())
+            {
+                missing.insert(id);
+            }
+        }
+        let before = std::mem::replace(&mut self.unlisted_by_vms, missing);
+        for id in before.intersection(&self.unlisted_by_vms.clone()) {
+            self.release_matching(*id, PlacementReleaseReason::WorkerGone, |placement| {
+                placement.state != AttemptState::Planned
+                    && now.since(placement.since) >= VM_LIST_LAG_MS
+            });
+        }
+    }
+
     /// Adds the records of unreachable workers that must be written, and the
     /// deletions of those that no longer hold.
     pub(crate) fn unreachable_records(
--- a/lib/src/workload/vm.rs
+++ b/lib/src/workload/vm.rs
@@ -36,6 +36,9 @@
     Maintenance,
     /// The VM is down for another reason.
     Down,
+    /// The platform reported a state that this version does not know. The VM
+    /// gets no orders.
+    Unknown,
 }
 
 /// The VM service's answer to an order.
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -9,6 +9,7 @@
 use crate::workload::event::PlacementReleaseReason;
 use crate::workload::job::AttemptState;
 use crate::workload::job::Phase;
+use crate::workload::job::Placement;
 use crate::workload::key::TaskKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
@@ -355,23 +356,29 @@
 
     /// Releases all placements on a worker except those that are only planned.
     pub(crate) fn release_ordered(&mut self, id: WorkerId, reason: PlacementReleaseReason) {
-        self.release_matching(id, reason, |run| run != AttemptState::Planned);
+        self.release_matching(id, reason, |placement| placement.state != AttemptState::Planned);
     }
 
     /// Releases the placements of attempts that ran before a worker restarted.
     /// A start that was not answered may still reach the restarted worker.
     fn release_running(&mut self, id: WorkerId, reason: PlacementReleaseReason) {
-        self.release_matching(id, reason, |run| matches!(run, AttemptState::Running { .. }));
+        self.release_matching(id, reason, |placement| {
+            matches!(placement.state, AttemptState::Running { .. })
+        });
     }
 
-    fn release_matching<F>(&mut self, id: WorkerId, reason: PlacementReleaseReason, is_released: F)
-    where
-        F: Fn(AttemptState) -> bool,
+    pub(crate) fn release_matching<F>(
+        &mut self,
+        id: WorkerId,
+        reason: PlacementReleaseReason,
+        is_released: F,
+    ) where
+        F: Fn(&Placement) -> bool,
     {
         let Some(worker) = self.workers.get(id) else { return };
         for key in worker.tasks.clone() {
             let placement = self.jobs.get(key.step.job).and_then(|job| job.task(key).placement());
-            if placement.is_some_and(|placement| is_released(placement.state)) {
+            if placement.is_some_and(&is_released) {
                 self.release_placement(key, reason);
             }
         }
