--- a/daemon/src/node/membership_task.rs
+++ b/daemon/src/node/membership_task.rs
@@ -7,12 +7,13 @@
 use slog::warn;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use crate::clock::Clock;
 use crate::node::messages::CoreMessage;
 use crate::node::platform::Store;
-use crate::node::settings::JOIN_PAUSE;
+use crate::node::settings::JOIN_INTERVAL;
 use crate::node::settings::MEMBERS_INTERVAL_MS;
 
 /// Keeps a node in the group.
@@ -47,6 +48,7 @@
     pub(crate) async fn run(mut self) {
         let mut membership = Membership::default();
         loop {
+            let next_call = Instant::now() + JOIN_INTERVAL;
             let is_candidate = *self.is_candidate.borrow_and_update();
             let done = match (is_candidate, membership.is_member) {
                 (true, _) => self.join(&mut membership).await,
@@ -59,7 +61,8 @@
             if done.is_err() {
                 return;
             }
-            sleep(JOIN_PAUSE).await;
+            // A call without an answer is followed by the next one at once.
+            sleep_until(next_call).await;
         }
     }
 
