--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -7,6 +7,7 @@
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::admission;
 use cowslipport_lib::workload::admission::ConfirmedAt;
+use cowslipport_lib::workload::admission::StartDelay;
 use cowslipport_lib::workload::candidacy::Candidacy;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::job_registry::JobRegistry;
@@ -78,6 +79,7 @@
     pub(crate) catalog: Catalog,
     pub(crate) job_registry: JobRegistry,
     pub(crate) confirmed_at: ConfirmedAt,
+    pub(crate) start_delay: StartDelay,
     pub(crate) data_centres_out: BTreeSet<String>,
     /// Waves by number, each with an estimate of when it was requested.
     pub(crate) waves: BTreeMap<u64, (TimeMs, WaveSpec)>,
@@ -97,9 +99,10 @@
             catalog: Catalog::default(),
             job_registry: JobRegistry::default(),
             confirmed_at: ConfirmedAt::default(),
+            start_delay: StartDelay::default(),
             data_centres_out: BTreeSet::new(),
             waves: BTreeMap::new(),
-            ownership: Ownership::new(settings.ownership_ttl_ms),
+            ownership: Ownership::new(settings.membership_ttl_ms()),
             candidacy: Candidacy::new(&settings.name, settings.processor_milli, now),
             owner: None,
             is_shutting_down: false,
@@ -346,7 +349,10 @@
             }
             RecordKey::Ownership if !value.is_empty() => {
                 let ownership = OwnershipRecord::decode(value)?;
-                state.candidacy.owner_seen(self.clock.now(), &ownership.owner.node);
+                let now = self.clock.now();
+                state.candidacy.owner_seen(now, &ownership.owner.node);
+                state.start_delay =
+                    StartDelay { delay_ms: ownership.start_delay_ms, received_at: now };
             }
             RecordKey::Node(ref node) if !value.is_empty() => {
                 let NodeRecord { processor_milli, .. } = NodeRecord::decode(value)?;
--- a/daemon/src/node/core_calls.rs
+++ b/daemon/src/node/core_calls.rs
@@ -41,6 +41,7 @@
             &state.catalog,
             &state.job_registry,
             state.confirmed_at,
+            state.start_delay,
             limits,
         );
         match decision {
@@ -78,7 +79,8 @@
             "action" => request.action.as_str(), "answer" => answer.as_str(),
             "has_key" => request.key.is_some(), "version" => state.catalog.version(),
             "configuration_age_ms" => age_ms(state.confirmed_at.configuration),
-            "jobs_age_ms" => age_ms(state.confirmed_at.jobs));
+            "jobs_age_ms" => age_ms(state.confirmed_at.jobs),
+            "start_delay_ms" => state.start_delay.delay_ms);
     }
 
     fn job_record(
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -14,6 +14,7 @@
 use cowslipport_lib::workload::pool_autoscaler::PoolAutoscaler;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::start_budget::StartBudget;
 use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm_handover::VmHandover;
@@ -135,16 +136,18 @@
         let (mailboxes, tasks) =
             owner_tasks::spawn_tasks(platform, settings, clock, &mailbox, &logger);
         let connections = WorkerConnections::new(platform.clone(), clock, mailbox, logger.clone());
+        let mut dispatcher = Dispatcher::new(
+            epoch,
+            settings.node_incarnation(),
+            gained_at,
+            LEASE_TIMES,
+            settings.status_kept_ms,
+        );
+        dispatcher.set_start_budget(StartBudget::new(gained_at, settings.link_bits_per_second));
         Self {
             epoch,
             gained_at,
-            dispatcher: Dispatcher::new(
-                epoch,
-                settings.node_incarnation(),
-                gained_at,
-                LEASE_TIMES,
-                settings.status_kept_ms,
-            ),
+            dispatcher,
             maintenance: MaintenanceScheduler::default(),
             connections,
             record_codec: platform.record_codec(),
@@ -261,10 +264,10 @@
             OwnerMessage::VmListRead { sent_at, vms } => {
                 self.is_listing_vms = false;
                 let vms = VmList::new(sent_at, vms);
+                self.dispatcher.vms_listed(now, &vms);
                 self.maintenance.vms_listed(&vms, &mut self.dispatcher);
                 self.pool_autoscaler.vms_listed(now, &vms, view.catalog);
                 self.vms = Some(vms);
-                self.dispatcher.vms_listed(now, &vms);
             }
             OwnerMessage::AdviceAnswered { request, answer } => {
                 self.dispatcher.handle_advice_answer(now, &request, answer.as_ref());
--- a/daemon/src/node/recovery.rs
+++ b/daemon/src/node/recovery.rs
@@ -16,7 +16,7 @@
 use crate::node::owner_writer;
 use crate::node::platform::Store;
 use crate::node::platform::Topic;
-use crate::node::topic_reader;
+use crate::node::topic_reader::SnapshotReader;
 
 /// Delay before a failed read of the job records is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -37,18 +37,14 @@
         mailbox.send(OwnerMessage::Fenced).await;
         return;
     }
-    loop {
-        match topic_reader::read_newest(&mut store, Topic::Jobs).await {
-            Ok((records, end_offset)) => {
-                info!(logger, "job records read"; "records" => records.len(),
-                    "end_offset" => end_offset, "took_ms" => clock.now().since(began_at));
-                mailbox.send(OwnerMessage::Recovered(records)).await;
-                return;
-            }
-            Err(error) => {
-                warn!(logger, "reading the job records failed; retrying"; "error" => %error)
-            }
-        }
+    let mut reader = SnapshotReader::new(Topic::Jobs);
+    while let Err(error) = reader.read_remaining(&mut store).await {
+        warn!(logger, "reading the job records failed; retrying"; "error" => %error,
+            "records" => reader.records_read());
         sleep(RETRY_DELAY).await;
     }
+    let (records, end_offset) = reader.into_snapshot();
+    info!(logger, "job records read"; "records" => records.len(),
+        "end_offset" => end_offset, "took_ms" => clock.now().since(began_at));
+    mailbox.send(OwnerMessage::Recovered(records)).await;
 }
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -13,9 +13,9 @@
 /// How long a worker waits for a task to end before it answers a poll. Polls
 /// renew the leases, so this bounds the time between two renewals.
 pub const POLL_WAIT_MS: u64 = 700;
-/// Pause between two calls that renew the membership in the group. Three calls
-/// fit into the shortest time to live of an ownership.
-pub const JOIN_PAUSE: Duration = Duration::from_millis(300);
+/// Interval of the calls that renew the membership in the group. Three calls fit
+/// into the shortest time to live of an ownership.
+pub const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval at which the owner reads the members of the group, since it steps
 /// down for a larger node.
 pub const MEMBERS_INTERVAL_MS: u64 = 1_000;
@@ -54,7 +54,9 @@
     pub incarnation: u64,
     /// CPU capacity of the node in thousandths of a core.
     pub processor_milli: u64,
-    /// Time to live of the ownership: the store chooses another owner when a
+    /// Capacity of the node's network link.
+    pub link_bits_per_second: u64,
+    /// Shortest time to live of the ownership: the store chooses another owner when a
     /// node has not renewed its membership for this time.
     pub ownership_ttl_ms: u64,
     /// Time within which every node must refuse a withdrawn key.
@@ -80,7 +82,26 @@
 /// records does not answer that a job is unknown.
 const JOB_AGE_PERCENT: u64 = 60;
 
+/// Bytes that may wait for the link in front of a message: three connections
+/// that fill their windows of 64 KB.
+const LINK_QUEUE_BYTES: u64 = 3 * 64 * 1_024;
+const BITS_PER_BYTE: u64 = 8;
+
 impl NodeSettings {
+    /// Longest time for which a message waits for the link behind large ones,
+    /// such as a snapshot of the job records.
+    pub fn link_delay(&self) -> Duration {
+        let queue_bits = LINK_QUEUE_BYTES * BITS_PER_BYTE;
+        Duration::from_millis(queue_bits * 1_000 / self.link_bits_per_second.max(1))
+    }
+
+    /// Time to live that the node requests for its membership. A renewal that
+    /// waits for the link must not cost the ownership.
+    pub(crate) fn membership_ttl_ms(&self) -> u64 {
+        let delay_ms = u64::try_from(self.link_delay().as_millis()).unwrap_or(u64::MAX);
+        self.ownership_ttl_ms.saturating_add(delay_ms)
+    }
+
     pub(crate) fn node_incarnation(&self) -> NodeIncarnation {
         NodeIncarnation { node: self.name.clone(), incarnation: self.incarnation }
     }
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -111,7 +111,7 @@
         let membership_task = MembershipTask {
             store: platform.store(),
             member: settings.name.clone(),
-            ttl_ms: settings.ownership_ttl_ms,
+            ttl_ms: settings.membership_ttl_ms(),
             clock,
             core: core.clone(),
             is_candidate: is_candidate_receiver,
--- a/daemon/src/node/topic_reader.rs
+++ b/daemon/src/node/topic_reader.rs
@@ -59,19 +59,21 @@
     /// at which later records start.
     async fn read_all(&mut self, is_unavailable: &mut bool) -> Result<u64, CoreEnded> {
         let mut delay = RETRY_DELAY_MIN;
-        loop {
-            let sent_at = self.clock.now();
-            match read_newest(&mut self.store, self.topic).await {
-                Ok((records, end_offset)) => {
-                    self.log_recovery(is_unavailable);
-                    self.send(TopicUpdate::Snapshot(records), Some(sent_at)).await?;
-                    return Ok(end_offset);
-                }
-                Err(error) => self.log_failure(is_unavailable, &error),
-            }
+        let mut reader = SnapshotReader::new(self.topic);
+        let mut sent_at = self.clock.now();
+        while let Err(error) = reader.read_remaining(&mut self.store).await {
+            self.log_failure(is_unavailable, &error);
             sleep(delay).await;
             delay = (delay * 2).min(RETRY_DELAY_MAX);
+            // The snapshot is as old as its first page.
+            if !reader.has_first_page() {
+                sent_at = self.clock.now();
+            }
         }
+        self.log_recovery(is_unavailable);
+        let (records, end_offset) = reader.into_snapshot();
+        self.send(TopicUpdate::Snapshot(records), Some(sent_at)).await?;
+        Ok(end_offset)
     }
 
     /// Sends later records to the core until the records at the next offset
@@ -138,23 +140,52 @@
     }
 }
 
-/// Reads the newest record of each key, and the offset at which later records
-/// start. The pages are not a consistent snapshot: a record that is appended
-/// during the reads is in a page, after the offset, or both.
-pub(crate) async fn read_newest<S>(
-    store: &mut S,
+/// A read of the newest record of each key of a topic. The pages are not a
+/// consistent snapshot: a record that is appended during the reads is in a
+/// page, after the offset, or both.
+pub(crate) struct SnapshotReader {
     topic: Topic,
-) -> Result<(Vec<KeyedRecord>, u64), ReadError>
-where
-    S: Store,
-{
-    let first = store.newest_page(topic, None).await?;
-    let (mut records, mut has_more) = (first.records, first.has_more);
-    while has_more {
-        let after_key = records.last().map(|record| record.key.clone()).unwrap_or_default();
-        let page = store.newest_page(topic, Some(&after_key)).await?;
-        has_more = page.has_more && !page.records.is_empty();
-        records.extend(page.records);
+    records: Vec<KeyedRecord>,
+    /// Offset at which later records start; `None` before the first page.
+    end_offset: Option<u64>,
+    has_more: bool,
+}
+
+impl SnapshotReader {
+    /// Starts with the first page.
+    pub(crate) fn new(topic: Topic) -> Self {
+        Self { topic, records: Vec::new(), end_offset: None, has_more: true }
+    }
+
+    /// Whether a page has been read.
+    fn has_first_page(&self) -> bool {
+        self.end_offset.is_some()
+    }
+
+    /// Number of records that the pages so far hold.
+    pub(crate) fn records_read(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Reads the remaining pages. After a failure, another call continues with
+    /// the page that failed, so that repeated failures do not keep a large
+    /// topic from being read.
+    pub(crate) async fn read_remaining<S>(&mut self, store: &mut S) -> Result<(), ReadError>
+    where
+        S: Store,
+    {
+        while self.has_more {
+            let after_key = self.records.last().map(|record| record.key.clone());
+            let page = store.newest_page(self.topic, after_key.as_deref()).await?;
+            self.has_more = page.has_more && !page.records.is_empty();
+            self.records.extend(page.records);
+            self.end_offset.get_or_insert(page.end_offset);
+        }
+        Ok(())
+    }
+
+    /// The records, and the offset at which later records start.
+    pub(crate) fn into_snapshot(self) -> (Vec<KeyedRecord>, u64) {
+        (self.records, self.end_offset.unwrap_or_default())
     }
-    Ok((records, first.end_offset))
 }
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -165,6 +165,10 @@
     /// Former owners that may still renew leases.
     #[prost(message, repeated, tag = "5")]
     pub former: ::prost::alloc::vec::Vec<FormerOwner>,
+    /// Time in milliseconds until the owner can order the start of a task that is
+    /// requested now.
+    #[prost(uint64, tag = "6")]
+    pub start_delay_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FormerOwner {
--- a/lib/src/workload/admission.rs
+++ b/lib/src/workload/admission.rs
@@ -18,6 +18,11 @@
 /// likely reaches another process.
 const NOT_READY_RETRY_MS: u64 = 200;
 
+/// A job is refused if the owner could not order the start of its tasks within
+/// this time. With the time that its tasks take, most objectives would be
+/// missed.
+const START_DELAY_MAX_MS: u64 = 2_000;
+
 impl Action {
     /// Name in log lines.
     pub fn as_str(self) -> &'static str {
@@ -64,6 +69,22 @@
     pub jobs_ms: u64,
 }
 
+/// The owner's estimate of how long the start of a task waits for its link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StartDelay {
+    /// Delay at the time of the estimate.
+    pub delay_ms: u64,
+    /// When the estimate arrived.
+    pub received_at: TimeMs,
+}
+
+impl StartDelay {
+    /// Delay that is left at `now`.
+    fn remaining_ms(self, now: TimeMs) -> u64 {
+        self.delay_ms.saturating_sub(now.since(self.received_at))
+    }
+}
+
 /// When the data of a process was last confirmed to be up to date; `None`
 /// before the first confirmation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -172,6 +193,9 @@
     StoreRefused,
     /// Too many calls are waiting for the store.
     TooManyWaiting,
+    /// The owner cannot start the tasks of the job soon, because its link is
+    /// busy with the starts of others.
+    OwnerBusy,
 }
 
 impl NotRunReason {
@@ -183,13 +207,14 @@
             Self::StaleJobs => "stale_jobs",
             Self::StoreRefused => "store_refused",
             Self::TooManyWaiting => "too_many_waiting",
+            Self::OwnerBusy => "owner_busy",
         }
     }
 
     fn retry_after_ms(self) -> u64 {
         match self {
             Self::NoConfiguration | Self::StaleConfiguration => NOT_READY_RETRY_MS,
-            Self::StaleJobs | Self::StoreRefused | Self::TooManyWaiting => {
+            Self::StaleJobs | Self::StoreRefused | Self::TooManyWaiting | Self::OwnerBusy => {
                 STORE_UNAVAILABLE_RETRY_MS
             }
         }
@@ -208,14 +233,31 @@
     catalog: &Catalog,
     registry: &JobRegistry,
     confirmed_at: ConfirmedAt,
+    start_delay: StartDelay,
     limits: AgeLimits,
 ) -> AdmissionDecision {
-    match authorise(now, call, catalog, confirmed_at, limits) {
-        Err(answer) => AdmissionDecision::Answer(answer),
-        Ok(authorised) => decide(now, call.action, &authorised, registry, confirmed_at, limits),
+    let authorised = match authorise(now, call, catalog, confirmed_at, limits) {
+        Err(answer) => return AdmissionDecision::Answer(answer),
+        Ok(authorised) => authorised,
+    };
+    let decision = decide(now, call.action, &authorised, registry, confirmed_at, limits);
+    match decision {
+        AdmissionDecision::Store(_) => refuse_delayed(now, start_delay).unwrap_or(decision),
+        AdmissionDecision::Answer(_) | AdmissionDecision::StoreCancellation(_) => decision,
     }
 }
 
+/// Refuses a new job whose tasks could not be started soon. The caller may
+/// return once the delay is short enough.
+fn refuse_delayed(now: TimeMs, start_delay: StartDelay) -> Option<AdmissionDecision> {
+    let excess_ms = start_delay.remaining_ms(now).saturating_sub(START_DELAY_MAX_MS);
+    let reason = NotRunReason::OwnerBusy;
+    (excess_ms > 0).then_some(AdmissionDecision::Answer(CallAnswer::NotRun {
+        reason,
+        retry_after_ms: excess_ms,
+    }))
+}
+
 /// A call that matches a queue and is authorised to use it.
 struct AuthorisedCall<'a> {
     queue: QueueId,
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -41,6 +41,7 @@
 use crate::workload::record::RecordKey;
 use crate::workload::report::WorkerEntry;
 use crate::workload::spec::JobSpec;
+use crate::workload::start_budget::StartBudget;
 use crate::workload::worker::Listing;
 use crate::workload::worker::Worker;
 
@@ -51,9 +52,9 @@
     /// Whether all jobs of the store are known. Reports that arrive earlier are
     /// ignored, because their tasks would seem to belong to no job.
     pub(crate) is_recovered: bool,
-    pub(crate) lease_times: LeaseTimes,
     /// Time of day at the recovery, from which the ages of stored jobs follow.
     recovered_unix_ms: Option<u64>,
+    pub(crate) lease_times: LeaseTimes,
     pub(crate) owner: NodeIncarnation,
     pub(crate) former_owners: FormerOwners,
     pub(crate) is_released: bool,
@@ -78,13 +79,13 @@
     pub(crate) pools_lacking_capacity: BTreeSet<PoolId>,
     pub(crate) waits: WaitTracker,
     pub(crate) arrivals: Arrivals,
-    /// Number of the next batch, which will contain changes made now.
     pub(crate) start_budget: StartBudget,
     /// Time until the budget allows a start that is requested now, as of the
     /// last placement round.
     pub(crate) start_delay_ms: u64,
     /// Workers that do not answer and were missing from the last VM list.
     pub(crate) unlisted_by_vms: BTreeSet<WorkerId>,
+    /// Number of the next batch, which will contain changes made now.
     pub(crate) next_batch: u64,
     pub(crate) stored_batch: Option<u64>,
     /// When the first batch was taken.
@@ -104,6 +105,7 @@
         Self {
             epoch,
             is_recovered: false,
+            recovered_unix_ms: None,
             lease_times,
             owner,
             former_owners: FormerOwners::unknown(gained_at, lease_times),
@@ -111,7 +113,6 @@
             jobs: GenerationalArena::default(),
             by_key: BTreeMap::new(),
             ended: EndedJobs::new(status_kept_ms),
-            recovered_unix_ms: None,
             early_cancellations: BTreeSet::new(),
             workers: Arena::default(),
             worker_names: BTreeMap::new(),
@@ -128,10 +129,10 @@
             pools_lacking_capacity: BTreeSet::new(),
             waits: WaitTracker::default(),
             arrivals: Arrivals::default(),
-            next_batch: 0,
             start_budget: StartBudget::default(),
             start_delay_ms: 0,
             unlisted_by_vms: BTreeSet::new(),
+            next_batch: 0,
             stored_batch: None,
             first_batch_at: None,
         }
@@ -142,16 +143,6 @@
         self.epoch
     }
 
-    /// Marks recovery as complete: all jobs of the store have been applied.
-    pub fn recovered(&mut self) {
-        self.is_recovered = true;
-    }
-
-    /// Applies the submission of a job, together with the progress that a
-    /// former owner recorded.
-    pub fn submitted(
-        &mut self,
-        now: TimeMs,
     /// Limits the starts to what the link of the owner carries. Without a
     /// budget they are not limited.
     pub fn set_start_budget(&mut self, budget: StartBudget) {
@@ -164,6 +155,16 @@
         self.recovered_unix_ms = Some(now_unix_ms);
     }
 
+    /// Marks recovery as complete: all jobs of the store have been applied.
+    pub fn recovered(&mut self) {
+        self.is_recovered = true;
+    }
+
+    /// Applies the submission of a job, together with the progress that a
+    /// former owner recorded.
+    pub fn submitted(
+        &mut self,
+        now: TimeMs,
         catalog: &mut Catalog,
         key: JobKey,
         spec: JobSpec,
--- a/lib/src/workload/former_owners.rs
+++ b/lib/src/workload/former_owners.rs
@@ -117,7 +117,13 @@
         self.former_owners.is_changed = false;
         self.former_owners.recorded_at = Some(now);
         let (epoch, owner) = (self.epoch, self.owner.clone());
-        Some(OwnershipRecord { epoch, owner, is_over: self.is_released, former })
+        Some(OwnershipRecord {
+            epoch,
+            owner,
+            is_over: self.is_released,
+            former,
+            start_delay_ms: self.start_delay_ms,
+        })
     }
 
     /// Releases the ownership: from now on no lease is renewed.
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -272,7 +272,7 @@
         let is_pending = |vm: &&String| !self.maintained.contains(*vm) && vms.get(vm).is_some();
         let pending = self.spec.vms.iter().filter(is_pending).count() as u64;
         let target_end =
-            self.requested_at.plus(self.spec.deadline_ms * TARGET_DURATION_PERCENT / 100);
+            self.requested_at.plus(self.spec.deadline_ms / 100 * TARGET_DURATION_PERCENT);
         let max = u64::from(self.spec.max_down).saturating_mul(DRAIN_AHEAD_FACTOR);
         let needed = match target_end.since(now) {
             0 => max,
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod report;
 pub mod spec;
+pub mod start_budget;
 pub mod vm;
 pub mod vm_handover;
 
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -49,6 +49,9 @@
     pub is_over: bool,
     /// Former owners that may still renew leases.
     pub former: Vec<FormerOwner>,
+    /// Time until the owner can order the start of a task that is requested
+    /// now, because starts before it take its link.
+    pub start_delay_ms: u64,
 }
 
 /// Prints the name of the stored message, which appears in log lines.
@@ -59,6 +62,7 @@
             .field("owner", &self.owner)
             .field("is_over", &self.is_over)
             .field("former", &self.former)
+            .field("start_delay_ms", &self.start_delay_ms)
             .finish()
     }
 }
@@ -77,6 +81,7 @@
             life: self.owner.incarnation,
             is_over: self.is_over,
             former: former.collect(),
+            start_delay_ms: self.start_delay_ms,
         }
         .encode_to_vec()
     }
@@ -94,6 +99,7 @@
             owner: NodeIncarnation { node: raw.node, incarnation: raw.life },
             is_over: raw.is_over,
             former: former.collect(),
+            start_delay_ms: raw.start_delay_ms,
         })
     }
 }
--- a/lib/src/workload/placements.rs
+++ b/lib/src/workload/placements.rs
@@ -75,6 +75,7 @@
         let Some(job) = self.jobs.get_mut(task.step.job) else { return };
         let name = job.task_name(task);
         let ready_at = job.step(task.step).ready_at.unwrap_or(now);
+        let payload_bytes = job.payload.len();
         job.task_mut(task).attempt = attempt;
         let placement = Placement {
             worker,
@@ -86,6 +87,7 @@
         };
         job.step_mut(task.step).set_phase(task.index, Phase::Placed(placement));
         self.reserve_resources(task, worker);
+        self.start_budget.take(payload_bytes);
         self.mark_dirty(task.step.job);
         self.planned.push(task);
         let waited_ms = now.since(ready_at);
--- a/lib/src/workload/pool_load.rs
+++ b/lib/src/workload/pool_load.rs
@@ -81,7 +81,7 @@
         let confidence_milli = 1_000 - 1_000_000 / root_milli;
         let rate_cpu_milli = work_core_ms.saturating_mul(1_000) / ARRIVAL_WINDOW_MS;
         let lower_cpu_milli = rate_cpu_milli.saturating_mul(confidence_milli) / 1_000;
-        lower_cpu_milli.max(rate_cpu_milli.min(need_cpu_milli * MAX_NEED_FACTOR))
+        lower_cpu_milli.max(rate_cpu_milli.min(need_cpu_milli.saturating_mul(MAX_NEED_FACTOR)))
     }
 }
 
@@ -109,9 +109,9 @@
             let Some(load) = loads.get_mut(&job.pool) else { continue };
             load.spread_workers = load.spread_workers.max(spread_workers(job));
             let waiting_cpu_milli = waiting_cpu_milli(id, job, now_unix_ms);
-            load.waiting_cpu_milli += waiting_cpu_milli;
+            load.waiting_cpu_milli = load.waiting_cpu_milli.saturating_add(waiting_cpu_milli);
             if !rank::is_overdue(now, job) {
-                load.need_cpu_milli += waiting_cpu_milli;
+                load.need_cpu_milli = load.need_cpu_milli.saturating_add(waiting_cpu_milli);
             }
         }
         for (pool, load) in &mut loads {
@@ -136,9 +136,10 @@
 
 /// CPU that the tasks of a job request that could start now.
 fn waiting_cpu_milli(id: JobId, job: &Job, now_unix_ms: u64) -> u64 {
-    let mut need = 0;
+    let mut need: u64 = 0;
     for (step, state) in job.startable_steps(id, now_unix_ms) {
-        need += u64::from(state.waiting()) * job.step_spec(step.step).effective_request().cpu_milli;
+        let request = job.step_spec(step.step).effective_request();
+        need = request.cpu_milli.saturating_mul(state.waiting().into()).saturating_add(need);
     }
     need
 }
--- a/lib/src/workload/rank.rs
+++ b/lib/src/workload/rank.rs
@@ -21,6 +21,19 @@
     id: JobId,
 }
 
+impl Rank {
+    /// The rank of a job while the link of the owner is the limit. New jobs are
+    /// then refused while too many starts wait, so that every job that was
+    /// accepted can start soon if all are served in the order of their arrival.
+    pub(crate) fn by_arrival(self) -> Self {
+        let value_class = match self.value_class {
+            ValueClass::InTime | ValueClass::Late => ValueClass::InTime,
+            ValueClass::LongRunning | ValueClass::Overdue => self.value_class,
+        };
+        Self { value_class, remaining_work: 0, ..self }
+    }
+}
+
 /// Class of a job by the value that it still has for its submitter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ValueClass {
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -18,6 +18,7 @@
 use crate::workload::key::WorkerId;
 use crate::workload::rank;
 use crate::workload::spec::StepSpec;
+use crate::workload::start_budget::start_bytes;
 use crate::workload::worker::Reachability;
 use crate::workload::worker::TaskCounts;
 
@@ -70,43 +71,66 @@
         if !self.is_recovered {
             return;
         }
-        for (pool, mut ranked) in self.waiting_jobs(now, now_unix_ms) {
-            ranked.sort();
-            let candidates = self.schedulable_workers(now, pool);
-            if candidates.is_empty() {
-                self.pools_lacking_capacity.insert(pool);
-                continue;
+        self.start_budget.refill(now);
+        let mut rounds: BTreeMap<PoolId, PlacementRound> = BTreeMap::new();
+        // All pools share the link of the owner, so their jobs are in one order.
+        for (_, pool, id) in self.waiting_jobs(now, now_unix_ms) {
+            if !self.start_budget.is_available() {
+                break;
             }
-            let mut round = PlacementRound {
+            let round = rounds.entry(pool).or_insert_with(|| PlacementRound {
                 now,
                 now_unix_ms,
-                candidates,
+                candidates: self.schedulable_workers(now, pool),
                 reserved_workers: BTreeSet::new(),
                 needs_advice: false,
                 too_large_requests: Vec::new(),
-            };
-            for (_, id) in ranked {
-                round.needs_advice = self.needs_advice(catalog, id);
-                self.place_job(&mut round, catalog, pool, id);
+            });
+            if round.candidates.is_empty() {
+                self.pools_lacking_capacity.insert(pool);
+                continue;
             }
+            round.needs_advice = self.needs_advice(catalog, id);
+            self.place_job(round, catalog, pool, id);
         }
+        self.start_delay_ms = self.estimate_start_delay_ms(now, now_unix_ms);
     }
 
-    /// Jobs with tasks that may start, with their ranks, by pool.
-    fn waiting_jobs(
-        &mut self,
-        now: TimeMs,
-        now_unix_ms: u64,
-    ) -> BTreeMap<PoolId, Vec<(rank::Rank, JobId)>> {
-        let mut waiting: BTreeMap<PoolId, Vec<(rank::Rank, JobId)>> = BTreeMap::new();
+    /// Time until the link of the owner has carried all starts that are due and
+    /// that a new job would wait for. It is zero while the link is not the
+    /// limit.
+    fn estimate_start_delay_ms(&self, now: TimeMs, now_unix_ms: u64) -> u64 {
+        if self.start_budget.is_available() {
+            return 0;
+        }
+        let mut bytes: u64 = 0;
+        for (id, job) in self.jobs.iter() {
+            if job.is_closing() || rank::is_overdue(now, job) {
+                continue;
+            }
+            for (_, state) in job.startable_steps(id, now_unix_ms) {
+                let start = start_bytes(job.payload.len());
+                bytes = bytes.saturating_add(start.saturating_mul(state.waiting().into()));
+            }
+        }
+        self.start_budget.time_for_ms(bytes)
+    }
+
+    /// Jobs with tasks that may start, and their pools, in ascending rank.
+    fn waiting_jobs(&mut self, now: TimeMs, now_unix_ms: u64) -> Vec<(rank::Rank, PoolId, JobId)> {
+        let mut waiting = Vec::new();
+        let is_link_limited = self.start_delay_ms > 0;
         for (id, job) in self.jobs.iter_mut() {
             if job.is_closing() {
                 continue;
             }
             if mark_ready_steps(job, id, now, now_unix_ms) {
-                waiting.entry(job.pool).or_default().push((rank::rank(now, id, job), id));
+                let rank = rank::rank(now, id, job);
+                let rank = if is_link_limited { rank.by_arrival() } else { rank };
+                waiting.push((rank, job.pool, id));
             }
         }
+        waiting.sort_unstable();
         waiting
     }
 
@@ -164,7 +188,8 @@
             true => self.place_gang(round, catalog, step, spec, &waiting),
             false => self.place_each(round, catalog, step, spec, &waiting),
         };
-        if placed == waiting.len() {
+        // A step that waits for the link waits for no worker.
+        if placed == waiting.len() || !self.start_budget.is_available() {
             return true;
         }
         if !round
@@ -188,7 +213,9 @@
     ) -> usize {
         let mut tasks_by_worker = self.tasks_by_worker(step, spec);
         for (placed, task) in waiting.iter().enumerate() {
-            if !self.is_within_limit(catalog, step.job, spec.effective_request()) {
+            if !self.start_budget.is_available()
+                || !self.is_within_limit(catalog, step.job, spec.effective_request())
+            {
                 return placed;
             }
             let chosen = self.choose_worker(round, &tasks_by_worker, step, spec, *task);
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -12,6 +12,7 @@
 use cowslipport_lib::workload::admission::CallAnswer;
 use cowslipport_lib::workload::admission::ConfirmedAt;
 use cowslipport_lib::workload::admission::NotRunReason;
+use cowslipport_lib::workload::admission::StartDelay;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::catalog::CatalogSpec;
 use cowslipport_lib::workload::catalog::OrganisationSpec;
@@ -84,7 +85,15 @@
     confirmed_at: ConfirmedAt,
     expected: &CallAnswer,
 ) {
-    let decision = admission::admit(NOW, call, &catalog(), registry, confirmed_at, LIMITS);
+    let decision = admission::admit(
+        NOW,
+        call,
+        &catalog(),
+        registry,
+        confirmed_at,
+        StartDelay::default(),
+        LIMITS,
+    );
     assert_eq!(decision, AdmissionDecision::Answer(expected.clone()));
 }
 
@@ -114,10 +123,12 @@
     check(&call(&path, Some("wrong"), Action::Submit), &registry, FRESH, &CallAnswer::UnknownKey);
     let mut catalog = catalog();
     let with_key = call(&path, Some("secret"), Action::Submit);
-    let admitted = admission::admit(NOW, &with_key, &catalog, &registry, FRESH, LIMITS);
+    let admitted =
+        admission::admit(NOW, &with_key, &catalog, &registry, FRESH, StartDelay::default(), LIMITS);
     assert!(matches!(admitted, AdmissionDecision::Store(_)));
     catalog.apply(configuration(4, vec![queue("short", "/a/", false)], &[]));
-    let refused = admission::admit(NOW, &with_key, &catalog, &registry, FRESH, LIMITS);
+    let refused =
+        admission::admit(NOW, &with_key, &catalog, &registry, FRESH, StartDelay::default(), LIMITS);
     assert_eq!(refused, AdmissionDecision::Answer(CallAnswer::UnknownKey));
 }
 
@@ -138,6 +149,7 @@
         &catalog(),
         &JobRegistry::default(),
         stale,
+        StartDelay::default(),
         LIMITS,
     );
     assert!(matches!(decision, AdmissionDecision::Store(_)), "a public queue needs no key");
@@ -146,8 +158,15 @@
 #[test]
 fn node_without_a_configuration_refuses() {
     let call = call("/a/", None, Action::Query);
-    let decision =
-        admission::admit(NOW, &call, &Catalog::default(), &JobRegistry::default(), FRESH, LIMITS);
+    let decision = admission::admit(
+        NOW,
+        &call,
+        &Catalog::default(),
+        &JobRegistry::default(),
+        FRESH,
+        StartDelay::default(),
+        LIMITS,
+    );
     let refusal = admission::not_run(NotRunReason::NoConfiguration);
     assert_eq!(decision, AdmissionDecision::Answer(refusal));
 }
@@ -242,8 +261,15 @@
 fn cancellation_of_an_unknown_job_is_stored() {
     let path = format!("/a/b/{JOB}");
     let cancel = call(&path, None, Action::Cancel);
-    let decision =
-        admission::admit(NOW, &cancel, &catalog(), &JobRegistry::default(), FRESH, LIMITS);
+    let decision = admission::admit(
+        NOW,
+        &cancel,
+        &catalog(),
+        &JobRegistry::default(),
+        FRESH,
+        StartDelay::default(),
+        LIMITS,
+    );
     assert_eq!(decision, AdmissionDecision::StoreCancellation(JobKey(0xaa)));
 }
 
@@ -252,8 +278,15 @@
     for name in ["xyz", "00000000000000AA", "00000000000000aa1"] {
         let path = format!("/a/b/{name}");
         let call = call(&path, None, Action::Submit);
-        let decision =
-            admission::admit(NOW, &call, &catalog(), &JobRegistry::default(), FRESH, LIMITS);
+        let decision = admission::admit(
+            NOW,
+            &call,
+            &catalog(),
+            &JobRegistry::default(),
+            FRESH,
+            StartDelay::default(),
+            LIMITS,
+        );
         assert!(matches!(decision, AdmissionDecision::Answer(CallAnswer::Invalid(_))), "{name}");
     }
 }
@@ -305,3 +338,32 @@
     let summary = ProgressSummary { outcome: None, has_started: false };
     assert_eq!(ProgressSummary::decode(&not_started.encode()), Ok(summary));
 }
+
+/// The owner has more starts to send than its link carries. A new job that
+/// would wait too long is refused at once, with the time at which there will be
+/// room.
+#[test]
+fn new_job_is_refused_while_the_link_of_the_owner_is_busy() {
+    let path = format!("/a/{JOB}");
+    let admit = |call: &Call<'_>, registry: &JobRegistry, delay_ms, age_ms: u64| {
+        let received_at = NOW.minus(age_ms);
+        let start_delay = StartDelay { delay_ms, received_at };
+        admission::admit(NOW, call, &catalog(), registry, FRESH, start_delay, LIMITS)
+    };
+    let submit = call(&path, Some("secret"), Action::Submit);
+    let none = JobRegistry::default();
+    let refused = |retry_after_ms| {
+        AdmissionDecision::Answer(CallAnswer::NotRun {
+            reason: NotRunReason::OwnerBusy,
+            retry_after_ms,
+        })
+    };
+    assert_eq!(admit(&submit, &none, 5_000, 0), refused(3_000));
+    assert_eq!(admit(&submit, &none, 5_000, 1_000), refused(2_000), "the estimate ages");
+    for (delay_ms, age_ms) in [(0, 0), (2_000, 0), (5_000, 3_000)] {
+        let decision = admit(&submit, &none, delay_ms, age_ms);
+        assert!(matches!(decision, AdmissionDecision::Store(_)), "{delay_ms} {age_ms}");
+    }
+    let cancel = call(&path, Some("secret"), Action::Cancel);
+    assert!(matches!(admit(&cancel, &none, 5_000, 0), AdmissionDecision::StoreCancellation(_)));
+}
