node: the owner's rounds look only at what changed

Cause: the owner reconciled at each wake-up, up to 700 times a second, and each time told all poll tasks their activity, made a record key for each worker, and looked up the workers of all VMs 20 times a second. At 3,006 workers the busiest node took 64% of a core; its share is 50%.

Changes: poll tasks of changed workers only; record keys only for records; moves look at VMs on standby only if a pool lacks some; leases are checked every 20 ms; rounds of decisions keep 5 ms apart, about the time of an append.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -43,6 +43,7 @@
 use crate::node::settings::FOLLOWER_TICK;
 use crate::node::settings::NodeSettings;
 use crate::node::settings::OWNER_PAUSE;
+use crate::node::settings::OWNER_ROUND_INTERVAL;
 use crate::node::settings::OWNER_TICK;
 use crate::node::settings::RENEW_WITHOUT_STORE_MS;
 use crate::node::submissions::Submission;
@@ -118,21 +119,31 @@
     /// Handles messages until all senders are gone.
     pub(crate) async fn run(mut self) {
         let mut next_tick = Instant::now();
+        let mut next_round = next_tick;
+        let mut has_news = true;
         loop {
+            let next = if has_news { next_round } else { next_tick };
             tokio::select! {
                 message = self.mailbox.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                () = sleep_until(next_tick) => {}
+                () = sleep_until(next) => {}
             }
             for _ in 0..MAX_MESSAGES_PER_ROUND {
                 let Ok(message) = self.mailbox.try_recv() else { break };
                 self.handle(message);
             }
+            let now = Instant::now();
+            has_news = now < next_round;
+            if has_news {
+                continue;
+            }
             self.reconcile();
             let now = Instant::now();
-            let tick = if self.state.owner.is_some() { OWNER_TICK } else { FOLLOWER_TICK };
+            let is_owner = self.state.owner.is_some();
+            next_round = if is_owner { now + OWNER_ROUND_INTERVAL } else { now };
+            let tick = if is_owner { OWNER_TICK } else { FOLLOWER_TICK };
             if next_tick <= now || next_tick > now + tick {
                 next_tick = now + tick;
             }
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -6,6 +6,7 @@
 use cowslipport_lib::workload::admission;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
+use cowslipport_lib::workload::key::WorkerId;
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
 use cowslipport_lib::workload::maintenance::WaveSpec;
@@ -46,6 +47,10 @@
 const LEASE_TIMES: LeaseTimes =
     LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: RENEW_WITHOUT_STORE_MS };
 
+/// Interval of the checks for expired leases, each of which looks at all
+/// workers.
+const LEASE_CHECK_INTERVAL_MS: u64 = 20;
+
 /// State of the core that the owner uses.
 pub(crate) struct OwnerView<'a> {
     pub(crate) now: TimeMs,
@@ -90,6 +95,11 @@
     pub(crate) vm_order_limiter: OrderRateLimiter,
     /// Names of the workers in the registry.
     pub(crate) listed_workers: BTreeSet<String>,
+    /// Workers whose poll tasks have not been told of their present activity.
+    pub(crate) untold_workers: BTreeSet<WorkerId>,
+    /// Whether the poll tasks renew leases, as they were last told.
+    pub(crate) renews_leases: bool,
+    leases_checked_at: TimeMs,
     pub(crate) wave_status: Vec<KeyedRecord>,
     pub(crate) is_fenced: bool,
     pub(crate) release: Release,
@@ -166,6 +176,9 @@
             vm_orders: Vec::new(),
             vm_order_limiter: OrderRateLimiter::new(gained_at, settings.vm_orders_per_second),
             listed_workers: BTreeSet::new(),
+            untold_workers: BTreeSet::new(),
+            renews_leases: false,
+            leases_checked_at: gained_at,
             wave_status: Vec::new(),
             is_fenced: false,
             release: Release::None,
@@ -303,7 +316,10 @@
             self.store_changes(view.now);
             return;
         }
-        self.dispatcher.expire_leases(view.now);
+        if view.now.since(self.leases_checked_at) >= LEASE_CHECK_INTERVAL_MS {
+            self.leases_checked_at = view.now;
+            self.dispatcher.expire_leases(view.now);
+        }
         if self.may_start(view) {
             self.dispatcher.place_tasks(view.now, view.now_unix_ms, view.catalog);
             self.request_advice(view);
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -87,6 +87,28 @@
     /// Ends the recovery: applies all records of the store, and then the
     /// deferred ones.
     pub(crate) fn finish_recovery(&mut self, view: &mut OwnerView<'_>, records: &[KeyedRecord]) {
+        let (progress, ownership) = self.restore_owner_records(view, records);
+        info!(self.logger, "record of the former owner read"; "tenure" => format!("{ownership:?}"));
+        self.dispatcher.restore_former_owners(view.now, ownership);
+        self.dispatcher.begin_recovery(view.now_unix_ms);
+        self.apply_records(view, records, &progress);
+        let deferred = self.deferred_records.take().unwrap_or_default();
+        self.apply_records(view, &deferred, &progress);
+        self.dispatcher.recovered();
+        for (update, confirmed_at) in std::mem::take(&mut self.deferred_entries) {
+            self.apply_worker_entries(view, update, confirmed_at);
+        }
+        info!(self.logger, "recovery finished"; "open_jobs" => self.dispatcher.open_jobs(),
+            "took_ms" => view.now.since(self.gained_at));
+    }
+
+    /// Applies the records that former owners wrote for their successor, and
+    /// returns the progress of jobs and the ownership record.
+    fn restore_owner_records(
+        &mut self,
+        view: &OwnerView<'_>,
+        records: &[KeyedRecord],
+    ) -> (BTreeMap<JobKey, Progress>, Option<OwnershipRecord>) {
         let mut progress = BTreeMap::new();
         let mut ownership = None;
         for record in records {
@@ -139,17 +161,6 @@
                 | None => {}
             }
         }
-        info!(self.logger, "record of the former owner read"; "tenure" => format!("{ownership:?}"));
-        self.dispatcher.restore_former_owners(view.now, ownership);
-        self.dispatcher.begin_recovery(view.now_unix_ms);
-        self.apply_records(view, records, &progress);
-        let deferred = self.deferred_records.take().unwrap_or_default();
-        self.apply_records(view, &deferred, &progress);
-        self.dispatcher.recovered();
-        for (update, confirmed_at) in std::mem::take(&mut self.deferred_entries) {
-            self.apply_worker_entries(view, update, confirmed_at);
-        }
-        info!(self.logger, "recovery finished"; "open_jobs" => self.dispatcher.open_jobs(),
-            "took_ms" => view.now.since(self.gained_at));
+        (progress, ownership)
     }
 }
--- a/daemon/src/node/owner_workers.rs
+++ b/daemon/src/node/owner_workers.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::dispatcher::WorkerActivity;
 use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::report::StartAnswer;
 use slog::info;
@@ -69,15 +70,27 @@
     }
 
     /// Tells the poll tasks whether tasks may run on their workers, and ends
-    /// the connections to departed workers.
+    /// the connections to departed workers. Only workers that have changed are
+    /// looked at, since the owner reconciles hundreds of times a second.
     pub(crate) fn update_connections(&mut self, view: &OwnerView<'_>) {
-        for id in self.dispatcher.live_workers() {
-            let is_active = self.dispatcher.has_tasks(id);
-            let renews_leases = view.renews_leases && self.dispatcher.may_renew_leases(id);
-            self.connections.set_activity(id, is_active, renews_leases);
+        let mut changed = std::mem::take(&mut self.untold_workers);
+        changed.extend(self.dispatcher.take_activity_changes());
+        if std::mem::replace(&mut self.renews_leases, view.renews_leases) != view.renews_leases {
+            changed = self.dispatcher.worker_ids();
         }
-        for id in self.dispatcher.departed_workers() {
-            self.connections.disconnect(id);
+        for id in changed {
+            let is_active = match self.dispatcher.activity(id) {
+                WorkerActivity::Running => true,
+                WorkerActivity::Idle => false,
+                WorkerActivity::Departed => {
+                    self.connections.disconnect(id);
+                    continue;
+                }
+            };
+            let renews_leases = view.renews_leases && self.dispatcher.may_renew_leases(id);
+            if !self.connections.set_activity(id, is_active, renews_leases) {
+                self.untold_workers.insert(id);
+            }
         }
     }
 
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -39,6 +39,9 @@
 /// Pause between reads of the job records on the owner. It groups submissions
 /// and the owner's own records, and limits the reads to about forty a second.
 pub const OWNER_PAUSE: Duration = Duration::from_millis(18);
+/// Shortest interval between two rounds of decisions of the owner. A round looks
+/// at all open jobs, and its records take about as long to be stored.
+pub const OWNER_ROUND_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval at which the owner checks timers, such as those of leases and of
 /// schedules.
 pub const OWNER_TICK: Duration = Duration::from_millis(50);
--- a/daemon/src/node/worker_connections.rs
+++ b/daemon/src/node/worker_connections.rs
@@ -12,6 +12,7 @@
 use slog::o;
 use slog::warn;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::JoinSet;
 
 use crate::clock::Clock;
@@ -134,14 +135,25 @@
     }
 
     /// Tells the poll task whether tasks may run on the worker, and whether
-    /// their leases are renewed.
-    pub(crate) fn set_activity(&mut self, id: WorkerId, is_active: bool, renews_leases: bool) {
-        let Some(connection) = self.connections.get_mut(&id) else { return };
+    /// their leases are renewed. Returns false if its mailbox is full.
+    pub(crate) fn set_activity(
+        &mut self,
+        id: WorkerId,
+        is_active: bool,
+        renews_leases: bool,
+    ) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else { return true };
         if connection.activity == Some((is_active, renews_leases)) {
-            return;
+            return true;
         }
-        if connection.polls.try_send(PollMessage::Activity { is_active, renews_leases }).is_ok() {
-            connection.activity = Some((is_active, renews_leases));
+        match connection.polls.try_send(PollMessage::Activity { is_active, renews_leases }) {
+            Ok(()) => {
+                connection.activity = Some((is_active, renews_leases));
+                true
+            }
+            Err(TrySendError::Full(_)) => false,
+            // The poll task has ended; the owner hears why from its last message.
+            Err(TrySendError::Closed(_)) => true,
         }
     }
 
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -45,6 +45,17 @@
 use crate::workload::worker::Listing;
 use crate::workload::worker::Worker;
 
+/// Whether a worker has to be polled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkerActivity {
+    /// Tasks are placed on the worker.
+    Running,
+    /// The worker has a registry entry and no tasks.
+    Idle,
+    /// The worker has neither tasks nor a registry entry.
+    Departed,
+}
+
 /// The owner's state. It does no I/O and reads no clock.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -85,6 +96,8 @@
     pub(crate) start_delay_ms: u64,
     /// Workers that do not answer and were missing from the last VM list.
     pub(crate) unlisted_by_vms: BTreeSet<WorkerId>,
+    /// Workers for which [`Self::activity`] may have changed.
+    pub(crate) activity_changes: BTreeSet<WorkerId>,
     /// Number of the next batch, which will contain changes made now.
     pub(crate) next_batch: u64,
     pub(crate) stored_batch: Option<u64>,
@@ -132,6 +145,7 @@
             start_budget: StartBudget::default(),
             start_delay_ms: 0,
             unlisted_by_vms: BTreeSet::new(),
+            activity_changes: BTreeSet::new(),
             next_batch: 0,
             stored_batch: None,
             first_batch_at: None,
@@ -269,6 +283,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.listing = Some(listing);
         }
+        self.activity_changes.insert(id);
         id
     }
 
@@ -277,6 +292,7 @@
     pub fn worker_unlisted(&mut self, name: &str) -> Option<WorkerId> {
         let id = *self.worker_names.get(name)?;
         self.workers.get_mut(id)?.listing = None;
+        self.activity_changes.insert(id);
         Some(id)
     }
 
@@ -300,16 +316,24 @@
         self.workers.get(id).is_some_and(|worker| !worker.tasks.is_empty())
     }
 
-    /// Workers that have placed tasks or a registry entry.
-    pub fn live_workers(&self) -> Vec<WorkerId> {
-        let live = |worker: &Worker| worker.listing.is_some() || !worker.tasks.is_empty();
-        self.workers.iter().filter(|(_, worker)| live(worker)).map(|(id, _)| id).collect()
+    /// Whether a worker has to be polled.
+    pub fn activity(&self, id: WorkerId) -> WorkerActivity {
+        match self.workers.get(id) {
+            Some(worker) if !worker.tasks.is_empty() => WorkerActivity::Running,
+            Some(worker) if worker.listing.is_some() => WorkerActivity::Idle,
+            Some(_) | None => WorkerActivity::Departed,
+        }
+    }
+
+    /// Takes the workers whose activity, or whether their leases may be
+    /// renewed, may have changed since the last call.
+    pub fn take_activity_changes(&mut self) -> BTreeSet<WorkerId> {
+        std::mem::take(&mut self.activity_changes)
     }
 
-    /// Workers that have neither placed tasks nor a registry entry.
-    pub fn departed_workers(&self) -> Vec<WorkerId> {
-        let departed = |worker: &Worker| worker.listing.is_none() && worker.tasks.is_empty();
-        self.workers.iter().filter(|(_, worker)| departed(worker)).map(|(id, _)| id).collect()
+    /// All workers that were ever known.
+    pub fn worker_ids(&self) -> BTreeSet<WorkerId> {
+        self.workers.iter().map(|(id, _)| id).collect()
     }
 
     /// Name of a task of an open job.
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -326,6 +326,6 @@
             let core_ms = spec.request.cpu_milli.saturating_mul(spec.estimate_ms) / 1_000;
             left.saturating_mul(core_ms)
         });
-        work.sum()
+        work.fold(0, u64::saturating_add)
     }
 }
--- a/lib/src/workload/placements.rs
+++ b/lib/src/workload/placements.rs
@@ -18,7 +18,7 @@
 use crate::workload::order::WorkerOrder;
 
 impl Dispatcher {
-    pub(crate) fn reserve_resources(&mut self, task: TaskKey, worker: WorkerId) {
+    pub(crate) fn reserve_resources(&mut self, task: TaskKey, id: WorkerId) {
         let Some(job) = self.jobs.get(task.step.job) else { return };
         let spec = job.step_spec(task.step.step);
         let request = spec.effective_request();
@@ -26,11 +26,12 @@
             let used = self.used_by_organisation.entry(organisation).or_default();
             *used = used.saturating_add(request);
         }
-        if let Some(worker) = self.workers.get_mut(worker) {
+        if let Some(worker) = self.workers.get_mut(id) {
             worker.used = worker.used.saturating_add(request);
             worker.tasks.insert(task);
             worker.task_counts.add(spec);
         }
+        self.activity_changes.insert(id);
     }
 
     /// Removes the placement of a task, releases its resources, and puts the
@@ -43,6 +44,7 @@
         let organisation = job.organisation;
         let Some(placement) = job.task(task).placement() else { return };
         let worker = placement.worker;
+        self.activity_changes.insert(worker);
         job.step_mut(task.step).set_phase(task.index, phase);
         if let Some(used) = organisation.and_then(|id| self.used_by_organisation.get_mut(&id)) {
             *used = used.saturating_sub(request);
--- a/lib/src/workload/pool_autoscaler.rs
+++ b/lib/src/workload/pool_autoscaler.rs
@@ -107,13 +107,14 @@
         input: VmPlanInput<'_>,
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
-        let VmPlanInput { vms, excluded, max_orders, .. } = input;
+        let VmPlanInput { vms, max_orders, .. } = input;
         let mut loads = dispatcher.pool_loads(now, now_unix_ms, catalog);
         self.add_incoming_vms(vms, &mut loads);
         let mut orders = Vec::new();
-        let mut spare = self.spare_vms(now, catalog, vms, excluded, dispatcher, &loads);
-        let out_of_service: Vec<SpareVm<'_>> = spare.extract_if(.., |vm| vm.is_out).collect();
         let mut missing_vms = shortages(vms, &loads);
+        let uses_standby = !missing_vms.is_empty();
+        let mut spare = self.spare_vms(now, catalog, input, dispatcher, &loads, uses_standby);
+        let out_of_service: Vec<SpareVm<'_>> = spare.extract_if(.., |vm| vm.is_out).collect();
         while orders.len() < max_orders {
             let Some(pool) = neediest_pool(&missing_vms, &loads) else { break };
             if let Some(vm) = take_spare_vm(&mut spare, &mut loads, pool) {
@@ -146,33 +147,39 @@
         }
     }
 
-    /// VMs that may be moved: those on standby, and idle ones of pools.
+    /// VMs that may be moved: idle ones of pools, and those on standby if pools
+    /// lack VMs. The lookups that exclude most VMs come first, because the owner
+    /// plans moves several times a second.
     fn spare_vms<'a>(
         &self,
         now: TimeMs,
         catalog: &mut Catalog,
-        vms: &'a VmList,
-        excluded: &BTreeSet<String>,
+        input: VmPlanInput<'a>,
         dispatcher: &mut Dispatcher,
         loads: &PoolLoads,
+        uses_standby: bool,
     ) -> Vec<SpareVm<'a>> {
+        let VmPlanInput { vms, excluded, .. } = input;
         let mut spare = Vec::new();
         for entry in vms.iter().filter(|entry| entry.state == VmState::Up) {
-            let is_in_backoff = self.backoff_until.get(&entry.vm).is_some_and(|until| now < *until);
-            let is_moving = self.moves.contains_key(&entry.vm);
-            if excluded.contains(&entry.vm) || is_in_backoff || is_moving {
-                continue;
-            }
             let pool = catalog.pool_id(&entry.pool);
-            let Some(spec) = catalog.pool(pool) else { continue };
-            let is_idle =
-                entry.worker.as_deref().is_none_or(|name| dispatcher.is_worker_idle(name));
+            let Some(is_standby) = catalog.pool(pool).map(|spec| spec.is_standby) else { continue };
+            let is_available = match is_standby {
+                true => uses_standby,
+                false => {
+                    let worker = entry.worker.as_deref();
+                    loads.contains_key(&pool)
+                        && worker.is_none_or(|name| dispatcher.is_worker_idle(name))
+                }
+            };
             let is_out = dispatcher.data_centres_out.contains(&entry.data_centre);
-            if is_out && (spec.is_standby || !is_idle) {
+            if !is_available || is_out && is_standby {
                 continue;
             }
-            if spec.is_standby || (is_idle && loads.contains_key(&pool)) {
-                spare.push(SpareVm { entry, pool, is_standby: spec.is_standby, is_out });
+            let is_in_backoff = self.backoff_until.get(&entry.vm).is_some_and(|until| now < *until);
+            let is_moving = self.moves.contains_key(&entry.vm);
+            if !excluded.contains(&entry.vm) && !is_in_backoff && !is_moving {
+                spare.push(SpareVm { entry, pool, is_standby, is_out });
             }
         }
         // VMs of pools come first, because a VM on standby costs less than one
--- a/lib/src/workload/start_budget.rs
+++ b/lib/src/workload/start_budget.rs
@@ -18,7 +18,7 @@
 const BITS_PER_BYTE: u64 = 8;
 
 /// Limits the starts that an owner orders to what its link carries.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct StartBudget {
     /// `None` if the link is not a limit.
     bytes_per_second: Option<u64>,
@@ -28,12 +28,6 @@
     refilled_at: TimeMs,
 }
 
-impl Default for StartBudget {
-    fn default() -> Self {
-        Self { bytes_per_second: None, available_milli: 0, refilled_at: TimeMs::default() }
-    }
-}
-
 impl StartBudget {
     /// A budget for a link with this capacity. A full burst is available at
     /// first.
--- a/lib/src/workload/unreachable.rs
+++ b/lib/src/workload/unreachable.rs
@@ -17,6 +17,7 @@
 use crate::workload::vm::VmList;
 use crate::workload::vm::VmState;
 use crate::workload::worker::Reachability;
+use crate::workload::worker::Worker;
 
 /// Time between two records of one unreachable worker. It bounds the time that
 /// a change of owners adds to the wait for the worker's tasks.
@@ -62,7 +63,7 @@
     /// Releases the placements on workers whose leases have all expired.
     pub fn expire_leases(&mut self, now: TimeMs) {
         let former_expires_at = self.lease_times.expires_at(self.former_owners.may_renew_until());
-        let is_expired = |worker: &crate::workload::worker::Worker| {
+        let is_expired = |worker: &Worker| {
             worker.reachability != Reachability::Reachable
                 && !worker.tasks.is_empty()
                 && now >= worker.leases.expires_at(former_expires_at)
@@ -83,6 +84,15 @@
     /// restarted, which ended all their tasks. Without the list, a new owner
     /// would wait until the leases that a former owner may have renewed expire.
     pub fn vms_listed(&mut self, now: TimeMs, vms: &VmList) {
+        let is_doubtful = |worker: &Worker| {
+            worker.reachability != Reachability::Reachable && !worker.tasks.is_empty()
+        };
+        let doubtful = self.workers.iter().filter(|(_, worker)| is_doubtful(worker));
+        let doubtful: Vec<WorkerId> = doubtful.map(|(id, _)| id).collect();
+        if doubtful.is_empty() {
+            self.unlisted_by_vms.clear();
+            return;
+        }
         let may_run = |entry: &&VmEntry| match entry.state {
             VmState::Up | VmState::Down | VmState::Unknown => true,
             VmState::Moving | VmState::Maintenance => false,
@@ -93,15 +103,8 @@
             self.unlisted_by_vms.clear();
             return;
         };
-        let mut missing = BTreeSet::new();
-        for (id, worker) in self.workers.iter() {
-            if worker.reachability != Reachability::Reachable
-                && !worker.tasks.is_empty()
-                && !listed.contains(worker.name.as_str())
-            {
-                missing.insert(id);
-            }
-        }
+        let is_missing = |id: &WorkerId| !listed.contains(self.worker_name(*id));
+        let missing = doubtful.into_iter().filter(is_missing).collect();
         let before = std::mem::replace(&mut self.unlisted_by_vms, missing);
         for id in before.intersection(&self.unlisted_by_vms.clone()) {
             self.release_matching(*id, PlacementReleaseReason::WorkerGone, |placement| {
@@ -138,15 +141,16 @@
             };
             let is_written =
                 matches!(worker.leases.unreachable_record(), UnreachableRecord::Written { .. });
-            let key = RecordKey::Unreachable(worker.name.clone());
             if is_unreachable && is_due {
+                let key = RecordKey::Unreachable(worker.name.clone());
                 let remaining_ms = worker.leases.expires_at(former_expires_at).since(now);
                 records.insert(key, Unreachable { remaining_ms }.encode(&worker.name));
                 worker.leases.set_unreachable_record(UnreachableRecord::Written { at: now });
+                self.activity_changes.insert(id);
             } else if is_written
                 && (worker.reachability == Reachability::Reachable || worker.tasks.is_empty())
             {
-                records.insert(key, Vec::new());
+                records.insert(RecordKey::Unreachable(worker.name.clone()), Vec::new());
                 worker.leases.set_unreachable_record(UnreachableRecord::Dropping);
                 dropped.push(id);
             }
@@ -158,6 +162,7 @@
         for id in workers {
             if let Some(worker) = self.workers.get_mut(*id) {
                 worker.leases.set_unreachable_record(UnreachableRecord::Absent);
+                self.activity_changes.insert(*id);
             }
         }
     }
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -351,6 +351,7 @@
             worker.reachability = Reachability::Unreachable;
             worker.listing = None;
         }
+        self.activity_changes.insert(id);
         self.release_ordered(id, PlacementReleaseReason::WorkerReplaced);
     }
 
