node: progress of tasks is read by owners only

Cause: every node read every record of the topic of jobs, and the progress of tasks, which only an owner needs, is most of it: a record of some 500 bytes is written about 20 times for each job. At 297 nodes the middle node read 117 KB/s, 35 MB/s in all of the 80 MB/s that the store serves, more in peaks, and the owner's own reads waited behind them.

Change: progress, waves, unreachable workers and recent VM orders are in a topic of their own. All nodes read the status of a job, which is written when it starts and when it ends. The progress is stored first; a new owner writes a status that its predecessor did not get to. Records of ended jobs go in the other order.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -17,7 +17,7 @@
 use cowslipport_lib::workload::ownership::JoinAnswer;
 use cowslipport_lib::workload::ownership::Ownership;
 use cowslipport_lib::workload::ownership::OwnershipChange;
-use cowslipport_lib::workload::record::ProgressSummary;
+use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::Logger;
@@ -319,8 +319,8 @@
                     owner.apply_worker_entries(view, update, confirmed_at)
                 });
             }
-            // Nodes write this topic and do not read it.
-            Topic::Status => {}
+            // Nodes do not follow these topics.
+            Topic::Progress | Topic::Status => {}
         }
     }
 
@@ -355,8 +355,8 @@
             RecordKey::Cancellation(job) if !value.is_empty() => {
                 state.job_registry.apply_cancellation(job)
             }
-            RecordKey::Progress(job) if !value.is_empty() => {
-                state.job_registry.apply_progress(job, ProgressSummary::decode(value)?);
+            RecordKey::Status(job) if !value.is_empty() => {
+                state.job_registry.apply_status(job, JobStatus::decode(value)?);
             }
             RecordKey::Ownership if !value.is_empty() => {
                 let ownership = OwnershipRecord::decode(value)?;
@@ -371,6 +371,7 @@
             }
             RecordKey::Cancellation(_)
             | RecordKey::Progress(_)
+            | RecordKey::Status(_)
             | RecordKey::Wave(_)
             | RecordKey::Unreachable(_)
             | RecordKey::VmOrders
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -33,6 +33,7 @@
 use crate::node::messages::TopicUpdate;
 use crate::node::owner_tasks;
 use crate::node::owner_tasks::Mailboxes;
+use crate::node::owner_writer::OwnerRecords;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::platform::RecordCodec;
@@ -358,19 +359,19 @@
         }
         let mut batch = self.dispatcher.take_batch(now);
         let waves = self.maintenance.take_changed();
-        let mut records: Vec<KeyedRecord> = Vec::with_capacity(batch.records.len() + waves.len());
+        let mut records = OwnerRecords::default();
         for (key, value) in std::mem::take(&mut batch.records) {
-            records.push(KeyedRecord { key: key.encode().into(), value: value.into() });
+            records.push(&key, value);
         }
         let mut wave_status = Vec::new();
         for (wave, progress) in waves {
-            let key = RecordKey::Wave(wave).encode().into();
-            let value = progress.encode().into();
-            records.push(KeyedRecord { key, value });
+            records.push(&RecordKey::Wave(wave), progress.encode());
             wave_status.push(self.record_codec.wave_status(wave, progress.completed));
         }
         let vm_orders = std::mem::take(&mut self.vm_orders);
-        records.extend(self.vm_orders_record(now, &vm_orders));
+        if let Some(recent) = self.recent_vm_orders(now, &vm_orders) {
+            records.push(&RecordKey::VmOrders, recent.encode());
+        }
         if records.is_empty() {
             for acknowledgement in batch.acknowledged {
                 self.connections.acknowledge(acknowledgement);
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -2,6 +2,7 @@
 //! it arrives.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
@@ -10,6 +11,7 @@
 use cowslipport_lib::workload::owner_record::Unreachable;
 use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::owner_record::WaveProgress;
+use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::spec::JobSpec;
@@ -21,6 +23,15 @@
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 
+/// Records of a recovery that are compared with each other.
+#[derive(Default)]
+struct StoredState {
+    progress: BTreeMap<JobKey, Progress>,
+    statuses: BTreeMap<JobKey, JobStatus>,
+    submissions: BTreeSet<JobKey>,
+    ownership: Option<OwnershipRecord>,
+}
+
 impl<P> Owner<P>
 where
     P: Platform,
@@ -76,6 +87,7 @@
                 // are written only by this owner.
                 RecordKey::Cancellation(_)
                 | RecordKey::Progress(_)
+                | RecordKey::Status(_)
                 | RecordKey::Wave(_)
                 | RecordKey::Unreachable(_)
                 | RecordKey::VmOrders
@@ -87,10 +99,17 @@
     /// Ends the recovery: applies all records of the store, and then the
     /// deferred ones.
     pub(crate) fn finish_recovery(&mut self, view: &mut OwnerView<'_>, records: &[KeyedRecord]) {
-        let (progress, ownership) = self.restore_owner_records(view, records);
+        let StoredState { progress, statuses, submissions, ownership } =
+            self.restore_owner_records(view, records);
         info!(self.logger, "record of the former owner read"; "tenure" => format!("{ownership:?}"));
         self.dispatcher.restore_former_owners(view.now, ownership);
         self.dispatcher.begin_recovery(view.now_unix_ms);
+        for (job, progress) in progress.iter().filter(|(job, _)| submissions.contains(job)) {
+            let status = progress.status();
+            if statuses.get(job).copied().unwrap_or_default() != status {
+                self.dispatcher.restate(*job, status);
+            }
+        }
         self.apply_records(view, records, &progress);
         let deferred = self.deferred_records.take().unwrap_or_default();
         self.apply_records(view, &deferred, &progress);
@@ -103,19 +122,18 @@
     }
 
     /// Applies the records that former owners wrote for their successor, and
-    /// returns the progress of jobs and the ownership record.
+    /// returns what the records of jobs are compared with.
     fn restore_owner_records(
         &mut self,
         view: &OwnerView<'_>,
         records: &[KeyedRecord],
-    ) -> (BTreeMap<JobKey, Progress>, Option<OwnershipRecord>) {
-        let mut progress = BTreeMap::new();
-        let mut ownership = None;
+    ) -> StoredState {
+        let mut stored = StoredState::default();
         for record in records {
             match RecordKey::decode(&record.key) {
                 Some(RecordKey::Progress(job)) => match Progress::decode(&record.value) {
                     Ok(decoded) => {
-                        progress.insert(job, decoded);
+                        stored.progress.insert(job, decoded);
                     }
                     Err(findings) => {
                         warn!(self.logger, "decoding the progress of a job failed"; "job" => %job,
@@ -149,18 +167,28 @@
                     }
                 },
                 Some(RecordKey::Ownership) => match OwnershipRecord::decode(&record.value) {
-                    Ok(decoded) => ownership = Some(decoded),
+                    Ok(decoded) => stored.ownership = Some(decoded),
                     Err(findings) => {
                         warn!(self.logger, "decoding the record of the former owner failed";
                             "findings" => findings.to_string());
                     }
                 },
-                Some(
-                    RecordKey::Submission(_) | RecordKey::Cancellation(_) | RecordKey::Node(_),
-                )
-                | None => {}
+                Some(RecordKey::Status(job)) => match JobStatus::decode(&record.value) {
+                    Ok(status) => {
+                        stored.statuses.insert(job, status);
+                    }
+                    Err(findings) => {
+                        // The status is written again from the progress.
+                        warn!(self.logger, "decoding the status of a job failed"; "job" => %job,
+                            "findings" => findings.to_string());
+                    }
+                },
+                Some(RecordKey::Submission(job)) => {
+                    stored.submissions.insert(job);
+                }
+                Some(RecordKey::Cancellation(_) | RecordKey::Node(_)) | None => {}
             }
         }
-        (progress, ownership)
+        stored
     }
 }
--- a/daemon/src/node/owner_tasks.rs
+++ b/daemon/src/node/owner_tasks.rs
@@ -15,6 +15,7 @@
 use crate::node::append_timeout::AppendTimeout;
 use crate::node::messages::OwnerMailbox;
 use crate::node::owner_writer;
+use crate::node::owner_writer::OwnerRecords;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::platform::Store;
@@ -31,7 +32,7 @@
 
 /// Mailboxes of the owner's tasks.
 pub(crate) struct Mailboxes {
-    pub(crate) writer: mpsc::Sender<Vec<KeyedRecord>>,
+    pub(crate) writer: mpsc::Sender<OwnerRecords>,
     pub(crate) status_writer: mpsc::Sender<Vec<KeyedRecord>>,
     pub(crate) vms: VmMailboxes,
     pub(crate) advice_requests: mpsc::Sender<AdviceRequest>,
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -2,7 +2,6 @@
 
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::owner_record::VmOrders;
-use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
@@ -12,7 +11,6 @@
 
 use crate::node::owner::Owner;
 use crate::node::owner::OwnerView;
-use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::vm_task::ReadList;
 
@@ -78,19 +76,14 @@
         self.vm_orders.extend(orders);
     }
 
-    /// Returns the record of the VMs that have an order now or had one lately.
-    /// A successor sends no orders for these VMs for a while.
-    pub(crate) fn vm_orders_record(
-        &mut self,
-        now: TimeMs,
-        orders: &[VmOrder],
-    ) -> Option<KeyedRecord> {
+    /// Returns the VMs that have an order now or had one lately, if there are
+    /// orders. A successor sends no orders for these VMs for a while.
+    pub(crate) fn recent_vm_orders(&mut self, now: TimeMs, orders: &[VmOrder]) -> Option<VmOrders> {
         if orders.is_empty() {
             return None;
         }
         let vms = self.vm_handover.record_orders(now, orders.iter().map(|order| order.vm.clone()));
-        let (key, value) = (RecordKey::VmOrders.encode(), VmOrders { vms }.encode());
-        Some(KeyedRecord { key: key.into(), value: value.into() })
+        Some(VmOrders { vms })
     }
 
     /// Sends orders, once the store has the names of their VMs.
--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use cowslipport_lib::workload::record::Audience;
+use cowslipport_lib::workload::record::RecordKey;
 use slog::Logger;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -28,25 +30,47 @@
 /// the next number on.
 pub(crate) const FIRST_SEQUENCE: u64 = 0;
 
+/// Topics that the owner writes under its epoch. What a successor needs is
+/// stored before what callers see of it.
+const TOPICS: [Topic; 2] = [Topic::Progress, Topic::Jobs];
+
+/// Records of a batch, by topic.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnerRecords {
+    pub(crate) progress: Vec<KeyedRecord>,
+    pub(crate) jobs: Vec<KeyedRecord>,
+}
+
+impl OwnerRecords {
+    pub(crate) fn push(&mut self, key: &RecordKey, value: Vec<u8>) {
+        let record = KeyedRecord { key: key.encode().into(), value: value.into() };
+        match key.audience() {
+            Audience::AllNodes => self.jobs.push(record),
+            Audience::Owner => self.progress.push(record),
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.progress.is_empty() && self.jobs.is_empty()
+    }
+}
+
 /// Appends batches in order until the owner ends or is fenced.
 pub(crate) async fn run<S>(
-    mut store: S,
-    mut batches: mpsc::Receiver<Vec<KeyedRecord>>,
+    store: S,
+    mut batches: mpsc::Receiver<OwnerRecords>,
     mailbox: OwnerMailbox,
     logger: Logger,
 ) where
     S: Store,
 {
-    let mut sequence = FIRST_SEQUENCE + 1;
-    let mut timeout = AppendTimeout::new(append_timeout::OWNER_MAX);
+    let mut writer = OwnerWriter::new(store, mailbox.epoch, logger);
+    writer.sequences = [FIRST_SEQUENCE + 1; TOPICS.len()];
     while let Some(records) = batches.recv().await {
-        let message =
-            match append(&mut store, mailbox.epoch, &mut sequence, &mut timeout, &records, &logger)
-                .await
-            {
-                Ok(()) => OwnerMessage::Stored,
-                Err(Fenced) => OwnerMessage::Fenced,
-            };
+        let message = match writer.append(&records).await {
+            Ok(()) => OwnerMessage::Stored,
+            Err(Fenced) => OwnerMessage::Fenced,
+        };
         if !mailbox.send(message).await {
             return;
         }
@@ -56,50 +80,112 @@
 /// A later owner has fenced this one.
 pub(crate) struct Fenced;
 
-/// Retries an append until the store has it. The sequence number makes the
-/// store apply the append once.
-pub(crate) async fn append<S>(
-    store: &mut S,
+/// Appends under the epoch of the owner.
+pub(crate) struct OwnerWriter<S> {
+    pub(crate) store: S,
     epoch: u64,
-    sequence: &mut u64,
-    timeout: &mut AppendTimeout,
-    records: &[KeyedRecord],
-    logger: &Logger,
-) -> Result<(), Fenced>
+    /// Next sequence number in each of [`TOPICS`].
+    sequences: [u64; TOPICS.len()],
+    timeout: AppendTimeout,
+    logger: Logger,
+}
+
+impl<S> OwnerWriter<S>
 where
     S: Store,
 {
-    let mut delay = RETRY_DELAY_MIN;
-    let mut may_be_stored = false;
-    loop {
-        let fence = WriterFence { epoch, sequence: *sequence };
-        match store.append(Topic::Jobs, Some(fence), records, timeout.current()).await {
-            Ok(()) => {
-                timeout.reset();
-                *sequence += 1;
-                return Ok(());
+    pub(crate) fn new(store: S, epoch: u64, logger: Logger) -> Self {
+        Self {
+            store,
+            epoch,
+            sequences: [FIRST_SEQUENCE; TOPICS.len()],
+            timeout: AppendTimeout::new(append_timeout::OWNER_MAX),
+            logger,
+        }
+    }
+
+    /// Fences former owners in all topics: the store refuses their appends from
+    /// now on.
+    pub(crate) async fn fence(&mut self) -> Result<(), Fenced> {
+        for topic in TOPICS {
+            self.append_to(topic, &[]).await?;
+        }
+        Ok(())
+    }
+
+    async fn append(&mut self, records: &OwnerRecords) -> Result<(), Fenced> {
+        for (topic, records) in [(Topic::Progress, &records.progress), (Topic::Jobs, &records.jobs)]
+        {
+            if !records.is_empty() {
+                self.append_to(topic, records).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn append_to(&mut self, topic: Topic, records: &[KeyedRecord]) -> Result<(), Fenced> {
+        for (written, sequence) in TOPICS.into_iter().zip(&mut self.sequences) {
+            if written == topic {
+                let append = Append { topic, epoch: self.epoch, records };
+                append.run(&mut self.store, sequence, &mut self.timeout, &self.logger).await?;
             }
-            Err(AppendError::Fenced) => return Err(Fenced),
-            Err(AppendError::WrongSequence { expected }) => {
-                let named = std::mem::replace(sequence, expected);
-                let is_next = expected == named + 1;
-                if is_next && may_be_stored {
-                    // An earlier call without an answer stored the append.
+        }
+        Ok(())
+    }
+}
+
+/// Records for one topic.
+struct Append<'a> {
+    topic: Topic,
+    epoch: u64,
+    records: &'a [KeyedRecord],
+}
+
+impl Append<'_> {
+    /// Retries the append until the store has it. The sequence number makes the
+    /// store apply the append once.
+    async fn run<S>(
+        &self,
+        store: &mut S,
+        sequence: &mut u64,
+        timeout: &mut AppendTimeout,
+        logger: &Logger,
+    ) -> Result<(), Fenced>
+    where
+        S: Store,
+    {
+        let mut delay = RETRY_DELAY_MIN;
+        let mut may_be_stored = false;
+        loop {
+            let fence = WriterFence { epoch: self.epoch, sequence: *sequence };
+            match store.append(self.topic, Some(fence), self.records, timeout.current()).await {
+                Ok(()) => {
+                    timeout.reset();
+                    *sequence += 1;
                     return Ok(());
                 }
-                warn!(logger, "append has the wrong sequence number; retrying"; "named" => named,
+                Err(AppendError::Fenced) => return Err(Fenced),
+                Err(AppendError::WrongSequence { expected }) => {
+                    let named = std::mem::replace(sequence, expected);
+                    let is_next = expected == named + 1;
+                    if is_next && may_be_stored {
+                        // An earlier call without an answer stored the append.
+                        return Ok(());
+                    }
+                    warn!(logger, "append has the wrong sequence number; retrying"; "named" => named,
                     "expected" => expected);
+                }
+                Err(error @ AppendError::Unknown { .. }) => {
+                    may_be_stored = true;
+                    timeout.double();
+                    warn!(logger, "append failed; retrying"; "error" => %error);
+                }
+                Err(error @ AppendError::Refused { .. }) => {
+                    warn!(logger, "append failed; retrying"; "error" => %error);
+                }
             }
-            Err(error @ AppendError::Unknown { .. }) => {
-                may_be_stored = true;
-                timeout.double();
-                warn!(logger, "append failed; retrying"; "error" => %error);
-            }
-            Err(error @ AppendError::Refused { .. }) => {
-                warn!(logger, "append failed; retrying"; "error" => %error);
-            }
+            sleep(delay).await;
+            delay = (delay * 2).min(RETRY_DELAY_MAX);
         }
-        sleep(delay).await;
-        delay = (delay * 2).min(RETRY_DELAY_MAX);
     }
 }
--- a/daemon/src/node/platform.rs
+++ b/daemon/src/node/platform.rs
@@ -28,8 +28,11 @@
     Operator,
     /// Entries of the worker registry, written by the platform.
     Workers,
-    /// Jobs and their progress, written by the nodes.
+    /// Jobs and what all nodes need to know of them, written by the nodes.
     Jobs,
+    /// Progress of tasks and other state of the owner, written by the owner and
+    /// read by its successor.
+    Progress,
     /// Status of waves for operators, written by the owner.
     Status,
 }
@@ -41,6 +44,7 @@
             Self::Operator => "operator",
             Self::Workers => "workers",
             Self::Jobs => "jobs",
+            Self::Progress => "progress",
             Self::Status => "status",
         }
     }
--- a/daemon/src/node/recovery.rs
+++ b/daemon/src/node/recovery.rs
@@ -9,11 +9,9 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
-use crate::node::append_timeout;
-use crate::node::append_timeout::AppendTimeout;
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
-use crate::node::owner_writer;
+use crate::node::owner_writer::OwnerWriter;
 use crate::node::platform::Store;
 use crate::node::platform::Topic;
 use crate::node::topic_reader::SnapshotReader;
@@ -22,29 +20,28 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Fences the former owner, reads all job records and sends them to the owner.
-pub(crate) async fn run<S>(mut store: S, mailbox: OwnerMailbox, clock: Clock, logger: Logger)
+pub(crate) async fn run<S>(store: S, mailbox: OwnerMailbox, clock: Clock, logger: Logger)
 where
     S: Store,
 {
     let began_at = clock.now();
-    let mut sequence = owner_writer::FIRST_SEQUENCE;
-    let mut timeout = AppendTimeout::new(append_timeout::OWNER_MAX);
-    let (epoch, no_records) = (mailbox.epoch, &[]);
-    let fenced =
-        owner_writer::append(&mut store, epoch, &mut sequence, &mut timeout, no_records, &logger)
-            .await;
-    if fenced.is_err() {
+    let mut writer = OwnerWriter::new(store, mailbox.epoch, logger.clone());
+    if writer.fence().await.is_err() {
         mailbox.send(OwnerMessage::Fenced).await;
         return;
     }
-    let mut reader = SnapshotReader::new(Topic::Jobs);
-    while let Err(error) = reader.read_remaining(&mut store).await {
-        warn!(logger, "reading the job records failed; retrying"; "error" => %error,
-            "records" => reader.records_read());
-        sleep(RETRY_DELAY).await;
+    let mut records = Vec::new();
+    for topic in [Topic::Progress, Topic::Jobs] {
+        let mut reader = SnapshotReader::new(topic);
+        while let Err(error) = reader.read_remaining(&mut writer.store).await {
+            warn!(logger, "reading the job records failed; retrying"; "error" => %error,
+                "topic" => topic.as_str(), "records" => reader.records_read());
+            sleep(RETRY_DELAY).await;
+        }
+        let (read, end_offset) = reader.into_snapshot();
+        info!(logger, "job records read"; "topic" => topic.as_str(), "records" => read.len(),
+            "end_offset" => end_offset, "took_ms" => clock.now().since(began_at));
+        records.extend(read);
     }
-    let (records, end_offset) = reader.into_snapshot();
-    info!(logger, "job records read"; "records" => records.len(),
-        "end_offset" => end_offset, "took_ms" => clock.now().since(began_at));
     mailbox.send(OwnerMessage::Recovered(records)).await;
 }
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -101,16 +101,14 @@
     #[prost(uint64, tag = "4")]
     pub epoch: u64,
 }
-/// The part of a Progress that callers see: a subset of its fields with the same
-/// numbers. Every process reads every Progress record, and most processes need
-/// only these fields.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ProgressSummary {
+/// The part of a job's progress that callers see, which all nodes read.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct JobStatus {
     #[prost(enumeration = "Outcome", tag = "1")]
     pub outcome: i32,
-    /// Not decoded; one entry for each step of which a task was placed.
-    #[prost(bytes = "vec", repeated, tag = "3")]
-    pub steps: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    /// A task has been placed at least once.
+    #[prost(bool, tag = "2")]
+    pub has_started: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StepProgress {
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -8,8 +8,9 @@
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::PlacementReleaseReason;
 use crate::workload::job::AttemptState;
-use crate::workload::job::Job;
 use crate::workload::job_record;
+use crate::workload::key::JobId;
+use crate::workload::key::JobKey;
 use crate::workload::key::TaskKey;
 use crate::workload::key::WorkerId;
 use crate::workload::order::Acknowledgement;
@@ -17,33 +18,48 @@
 use crate::workload::order::Order;
 use crate::workload::order::StartOrder;
 use crate::workload::order::WorkerOrder;
+use crate::workload::record::JobStatus;
 use crate::workload::record::RecordKey;
 use crate::workload::worker::Reachability;
 
 impl Dispatcher {
-    /// The progress record of a job.
-    pub(crate) fn record(&self, job: &Job) -> (RecordKey, Vec<u8>) {
+    /// The records of a job: its progress, and its status if that has changed.
+    pub(crate) fn job_records(&mut self, id: JobId) -> Vec<(RecordKey, Vec<u8>)> {
+        let Some(job) = self.jobs.get(id) else { return Vec::new() };
         let worker_name = |id| self.worker_name(id).to_owned();
         let progress = job_record::progress_of(job, self.epoch, worker_name);
-        (RecordKey::Progress(job.key), progress.encode())
+        let (key, status) = (job.key, progress.status());
+        let mut records = vec![(RecordKey::Progress(key), progress.encode())];
+        if status != job.recorded_status {
+            records.push((RecordKey::Status(key), status.encode()));
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.recorded_status = status;
+            job.is_dirty = false;
+        }
+        records
+    }
+
+    /// Records the status of a job again, because the store lacks it: the former
+    /// owner stored the progress and ended before it stored the status.
+    pub fn restate(&mut self, job: JobKey, status: JobStatus) {
+        self.closed_job_records.push((RecordKey::Status(job), status.encode()));
     }
 
     /// The changes since the last batch, which must be stored now.
     pub fn take_batch(&mut self, now: TimeMs) -> Batch {
         let mut records: BTreeMap<RecordKey, Vec<u8>> =
             std::mem::take(&mut self.closed_job_records).into_iter().collect();
-        let deleted = self.ended.take_due(now);
-        records.extend(deleted.into_iter().map(|key| (key, Vec::new())));
+        let deleted_jobs = self.ended.take_due(now);
+        for job in &deleted_jobs {
+            records.extend(job.keys().map(|key| (key, Vec::new())));
+        }
         let mut reachable_again = Vec::new();
         self.unreachable_records(now, &mut records, &mut reachable_again);
         let ownership = self.ownership_record(now);
         records.extend(ownership.map(|record| (RecordKey::Ownership, record.encode())));
         for id in std::mem::take(&mut self.dirty) {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            job.is_dirty = false;
-            if let Some(job) = self.jobs.get(id) {
-                records.extend([self.record(job)]);
-            }
+            records.extend(self.job_records(id));
         }
         let acknowledged = std::mem::take(&mut self.to_acknowledge).into_iter();
         let acknowledged = acknowledged.map(|(worker, number)| {
@@ -58,6 +74,7 @@
             records: records.into_iter().collect(),
             starts: std::mem::take(&mut self.planned),
             acknowledged: acknowledged.collect(),
+            deleted_jobs: deleted_jobs.into_iter().map(|job| job.key).collect(),
             reachable_again,
         }
     }
@@ -77,6 +94,9 @@
     pub fn batch_stored(&mut self, now: TimeMs, batch: &Batch, may_order: bool) {
         self.stored_batch = Some(batch.number);
         self.unreachable_records_dropped(&batch.reachable_again);
+        // The progress goes last: a submission without progress would run again.
+        let progress = batch.deleted_jobs.iter().map(|job| (RecordKey::Progress(*job), Vec::new()));
+        self.closed_job_records.extend(progress);
         for task in &batch.starts {
             self.order_start(now, *task, may_order);
         }
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -197,6 +197,7 @@
         if let Some(progress) = progress {
             let worker_id = |name: &str| self.worker_id(name);
             job_record::restore(&mut job, now, progress, worker_id);
+            job.recorded_status = progress.status();
         }
         job.is_cancelled = self.early_cancellations.remove(&key);
         if job.is_closing() && job.is_idle() {
@@ -372,11 +373,11 @@
         if !job.is_closing() || !job.is_idle() {
             return;
         }
-        if job.is_dirty {
-            let record = self.record(job);
-            self.closed_job_records.push(record);
+        let (is_dirty, is_cancelled) = (job.is_dirty, job.is_cancelled);
+        if is_dirty {
+            let records = self.job_records(id);
+            self.closed_job_records.extend(records);
         }
-        let is_cancelled = job.is_cancelled;
         self.jobs.remove(id);
         self.tickets.forget(id);
         self.dirty.remove(&id);
--- a/lib/src/workload/ended.rs
+++ b/lib/src/workload/ended.rs
@@ -13,6 +13,24 @@
 /// batch, at least 20 a second.
 const MAX_DELETED_JOBS_PER_BATCH: usize = 32;
 
+/// An ended job whose records are to be deleted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DeletedJob {
+    pub(crate) key: JobKey,
+    is_cancelled: bool,
+}
+
+impl DeletedJob {
+    /// Keys of the records that are deleted first. The progress follows once
+    /// these are gone.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = RecordKey> {
+        let cancellation = self.is_cancelled.then_some(RecordKey::Cancellation(self.key));
+        [RecordKey::Submission(self.key), RecordKey::Status(self.key)]
+            .into_iter()
+            .chain(cancellation)
+    }
+}
+
 /// Jobs that have ended and whose records are not deleted yet. Until then a
 /// repeated submission starts no new job.
 #[derive(Clone, Debug)]
@@ -51,16 +69,15 @@
         self.jobs.remove(&job);
     }
 
-    /// Keys of the records that are due for deletion now.
-    pub(crate) fn take_due(&mut self, now: TimeMs) -> Vec<RecordKey> {
+    /// Jobs whose records are due for deletion now.
+    pub(crate) fn take_due(&mut self, now: TimeMs) -> Vec<DeletedJob> {
         self.retained.extend(self.newly_ended.drain(..).map(|job| (now, job)));
         let mut due = Vec::new();
         for _ in 0..MAX_DELETED_JOBS_PER_BATCH {
             let is_due = |(at, _): &mut (TimeMs, JobKey)| now.since(*at) >= self.retention_ms;
             let Some((_, job)) = self.retained.pop_front_if(is_due) else { break };
             let Some(is_cancelled) = self.jobs.get(&job).copied() else { continue };
-            due.extend([RecordKey::Progress(job), RecordKey::Submission(job)]);
-            due.extend(is_cancelled.then_some(RecordKey::Cancellation(job)));
+            due.push(DeletedJob { key: job, is_cancelled });
         }
         due
     }
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -13,6 +13,7 @@
 use crate::workload::key::WorkerId;
 use crate::workload::order::StopReason;
 use crate::workload::record::JobOutcome;
+use crate::workload::record::JobStatus;
 use crate::workload::spec::JobSpec;
 use crate::workload::spec::QueueRules;
 use crate::workload::spec::StepSpec;
@@ -38,6 +39,8 @@
     pub(crate) occurrences: Vec<Vec<Step>>,
     /// The state differs from the last stored record.
     pub(crate) is_dirty: bool,
+    /// The last status record.
+    pub(crate) recorded_status: JobStatus,
 }
 
 /// One step of one occurrence.
@@ -221,6 +224,7 @@
             outcome: None,
             occurrences: vec![steps; spec.occurrences() as usize],
             is_dirty: false,
+            recorded_status: JobStatus::default(),
             spec: Rc::new(spec),
         }
     }
--- a/lib/src/workload/job_registry.rs
+++ b/lib/src/workload/job_registry.rs
@@ -7,7 +7,7 @@
 use crate::workload::catalog::QueueId;
 use crate::workload::key::JobKey;
 use crate::workload::record::JobOutcome;
-use crate::workload::record::ProgressSummary;
+use crate::workload::record::JobStatus;
 
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,11 +73,11 @@
         self.change(job, |entry| entry.is_cancelled = true);
     }
 
-    /// Applies the progress of a job.
-    pub fn apply_progress(&mut self, job: JobKey, progress: ProgressSummary) {
+    /// Applies the status of a job.
+    pub fn apply_status(&mut self, job: JobKey, status: JobStatus) {
         self.change(job, |entry| {
-            entry.has_started |= progress.has_started;
-            entry.outcome = entry.outcome.or(progress.outcome);
+            entry.has_started |= status.has_started;
+            entry.outcome = entry.outcome.or(status.outcome);
         });
     }
 
--- a/lib/src/workload/order.rs
+++ b/lib/src/workload/order.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use crate::workload::key::JobKey;
 use crate::workload::key::TaskKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
@@ -119,6 +120,8 @@
     pub starts: Vec<TaskKey>,
     /// Acknowledgements to send to workers once the records are stored.
     pub acknowledged: Vec<Acknowledgement>,
+    /// Ended jobs whose submissions the batch deletes.
+    pub deleted_jobs: Vec<JobKey>,
     /// Workers that answer again. Their leases may be renewed once the records
     /// are stored.
     pub reachable_again: Vec<WorkerId>,
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -23,6 +23,8 @@
     Cancellation(JobKey),
     /// Progress of the tasks of a job. Only the owner writes it.
     Progress(JobKey),
+    /// The part of the progress that callers see. Only the owner writes it.
+    Status(JobKey),
     /// Progress of a maintenance wave. Only the owner writes it.
     Wave(u64),
     /// The worker with this name is unreachable. Only the owner writes it.
@@ -43,6 +45,7 @@
             Self::Submission(job) => f.debug_tuple("Submission").field(job).finish(),
             Self::Cancellation(job) => f.debug_tuple("Cancellation").field(job).finish(),
             Self::Progress(job) => f.debug_tuple("Progress").field(job).finish(),
+            Self::Status(job) => f.debug_tuple("JobStatus").field(job).finish(),
             Self::Wave(wave) => f.debug_tuple("Wave").field(wave).finish(),
             Self::Unreachable(worker) => f.debug_tuple("Silence").field(worker).finish(),
             Self::Ownership => f.write_str("Tenure"),
@@ -55,19 +58,46 @@
 const SUBMISSION: u8 = b's';
 const CANCELLATION: u8 = b'c';
 const PROGRESS: u8 = b'p';
+const STATUS: u8 = b'j';
 const WAVE: u8 = b'w';
 const UNREACHABLE_WORKER: u8 = b'l';
 const OWNERSHIP: u8 = b't';
 const NODE: u8 = b'n';
 const VM_ORDERS: u8 = b'v';
 
+/// The nodes that read a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Audience {
+    /// Every node reads the record as soon as it is stored.
+    AllNodes,
+    /// A new owner reads the record in its recovery.
+    Owner,
+}
+
 impl RecordKey {
+    /// The nodes that read the record. The progress of tasks is most of what an
+    /// owner writes, so that the reads of all nodes would be the limit of a
+    /// large fleet.
+    pub fn audience(&self) -> Audience {
+        match self {
+            Self::Submission(_)
+            | Self::Cancellation(_)
+            | Self::Status(_)
+            | Self::Ownership
+            | Self::Node(_) => Audience::AllNodes,
+            Self::Progress(_) | Self::Wave(_) | Self::Unreachable(_) | Self::VmOrders => {
+                Audience::Owner
+            }
+        }
+    }
+
     /// Encodes the key: one byte for the kind, then a number or a name.
     pub fn encode(&self) -> Vec<u8> {
         let (kind, number) = match self {
             Self::Submission(job) => (SUBMISSION, job.0),
             Self::Cancellation(job) => (CANCELLATION, job.0),
             Self::Progress(job) => (PROGRESS, job.0),
+            Self::Status(job) => (STATUS, job.0),
             Self::Wave(wave) => (WAVE, *wave),
             Self::Unreachable(worker) => return encode_named(UNREACHABLE_WORKER, worker),
             Self::Node(node) => return encode_named(NODE, node),
@@ -95,6 +125,7 @@
             SUBMISSION => Some(Self::Submission(JobKey(number))),
             CANCELLATION => Some(Self::Cancellation(JobKey(number))),
             PROGRESS => Some(Self::Progress(JobKey(number))),
+            STATUS => Some(Self::Status(JobKey(number))),
             WAVE => Some(Self::Wave(number)),
             _ => None,
         }
@@ -129,19 +160,33 @@
 
 /// The part of a job's progress that callers see.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ProgressSummary {
+pub struct JobStatus {
     /// How the job ended, if it has.
     pub outcome: Option<JobOutcome>,
     /// A task has been placed at least once.
     pub has_started: bool,
 }
 
-impl ProgressSummary {
-    /// Decodes the summary from the record of a [`Progress`].
+impl JobStatus {
+    /// Encodes the status record.
+    pub fn encode(self) -> Vec<u8> {
+        let outcome = raw_outcome(self.outcome).into();
+        raw::JobStatus { outcome, has_started: self.has_started }.encode_to_vec()
+    }
+
+    /// Decodes a status record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
-        let raw = raw::ProgressSummary::decode(bytes)
-            .map_err(|error| decode_error("progress", error.to_string()))?;
-        Ok(Self { outcome: outcome_of(raw.outcome()), has_started: !raw.steps.is_empty() })
+        let raw = raw::JobStatus::decode(bytes)
+            .map_err(|error| decode_error("status", error.to_string()))?;
+        Ok(Self { outcome: outcome_of(raw.outcome()), has_started: raw.has_started })
+    }
+}
+
+fn raw_outcome(outcome: Option<JobOutcome>) -> raw::Outcome {
+    match outcome {
+        None => raw::Outcome::Open,
+        Some(JobOutcome::Completed) => raw::Outcome::Completed,
+        Some(JobOutcome::Failed) => raw::Outcome::Failed,
     }
 }
 
@@ -314,15 +359,16 @@
 }
 
 impl Progress {
+    /// The part that callers see.
+    pub fn status(&self) -> JobStatus {
+        JobStatus { outcome: self.outcome, has_started: !self.steps.is_empty() }
+    }
+
     /// Encodes the progress record.
     pub fn encode(&self) -> Vec<u8> {
         let mut workers: Vec<String> = Vec::new();
         let steps = self.steps.iter().map(|step| encode_step(step, &mut workers)).collect();
-        let outcome = match self.outcome {
-            None => raw::Outcome::Open,
-            Some(JobOutcome::Completed) => raw::Outcome::Completed,
-            Some(JobOutcome::Failed) => raw::Outcome::Failed,
-        };
+        let outcome = raw_outcome(self.outcome);
         raw::Progress { outcome: outcome.into(), workers, steps, epoch: self.epoch }.encode_to_vec()
     }
 
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -23,8 +23,8 @@
 use cowslipport_lib::workload::job_registry::JobView;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::record::JobOutcome;
+use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::Progress;
-use cowslipport_lib::workload::record::ProgressSummary;
 use cowslipport_lib::workload::record::RecordedPhase;
 use cowslipport_lib::workload::record::StepProgress;
 use cowslipport_lib::workload::record::TaskProgress;
@@ -182,9 +182,9 @@
     Progress { outcome, steps, epoch: 5 }
 }
 
-/// The summary that a process reads from a progress record.
-fn summary(outcome: Option<JobOutcome>) -> ProgressSummary {
-    ProgressSummary::decode(&progress(outcome).encode()).expect("a record")
+/// The status that a process reads from the record that belongs to a progress.
+fn status(outcome: Option<JobOutcome>) -> JobStatus {
+    JobStatus::decode(&progress(outcome).status().encode()).expect("a record")
 }
 
 /// Several nodes write the records of a job, and these arrive in any order. The
@@ -195,13 +195,13 @@
     let queue = catalog.queue_id("long");
     let job = JobKey(0xaa);
     let mut registry = JobRegistry::default();
-    registry.apply_progress(job, summary(None));
+    registry.apply_status(job, status(None));
     assert_eq!(registry.view(job), None, "the submission has not arrived");
     registry.apply_submission(job, queue, None);
     assert_eq!(registry.view(job), Some(JobView::Active));
     registry.apply_cancellation(job);
     assert_eq!(registry.view(job), Some(JobView::Cancelled));
-    registry.apply_progress(job, summary(Some(JobOutcome::Completed)));
+    registry.apply_status(job, status(Some(JobOutcome::Completed)));
     assert_eq!(
         registry.view(job),
         Some(JobView::Completed),
@@ -220,7 +220,7 @@
         registry.apply_submission(JobKey(key), queue, None);
         registry.apply_submission(JobKey(key), queue, None);
     }
-    registry.apply_progress(JobKey(1), summary(None));
+    registry.apply_status(JobKey(1), status(None));
     registry.apply_cancellation(JobKey(2));
     assert_eq!(registry.queued_jobs(queue), 1);
     check(&call("/a/b/", None, Action::Query), &registry, FRESH, &CallAnswer::Queued(1));
@@ -333,10 +333,16 @@
     let job = spec(vec![step]);
     assert_eq!(JobSpec::decode(&job.encode()), Ok(job));
     let progress = progress(Some(JobOutcome::Failed));
+    let progress_status = progress.status();
     assert_eq!(Progress::decode(&progress.encode()), Ok(progress));
     let not_started = Progress { epoch: 1, ..Progress::default() };
-    let summary = ProgressSummary { outcome: None, has_started: false };
-    assert_eq!(ProgressSummary::decode(&not_started.encode()), Ok(summary));
+    let status = JobStatus { outcome: None, has_started: false };
+    assert_eq!(not_started.status(), status);
+    let ended = JobStatus { outcome: Some(JobOutcome::Failed), has_started: true };
+    assert_eq!(progress_status, ended);
+    for status in [status, ended] {
+        assert_eq!(JobStatus::decode(&status.encode()), Ok(status));
+    }
 }
 
 /// The owner has more starts to send than its link carries. A new job that
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -273,6 +273,8 @@
         RecordKey::Submission(done),
         RecordKey::Submission(cancelled),
         RecordKey::Cancellation(cancelled),
+        RecordKey::Status(done),
+        RecordKey::Status(cancelled),
         RecordKey::Progress(done),
         RecordKey::Progress(cancelled),
     ];
