node: starts do not wait for the records that all nodes read

The owner's writer reports that the progress of a batch is stored before it appends the statuses, so that the split into two topics adds no wait to starts. A release is complete once both are stored.

--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -60,8 +60,10 @@
 pub(crate) enum OwnerMessage {
     /// All job records of the store, read after the former owner was fenced.
     Recovered(Vec<KeyedRecord>),
-    /// The store has the batch in flight.
-    Stored,
+    /// The store has what a successor needs of the batch in flight.
+    Stored { batch: u64 },
+    /// The store also has what all nodes need of a batch.
+    Published { batch: u64 },
     /// A later owner has fenced this one.
     Fenced,
     /// A worker answered a poll.
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -115,8 +115,8 @@
     None,
     /// The owner sends no more orders.
     Begun,
-    /// A batch with the record of the release is in flight.
-    Storing,
+    /// The batch with the record of the release is in flight.
+    Storing { batch: u64 },
     /// The store has the record of the release.
     Stored,
 }
@@ -238,7 +238,8 @@
         match message {
             OwnerMessage::Recovered(records) => self.finish_recovery(view, &records),
             OwnerMessage::Fenced => self.is_fenced = true,
-            OwnerMessage::Stored => self.handle_stored(view),
+            OwnerMessage::Stored { batch } => self.handle_stored(view, batch),
+            OwnerMessage::Published { batch } => self.handle_published(batch),
             OwnerMessage::Reported { worker, clock, report } => {
                 if self.connections.mark_reachable(worker, clock) {
                     info!(self.logger, "worker reachable again";
@@ -276,12 +277,7 @@
                 self.dispatcher.pace_unanswered(worker, task, attempt);
             }
             OwnerMessage::VmListRead { sent_at, vms } => {
-                self.is_listing_vms = false;
-                let vms = VmList::new(sent_at, vms);
-                self.dispatcher.vms_listed(now, &vms);
-                self.maintenance.vms_listed(&vms, &mut self.dispatcher);
-                self.pool_autoscaler.vms_listed(now, &vms, view.catalog);
-                self.vms = Some(vms);
+                self.handle_vm_list(view, VmList::new(sent_at, vms));
             }
             OwnerMessage::AdviceAnswered { request, answer } => {
                 self.dispatcher.handle_advice_answer(now, &request, answer.as_ref());
@@ -295,11 +291,15 @@
         }
     }
 
-    fn handle_stored(&mut self, view: &OwnerView<'_>) {
-        let Some(in_flight) = self.in_flight.take() else { return };
-        if self.release == Release::Storing {
+    fn handle_published(&mut self, batch: u64) {
+        if self.release == (Release::Storing { batch }) {
             self.release = Release::Stored;
         }
+    }
+
+    fn handle_stored(&mut self, view: &OwnerView<'_>, batch: u64) {
+        let stored = self.in_flight.take_if(|in_flight| in_flight.batch.number == batch);
+        let Some(in_flight) = stored else { return };
         self.dispatcher.batch_stored(view.now, &in_flight.batch, view.is_confirmed);
         for acknowledgement in in_flight.batch.acknowledged {
             self.connections.acknowledge(acknowledgement);
@@ -359,7 +359,7 @@
         }
         let mut batch = self.dispatcher.take_batch(now);
         let waves = self.maintenance.take_changed();
-        let mut records = OwnerRecords::default();
+        let mut records = OwnerRecords { batch: batch.number, ..OwnerRecords::default() };
         for (key, value) in std::mem::take(&mut batch.records) {
             records.push(&key, value);
         }
@@ -380,7 +380,7 @@
         }
         self.in_flight = Some(InFlight { batch, wave_status, vm_orders });
         if self.release == Release::Begun {
-            self.release = Release::Storing;
+            self.release = Release::Storing { batch: records.batch };
         }
         metrics::counter!("cowslipport_owner_appends_total").increment(1);
         if self.mailboxes.writer.try_send(records).is_err() {
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -3,6 +3,7 @@
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::vm::VmAction;
+use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
 use cowslipport_lib::workload::vm::VmPlanInput;
@@ -76,6 +77,14 @@
         self.vm_orders.extend(orders);
     }
 
+    pub(crate) fn handle_vm_list(&mut self, view: &mut OwnerView<'_>, vms: VmList) {
+        self.is_listing_vms = false;
+        self.dispatcher.vms_listed(view.now, &vms);
+        self.maintenance.vms_listed(&vms, &mut self.dispatcher);
+        self.pool_autoscaler.vms_listed(view.now, &vms, view.catalog);
+        self.vms = Some(vms);
+    }
+
     /// Returns the VMs that have an order now or had one lately, if there are
     /// orders. A successor sends no orders for these VMs for a while.
     pub(crate) fn recent_vm_orders(&mut self, now: TimeMs, orders: &[VmOrder]) -> Option<VmOrders> {
--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -37,6 +37,8 @@
 /// Records of a batch, by topic.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnerRecords {
+    /// Number of the batch.
+    pub(crate) batch: u64,
     pub(crate) progress: Vec<KeyedRecord>,
     pub(crate) jobs: Vec<KeyedRecord>,
 }
@@ -66,13 +68,19 @@
 {
     let mut writer = OwnerWriter::new(store, mailbox.epoch, logger);
     writer.sequences = [FIRST_SEQUENCE + 1; TOPICS.len()];
-    while let Some(records) = batches.recv().await {
-        let message = match writer.append(&records).await {
-            Ok(()) => OwnerMessage::Stored,
-            Err(Fenced) => OwnerMessage::Fenced,
-        };
-        if !mailbox.send(message).await {
-            return;
+    while let Some(OwnerRecords { batch, progress, jobs }) = batches.recv().await {
+        let steps = [
+            (Topic::Progress, progress, OwnerMessage::Stored { batch }),
+            (Topic::Jobs, jobs, OwnerMessage::Published { batch }),
+        ];
+        for (topic, records, done) in steps {
+            let message = match writer.append(topic, &records).await {
+                Ok(()) => done,
+                Err(Fenced) => OwnerMessage::Fenced,
+            };
+            if !mailbox.send(message).await {
+                return;
+            }
         }
     }
 }
@@ -113,14 +121,11 @@
         Ok(())
     }
 
-    async fn append(&mut self, records: &OwnerRecords) -> Result<(), Fenced> {
-        for (topic, records) in [(Topic::Progress, &records.progress), (Topic::Jobs, &records.jobs)]
-        {
-            if !records.is_empty() {
-                self.append_to(topic, records).await?;
-            }
+    async fn append(&mut self, topic: Topic, records: &[KeyedRecord]) -> Result<(), Fenced> {
+        match records.is_empty() {
+            true => Ok(()),
+            false => self.append_to(topic, records).await,
         }
-        Ok(())
     }
 
     async fn append_to(&mut self, topic: Topic, records: &[KeyedRecord]) -> Result<(), Fenced> {
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -284,6 +284,23 @@
     fleet.assert_no_violations();
 }
 
+/// The records of an ended job are deleted in two batches. An owner that is lost
+/// between them must not leave a submission without its progress, which the next
+/// one would run again.
+#[test]
+fn submission_is_deleted_before_the_progress() {
+    let mut fleet = Fleet::new(1, cores(4));
+    let done = fleet.submit(1, job(vec![step(1, cores(1))]), Work { work_ms: 100, fails: false });
+    fleet.advance(2_000);
+    while !fleet.dropped.contains(&RecordKey::Submission(done)) {
+        fleet.advance(20);
+        assert!(fleet.now < 2 * STATUS_KEPT_MS, "the submission is deleted");
+    }
+    assert!(fleet.store.contains_key(&RecordKey::Progress(done)));
+    fleet.advance(100);
+    assert!(!fleet.store.contains_key(&RecordKey::Progress(done)));
+}
+
 /// A new owner took 2.5 s to read the jobs from a slow store. The time for
 /// which the former owner may still renew leases must count from the change of
 /// ownership, not from the end of the reads. Found with pvbc-sched, scenario
