--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -7,6 +7,7 @@
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::admission;
 use cowslipport_lib::workload::admission::ConfirmedAt;
+use cowslipport_lib::workload::admission::StartDelay;
 use cowslipport_lib::workload::candidacy::Candidacy;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::job_registry::JobRegistry;
@@ -16,7 +17,7 @@
 use cowslipport_lib::workload::ownership::JoinAnswer;
 use cowslipport_lib::workload::ownership::Ownership;
 use cowslipport_lib::workload::ownership::OwnershipChange;
-use cowslipport_lib::workload::record::ProgressSummary;
+use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::Logger;
@@ -42,6 +43,7 @@
 use crate::node::settings::FOLLOWER_TICK;
 use crate::node::settings::NodeSettings;
 use crate::node::settings::OWNER_PAUSE;
+use crate::node::settings::OWNER_ROUND_INTERVAL;
 use crate::node::settings::OWNER_TICK;
 use crate::node::settings::RENEW_WITHOUT_STORE_MS;
 use crate::node::submissions::Submission;
@@ -78,6 +80,7 @@
     pub(crate) catalog: Catalog,
     pub(crate) job_registry: JobRegistry,
     pub(crate) confirmed_at: ConfirmedAt,
+    pub(crate) start_delay: StartDelay,
     pub(crate) data_centres_out: BTreeSet<String>,
     /// Waves by number, each with an estimate of when it was requested.
     pub(crate) waves: BTreeMap<u64, (TimeMs, WaveSpec)>,
@@ -97,9 +100,10 @@
             catalog: Catalog::default(),
             job_registry: JobRegistry::default(),
             confirmed_at: ConfirmedAt::default(),
+            start_delay: StartDelay::default(),
             data_centres_out: BTreeSet::new(),
             waves: BTreeMap::new(),
-            ownership: Ownership::new(settings.ownership_ttl_ms),
+            ownership: Ownership::new(settings.membership_ttl_ms()),
             candidacy: Candidacy::new(&settings.name, settings.processor_milli, now),
             owner: None,
             is_shutting_down: false,
@@ -115,21 +119,31 @@
     /// Handles messages until all senders are gone.
     pub(crate) async fn run(mut self) {
         let mut next_tick = Instant::now();
+        let mut next_round = next_tick;
+        let mut has_news = true;
         loop {
+            let next = if has_news { next_round } else { next_tick };
             tokio::select! {
                 message = self.mailbox.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                () = sleep_until(next_tick) => {}
+                () = sleep_until(next) => {}
             }
             for _ in 0..MAX_MESSAGES_PER_ROUND {
                 let Ok(message) = self.mailbox.try_recv() else { break };
                 self.handle(message);
             }
+            let now = Instant::now();
+            has_news = now < next_round;
+            if has_news {
+                continue;
+            }
             self.reconcile();
             let now = Instant::now();
-            let tick = if self.state.owner.is_some() { OWNER_TICK } else { FOLLOWER_TICK };
+            let is_owner = self.state.owner.is_some();
+            next_round = if is_owner { now + OWNER_ROUND_INTERVAL } else { now };
+            let tick = if is_owner { OWNER_TICK } else { FOLLOWER_TICK };
             if next_tick <= now || next_tick > now + tick {
                 next_tick = now + tick;
             }
@@ -305,8 +319,8 @@
                     owner.apply_worker_entries(view, update, confirmed_at)
                 });
             }
-            // Nodes write this topic and do not read it.
-            Topic::Status => {}
+            // Nodes do not follow these topics.
+            Topic::Progress | Topic::Status => {}
         }
     }
 
@@ -341,12 +355,15 @@
             RecordKey::Cancellation(job) if !value.is_empty() => {
                 state.job_registry.apply_cancellation(job)
             }
-            RecordKey::Progress(job) if !value.is_empty() => {
-                state.job_registry.apply_progress(job, ProgressSummary::decode(value)?);
+            RecordKey::Status(job) if !value.is_empty() => {
+                state.job_registry.apply_status(job, JobStatus::decode(value)?);
             }
             RecordKey::Ownership if !value.is_empty() => {
                 let ownership = OwnershipRecord::decode(value)?;
-                state.candidacy.owner_seen(self.clock.now(), &ownership.owner.node);
+                let now = self.clock.now();
+                state.candidacy.owner_seen(now, &ownership.owner.node);
+                state.start_delay =
+                    StartDelay { delay_ms: ownership.start_delay_ms, received_at: now };
             }
             RecordKey::Node(ref node) if !value.is_empty() => {
                 let NodeRecord { processor_milli, .. } = NodeRecord::decode(value)?;
@@ -354,6 +371,7 @@
             }
             RecordKey::Cancellation(_)
             | RecordKey::Progress(_)
+            | RecordKey::Status(_)
             | RecordKey::Wave(_)
             | RecordKey::Unreachable(_)
             | RecordKey::VmOrders
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -6,6 +6,7 @@
 use cowslipport_lib::workload::admission;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
+use cowslipport_lib::workload::key::WorkerId;
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
 use cowslipport_lib::workload::maintenance::WaveSpec;
@@ -14,6 +15,7 @@
 use cowslipport_lib::workload::pool_autoscaler::PoolAutoscaler;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::start_budget::StartBudget;
 use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm_handover::VmHandover;
@@ -31,6 +33,7 @@
 use crate::node::messages::TopicUpdate;
 use crate::node::owner_tasks;
 use crate::node::owner_tasks::Mailboxes;
+use crate::node::owner_writer::OwnerRecords;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::platform::RecordCodec;
@@ -45,6 +48,10 @@
 const LEASE_TIMES: LeaseTimes =
     LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: RENEW_WITHOUT_STORE_MS };
 
+/// Interval of the checks for expired leases, each of which looks at all
+/// workers.
+const LEASE_CHECK_INTERVAL_MS: u64 = 20;
+
 /// State of the core that the owner uses.
 pub(crate) struct OwnerView<'a> {
     pub(crate) now: TimeMs,
@@ -89,6 +96,11 @@
     pub(crate) vm_order_limiter: OrderRateLimiter,
     /// Names of the workers in the registry.
     pub(crate) listed_workers: BTreeSet<String>,
+    /// Workers whose poll tasks have not been told of their present activity.
+    pub(crate) untold_workers: BTreeSet<WorkerId>,
+    /// Whether the poll tasks renew leases, as they were last told.
+    pub(crate) renews_leases: bool,
+    leases_checked_at: TimeMs,
     pub(crate) wave_status: Vec<KeyedRecord>,
     pub(crate) is_fenced: bool,
     pub(crate) release: Release,
@@ -103,8 +115,8 @@
     None,
     /// The owner sends no more orders.
     Begun,
-    /// A batch with the record of the release is in flight.
-    Storing,
+    /// The batch with the record of the release is in flight.
+    Storing { batch: u64 },
     /// The store has the record of the release.
     Stored,
 }
@@ -135,16 +147,18 @@
         let (mailboxes, tasks) =
             owner_tasks::spawn_tasks(platform, settings, clock, &mailbox, &logger);
         let connections = WorkerConnections::new(platform.clone(), clock, mailbox, logger.clone());
+        let mut dispatcher = Dispatcher::new(
+            epoch,
+            settings.node_incarnation(),
+            gained_at,
+            LEASE_TIMES,
+            settings.status_kept_ms,
+        );
+        dispatcher.set_start_budget(StartBudget::new(gained_at, settings.link_bits_per_second));
         Self {
             epoch,
             gained_at,
-            dispatcher: Dispatcher::new(
-                epoch,
-                settings.node_incarnation(),
-                gained_at,
-                LEASE_TIMES,
-                settings.status_kept_ms,
-            ),
+            dispatcher,
             maintenance: MaintenanceScheduler::default(),
             connections,
             record_codec: platform.record_codec(),
@@ -163,6 +177,9 @@
             vm_orders: Vec::new(),
             vm_order_limiter: OrderRateLimiter::new(gained_at, settings.vm_orders_per_second),
             listed_workers: BTreeSet::new(),
+            untold_workers: BTreeSet::new(),
+            renews_leases: false,
+            leases_checked_at: gained_at,
             wave_status: Vec::new(),
             is_fenced: false,
             release: Release::None,
@@ -221,7 +238,8 @@
         match message {
             OwnerMessage::Recovered(records) => self.finish_recovery(view, &records),
             OwnerMessage::Fenced => self.is_fenced = true,
-            OwnerMessage::Stored => self.handle_stored(view),
+            OwnerMessage::Stored { batch } => self.handle_stored(view, batch),
+            OwnerMessage::Published { batch } => self.handle_published(batch),
             OwnerMessage::Reported { worker, clock, report } => {
                 if self.connections.mark_reachable(worker, clock) {
                     info!(self.logger, "worker reachable again";
@@ -259,11 +277,7 @@
                 self.dispatcher.pace_unanswered(worker, task, attempt);
             }
             OwnerMessage::VmListRead { sent_at, vms } => {
-                self.is_listing_vms = false;
-                let vms = VmList::new(sent_at, vms);
-                self.maintenance.vms_listed(&vms, &mut self.dispatcher);
-                self.pool_autoscaler.vms_listed(now, &vms, view.catalog);
-                self.vms = Some(vms);
+                self.handle_vm_list(view, VmList::new(sent_at, vms));
             }
             OwnerMessage::AdviceAnswered { request, answer } => {
                 self.dispatcher.handle_advice_answer(now, &request, answer.as_ref());
@@ -277,11 +291,15 @@
         }
     }
 
-    fn handle_stored(&mut self, view: &OwnerView<'_>) {
-        let Some(in_flight) = self.in_flight.take() else { return };
-        if self.release == Release::Storing {
+    fn handle_published(&mut self, batch: u64) {
+        if self.release == (Release::Storing { batch }) {
             self.release = Release::Stored;
         }
+    }
+
+    fn handle_stored(&mut self, view: &OwnerView<'_>, batch: u64) {
+        let stored = self.in_flight.take_if(|in_flight| in_flight.batch.number == batch);
+        let Some(in_flight) = stored else { return };
         self.dispatcher.batch_stored(view.now, &in_flight.batch, view.is_confirmed);
         for acknowledgement in in_flight.batch.acknowledged {
             self.connections.acknowledge(acknowledgement);
@@ -299,7 +317,10 @@
             self.store_changes(view.now);
             return;
         }
-        self.dispatcher.expire_leases(view.now);
+        if view.now.since(self.leases_checked_at) >= LEASE_CHECK_INTERVAL_MS {
+            self.leases_checked_at = view.now;
+            self.dispatcher.expire_leases(view.now);
+        }
         if self.may_start(view) {
             self.dispatcher.place_tasks(view.now, view.now_unix_ms, view.catalog);
             self.request_advice(view);
@@ -338,19 +359,19 @@
         }
         let mut batch = self.dispatcher.take_batch(now);
         let waves = self.maintenance.take_changed();
-        let mut records: Vec<KeyedRecord> = Vec::with_capacity(batch.records.len() + waves.len());
+        let mut records = OwnerRecords { batch: batch.number, ..OwnerRecords::default() };
         for (key, value) in std::mem::take(&mut batch.records) {
-            records.push(KeyedRecord { key: key.encode().into(), value: value.into() });
+            records.push(&key, value);
         }
         let mut wave_status = Vec::new();
         for (wave, progress) in waves {
-            let key = RecordKey::Wave(wave).encode().into();
-            let value = progress.encode().into();
-            records.push(KeyedRecord { key, value });
+            records.push(&RecordKey::Wave(wave), progress.encode());
             wave_status.push(self.record_codec.wave_status(wave, progress.completed));
         }
         let vm_orders = std::mem::take(&mut self.vm_orders);
-        records.extend(self.vm_orders_record(now, &vm_orders));
+        if let Some(recent) = self.recent_vm_orders(now, &vm_orders) {
+            records.push(&RecordKey::VmOrders, recent.encode());
+        }
         if records.is_empty() {
             for acknowledgement in batch.acknowledged {
                 self.connections.acknowledge(acknowledgement);
@@ -359,7 +380,7 @@
         }
         self.in_flight = Some(InFlight { batch, wave_status, vm_orders });
         if self.release == Release::Begun {
-            self.release = Release::Storing;
+            self.release = Release::Storing { batch: records.batch };
         }
         metrics::counter!("cowslipport_owner_appends_total").increment(1);
         if self.mailboxes.writer.try_send(records).is_err() {
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 
 use crate::arena::Arena;
+use crate::generational_arena::GenerationalArena;
 use crate::ids::OrganisationId;
 use crate::ids::PoolId;
 use crate::resources::Resources;
@@ -40,9 +41,21 @@
 use crate::workload::record::RecordKey;
 use crate::workload::report::WorkerEntry;
 use crate::workload::spec::JobSpec;
+use crate::workload::start_budget::StartBudget;
 use crate::workload::worker::Listing;
 use crate::workload::worker::Worker;
 
+/// Whether a worker has to be polled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkerActivity {
+    /// Tasks are placed on the worker.
+    Running,
+    /// The worker has a registry entry and no tasks.
+    Idle,
+    /// The worker has neither tasks nor a registry entry.
+    Departed,
+}
+
 /// The owner's state. It does no I/O and reads no clock.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -50,12 +63,13 @@
     /// Whether all jobs of the store are known. Reports that arrive earlier are
     /// ignored, because their tasks would seem to belong to no job.
     pub(crate) is_recovered: bool,
+    /// Time of day at the recovery, from which the ages of stored jobs follow.
+    recovered_unix_ms: Option<u64>,
     pub(crate) lease_times: LeaseTimes,
     pub(crate) owner: NodeIncarnation,
     pub(crate) former_owners: FormerOwners,
     pub(crate) is_released: bool,
-    pub(crate) jobs: Arena<JobId, Job>,
-    free_job_ids: Vec<JobId>,
+    pub(crate) jobs: GenerationalArena<JobId, Job>,
     by_key: BTreeMap<JobKey, JobId>,
     pub(crate) ended: EndedJobs,
     /// Cancellations that arrived before the submission of their job.
@@ -76,6 +90,14 @@
     pub(crate) pools_lacking_capacity: BTreeSet<PoolId>,
     pub(crate) waits: WaitTracker,
     pub(crate) arrivals: Arrivals,
+    pub(crate) start_budget: StartBudget,
+    /// Time until the budget allows a start that is requested now, as of the
+    /// last placement round.
+    pub(crate) start_delay_ms: u64,
+    /// Workers that do not answer and were missing from the last VM list.
+    pub(crate) unlisted_by_vms: BTreeSet<WorkerId>,
+    /// Workers for which [`Self::activity`] may have changed.
+    pub(crate) activity_changes: BTreeSet<WorkerId>,
     /// Number of the next batch, which will contain changes made now.
     pub(crate) next_batch: u64,
     pub(crate) stored_batch: Option<u64>,
@@ -96,12 +118,12 @@
         Self {
             epoch,
             is_recovered: false,
+            recovered_unix_ms: None,
             lease_times,
             owner,
             former_owners: FormerOwners::unknown(gained_at, lease_times),
             is_released: false,
-            jobs: Arena::default(),
-            free_job_ids: Vec::new(),
+            jobs: GenerationalArena::default(),
             by_key: BTreeMap::new(),
             ended: EndedJobs::new(status_kept_ms),
             early_cancellations: BTreeSet::new(),
@@ -120,6 +142,10 @@
             pools_lacking_capacity: BTreeSet::new(),
             waits: WaitTracker::default(),
             arrivals: Arrivals::default(),
+            start_budget: StartBudget::default(),
+            start_delay_ms: 0,
+            unlisted_by_vms: BTreeSet::new(),
+            activity_changes: BTreeSet::new(),
             next_batch: 0,
             stored_batch: None,
             first_batch_at: None,
@@ -131,6 +157,18 @@
         self.epoch
     }
 
+    /// Limits the starts to what the link of the owner carries. Without a
+    /// budget they are not limited.
+    pub fn set_start_budget(&mut self, budget: StartBudget) {
+        self.start_budget = budget;
+    }
+
+    /// Sets the time of day for the recovery. The jobs that are applied before
+    /// [`Self::recovered`] keep the age that they had under former owners.
+    pub fn begin_recovery(&mut self, now_unix_ms: u64) {
+        self.recovered_unix_ms = Some(now_unix_ms);
+    }
+
     /// Marks recovery as complete: all jobs of the store have been applied.
     pub fn recovered(&mut self) {
         self.is_recovered = true;
@@ -151,10 +189,15 @@
         }
         let pool = catalog.pool_id(&spec.pool);
         let organisation = spec.organisation.as_deref().map(|name| catalog.organisation_id(name));
-        let mut job = Job::new(key, spec, pool, organisation, now);
+        let age_ms = match self.recovered_unix_ms.filter(|_| !self.is_recovered) {
+            Some(now_unix_ms) => now_unix_ms.saturating_sub(spec.accepted_unix_ms),
+            None => 0,
+        };
+        let mut job = Job::new(key, spec, pool, organisation, now, age_ms);
         if let Some(progress) = progress {
             let worker_id = |name: &str| self.worker_id(name);
             job_record::restore(&mut job, now, progress, worker_id);
+            job.recorded_status = progress.status();
         }
         job.is_cancelled = self.early_cancellations.remove(&key);
         if job.is_closing() && job.is_idle() {
@@ -164,23 +207,13 @@
         if self.is_recovered && !job.spec.is_long_running() && job.spec.schedule.is_none() {
             self.arrivals.add(now, pool, job.remaining_work());
         }
-        let id = self.insert_job(job);
+        let id = self.jobs.insert(job);
         self.by_key.insert(key, id);
         self.reserve_restored_placements(id);
         self.refresh_job(catalog, id);
         self.close_if_finished(id);
     }
 
-    fn insert_job(&mut self, job: Job) -> JobId {
-        match self.free_job_ids.pop() {
-            Some(id) => {
-                self.jobs.insert_at(id, job);
-                id
-            }
-            None => self.jobs.insert(job),
-        }
-    }
-
     /// Reserves resources for the placements that a former owner has recorded.
     fn reserve_restored_placements(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(id) else { return };
@@ -251,6 +284,7 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.listing = Some(listing);
         }
+        self.activity_changes.insert(id);
         id
     }
 
@@ -259,6 +293,7 @@
     pub fn worker_unlisted(&mut self, name: &str) -> Option<WorkerId> {
         let id = *self.worker_names.get(name)?;
         self.workers.get_mut(id)?.listing = None;
+        self.activity_changes.insert(id);
         Some(id)
     }
 
@@ -282,16 +317,24 @@
         self.workers.get(id).is_some_and(|worker| !worker.tasks.is_empty())
     }
 
-    /// Workers that have placed tasks or a registry entry.
-    pub fn live_workers(&self) -> Vec<WorkerId> {
-        let live = |worker: &Worker| worker.listing.is_some() || !worker.tasks.is_empty();
-        self.workers.iter().filter(|(_, worker)| live(worker)).map(|(id, _)| id).collect()
+    /// Whether a worker has to be polled.
+    pub fn activity(&self, id: WorkerId) -> WorkerActivity {
+        match self.workers.get(id) {
+            Some(worker) if !worker.tasks.is_empty() => WorkerActivity::Running,
+            Some(worker) if worker.listing.is_some() => WorkerActivity::Idle,
+            Some(_) | None => WorkerActivity::Departed,
+        }
+    }
+
+    /// Takes the workers whose activity, or whether their leases may be
+    /// renewed, may have changed since the last call.
+    pub fn take_activity_changes(&mut self) -> BTreeSet<WorkerId> {
+        std::mem::take(&mut self.activity_changes)
     }
 
-    /// Workers that have neither placed tasks nor a registry entry.
-    pub fn departed_workers(&self) -> Vec<WorkerId> {
-        let departed = |worker: &Worker| worker.listing.is_none() && worker.tasks.is_empty();
-        self.workers.iter().filter(|(_, worker)| departed(worker)).map(|(id, _)| id).collect()
+    /// All workers that were ever known.
+    pub fn worker_ids(&self) -> BTreeSet<WorkerId> {
+        self.workers.iter().map(|(id, _)| id).collect()
     }
 
     /// Name of a task of an open job.
@@ -330,14 +373,13 @@
         if !job.is_closing() || !job.is_idle() {
             return;
         }
-        if job.is_dirty {
-            let record = self.record(job);
-            self.closed_job_records.push(record);
+        let (is_dirty, is_cancelled) = (job.is_dirty, job.is_cancelled);
+        if is_dirty {
+            let records = self.job_records(id);
+            self.closed_job_records.extend(records);
         }
-        let is_cancelled = job.is_cancelled;
         self.jobs.remove(id);
         self.tickets.forget(id);
-        self.free_job_ids.push(id);
         self.dirty.remove(&id);
         self.by_key.remove(&key);
         self.ended.insert(key, is_cancelled);
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -13,6 +13,7 @@
 use crate::workload::key::WorkerId;
 use crate::workload::order::StopReason;
 use crate::workload::record::JobOutcome;
+use crate::workload::record::JobStatus;
 use crate::workload::spec::JobSpec;
 use crate::workload::spec::QueueRules;
 use crate::workload::spec::StepSpec;
@@ -26,7 +27,10 @@
     pub(crate) pool: PoolId,
     pub(crate) rules: QueueRules,
     pub(crate) organisation: Option<OrganisationId>,
-    pub(crate) accepted_at: TimeMs,
+    /// When this process learned of the job.
+    known_at: TimeMs,
+    /// Age of the job when this process learned of it.
+    known_at_age_ms: u64,
     /// Declared run time of the critical path through the steps.
     pub(crate) critical_path_ms: u64,
     pub(crate) is_cancelled: bool,
@@ -35,6 +39,8 @@
     pub(crate) occurrences: Vec<Vec<Step>>,
     /// The state differs from the last stored record.
     pub(crate) is_dirty: bool,
+    /// The last status record.
+    pub(crate) recorded_status: JobStatus,
 }
 
 /// One step of one occurrence.
@@ -201,7 +207,8 @@
         spec: JobSpec,
         pool: PoolId,
         organisation: Option<OrganisationId>,
-        accepted_at: TimeMs,
+        known_at: TimeMs,
+        known_at_age_ms: u64,
     ) -> Self {
         let steps: Vec<Step> = spec.steps.iter().map(Step::new).collect();
         Self {
@@ -210,16 +217,23 @@
             pool,
             rules: spec.rules,
             organisation,
-            accepted_at,
+            known_at,
+            known_at_age_ms,
             critical_path_ms: spec.critical_path_ms(),
             is_cancelled: false,
             outcome: None,
             occurrences: vec![steps; spec.occurrences() as usize],
             is_dirty: false,
+            recorded_status: JobStatus::default(),
             spec: Rc::new(spec),
         }
     }
 
+    /// Time since the job was accepted.
+    pub(crate) fn age_ms(&self, now: TimeMs) -> u64 {
+        now.since(self.known_at).saturating_add(self.known_at_age_ms)
+    }
+
     pub(crate) fn step_spec(&self, step: u32) -> &StepSpec {
         &self.spec.steps[step as usize]
     }
@@ -316,6 +330,6 @@
             let core_ms = spec.request.cpu_milli.saturating_mul(spec.estimate_ms) / 1_000;
             left.saturating_mul(core_ms)
         });
-        work.sum()
+        work.fold(0, u64::saturating_add)
     }
 }
--- a/lib/src/workload/unreachable.rs
+++ b/lib/src/workload/unreachable.rs
@@ -2,16 +2,22 @@
 //! that tell a successor how much of the wait is left.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::time::TimeMs;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::PlacementReleaseReason;
+use crate::workload::job::AttemptState;
 use crate::workload::key::WorkerId;
 use crate::workload::lease::LeaseTracker;
 use crate::workload::lease::UnreachableRecord;
 use crate::workload::owner_record::Unreachable;
 use crate::workload::record::RecordKey;
+use crate::workload::vm::VmEntry;
+use crate::workload::vm::VmList;
+use crate::workload::vm::VmState;
 use crate::workload::worker::Reachability;
+use crate::workload::worker::Worker;
 
 /// Time between two records of one unreachable worker. It bounds the time that
 /// a change of owners adds to the wait for the worker's tasks.
@@ -22,6 +28,10 @@
 /// answers later costs two records.
 const UNREACHABLE_AFTER_MS: u64 = 300;
 
+/// A worker that has just started may not be in the VM list yet. A placement
+/// that is older than this shows that the worker is not new.
+const VM_LIST_LAG_MS: u64 = 2_000;
+
 impl Dispatcher {
     /// Applies a former owner's record of an unreachable worker.
     pub fn restore_unreachable(&mut self, now: TimeMs, name: &str, unreachable: Unreachable) {
@@ -53,7 +63,7 @@
     /// Releases the placements on workers whose leases have all expired.
     pub fn expire_leases(&mut self, now: TimeMs) {
         let former_expires_at = self.lease_times.expires_at(self.former_owners.may_renew_until());
-        let is_expired = |worker: &crate::workload::worker::Worker| {
+        let is_expired = |worker: &Worker| {
             worker.reachability != Reachability::Reachable
                 && !worker.tasks.is_empty()
                 && now >= worker.leases.expires_at(former_expires_at)
@@ -69,6 +79,41 @@
         }
     }
 
+    /// Releases the placements on workers that do not answer and that two VM
+    /// lists in a row do not show: their VMs were moved, maintained or
+    /// restarted, which ended all their tasks. Without the list, a new owner
+    /// would wait until the leases that a former owner may have renewed expire.
+    pub fn vms_listed(&mut self, now: TimeMs, vms: &VmList) {
+        let is_doubtful = |worker: &Worker| {
+            worker.reachability != Reachability::Reachable && !worker.tasks.is_empty()
+        };
+        let doubtful = self.workers.iter().filter(|(_, worker)| is_doubtful(worker));
+        let doubtful: Vec<WorkerId> = doubtful.map(|(id, _)| id).collect();
+        if doubtful.is_empty() {
+            self.unlisted_by_vms.clear();
+            return;
+        }
+        let may_run = |entry: &&VmEntry| match entry.state {
+            VmState::Up | VmState::Down | VmState::Unknown => true,
+            VmState::Moving | VmState::Maintenance => false,
+        };
+        let workers = vms.iter().filter(may_run).map(|entry| entry.worker.as_deref());
+        let Some(listed) = workers.collect::<Option<BTreeSet<&str>>>() else {
+            // A VM without a worker in the list may be that of any worker.
+            self.unlisted_by_vms.clear();
+            return;
+        };
+        let is_missing = |id: &WorkerId| !listed.contains(self.worker_name(*id));
+        let missing = doubtful.into_iter().filter(is_missing).collect();
+        let before = std::mem::replace(&mut self.unlisted_by_vms, missing);
+        for id in before.intersection(&self.unlisted_by_vms.clone()) {
+            self.release_matching(*id, PlacementReleaseReason::WorkerGone, |placement| {
+                placement.state != AttemptState::Planned
+                    && now.since(placement.since) >= VM_LIST_LAG_MS
+            });
+        }
+    }
+
     /// Adds the records of unreachable workers that must be written, and the
     /// deletions of those that no longer hold.
     pub(crate) fn unreachable_records(
@@ -96,15 +141,16 @@
             };
             let is_written =
                 matches!(worker.leases.unreachable_record(), UnreachableRecord::Written { .. });
-            let key = RecordKey::Unreachable(worker.name.clone());
             if is_unreachable && is_due {
+                let key = RecordKey::Unreachable(worker.name.clone());
                 let remaining_ms = worker.leases.expires_at(former_expires_at).since(now);
                 records.insert(key, Unreachable { remaining_ms }.encode(&worker.name));
                 worker.leases.set_unreachable_record(UnreachableRecord::Written { at: now });
+                self.activity_changes.insert(id);
             } else if is_written
                 && (worker.reachability == Reachability::Reachable || worker.tasks.is_empty())
             {
-                records.insert(key, Vec::new());
+                records.insert(RecordKey::Unreachable(worker.name.clone()), Vec::new());
                 worker.leases.set_unreachable_record(UnreachableRecord::Dropping);
                 dropped.push(id);
             }
@@ -116,6 +162,7 @@
         for id in workers {
             if let Some(worker) = self.workers.get_mut(*id) {
                 worker.leases.set_unreachable_record(UnreachableRecord::Absent);
+                self.activity_changes.insert(*id);
             }
         }
     }
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -12,6 +12,7 @@
 use cowslipport_lib::workload::admission::CallAnswer;
 use cowslipport_lib::workload::admission::ConfirmedAt;
 use cowslipport_lib::workload::admission::NotRunReason;
+use cowslipport_lib::workload::admission::StartDelay;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::catalog::CatalogSpec;
 use cowslipport_lib::workload::catalog::OrganisationSpec;
@@ -22,8 +23,8 @@
 use cowslipport_lib::workload::job_registry::JobView;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::record::JobOutcome;
+use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::Progress;
-use cowslipport_lib::workload::record::ProgressSummary;
 use cowslipport_lib::workload::record::RecordedPhase;
 use cowslipport_lib::workload::record::StepProgress;
 use cowslipport_lib::workload::record::TaskProgress;
@@ -84,7 +85,15 @@
     confirmed_at: ConfirmedAt,
     expected: &CallAnswer,
 ) {
-    let decision = admission::admit(NOW, call, &catalog(), registry, confirmed_at, LIMITS);
+    let decision = admission::admit(
+        NOW,
+        call,
+        &catalog(),
+        registry,
+        confirmed_at,
+        StartDelay::default(),
+        LIMITS,
+    );
     assert_eq!(decision, AdmissionDecision::Answer(expected.clone()));
 }
 
@@ -114,10 +123,12 @@
     check(&call(&path, Some("wrong"), Action::Submit), &registry, FRESH, &CallAnswer::UnknownKey);
     let mut catalog = catalog();
     let with_key = call(&path, Some("secret"), Action::Submit);
-    let admitted = admission::admit(NOW, &with_key, &catalog, &registry, FRESH, LIMITS);
+    let admitted =
+        admission::admit(NOW, &with_key, &catalog, &registry, FRESH, StartDelay::default(), LIMITS);
     assert!(matches!(admitted, AdmissionDecision::Store(_)));
     catalog.apply(configuration(4, vec![queue("short", "/a/", false)], &[]));
-    let refused = admission::admit(NOW, &with_key, &catalog, &registry, FRESH, LIMITS);
+    let refused =
+        admission::admit(NOW, &with_key, &catalog, &registry, FRESH, StartDelay::default(), LIMITS);
     assert_eq!(refused, AdmissionDecision::Answer(CallAnswer::UnknownKey));
 }
 
@@ -138,6 +149,7 @@
         &catalog(),
         &JobRegistry::default(),
         stale,
+        StartDelay::default(),
         LIMITS,
     );
     assert!(matches!(decision, AdmissionDecision::Store(_)), "a public queue needs no key");
@@ -146,8 +158,15 @@
 #[test]
 fn node_without_a_configuration_refuses() {
     let call = call("/a/", None, Action::Query);
-    let decision =
-        admission::admit(NOW, &call, &Catalog::default(), &JobRegistry::default(), FRESH, LIMITS);
+    let decision = admission::admit(
+        NOW,
+        &call,
+        &Catalog::default(),
+        &JobRegistry::default(),
+        FRESH,
+        StartDelay::default(),
+        LIMITS,
+    );
     let refusal = admission::not_run(NotRunReason::NoConfiguration);
     assert_eq!(decision, AdmissionDecision::Answer(refusal));
 }
@@ -163,9 +182,9 @@
     Progress { outcome, steps, epoch: 5 }
 }
 
-/// The summary that a process reads from a progress record.
-fn summary(outcome: Option<JobOutcome>) -> ProgressSummary {
-    ProgressSummary::decode(&progress(outcome).encode()).expect("a record")
+/// The status that a process reads from the record that belongs to a progress.
+fn status(outcome: Option<JobOutcome>) -> JobStatus {
+    JobStatus::decode(&progress(outcome).status().encode()).expect("a record")
 }
 
 /// Several nodes write the records of a job, and these arrive in any order. The
@@ -176,13 +195,13 @@
     let queue = catalog.queue_id("long");
     let job = JobKey(0xaa);
     let mut registry = JobRegistry::default();
-    registry.apply_progress(job, summary(None));
+    registry.apply_status(job, status(None));
     assert_eq!(registry.view(job), None, "the submission has not arrived");
     registry.apply_submission(job, queue, None);
     assert_eq!(registry.view(job), Some(JobView::Active));
     registry.apply_cancellation(job);
     assert_eq!(registry.view(job), Some(JobView::Cancelled));
-    registry.apply_progress(job, summary(Some(JobOutcome::Completed)));
+    registry.apply_status(job, status(Some(JobOutcome::Completed)));
     assert_eq!(
         registry.view(job),
         Some(JobView::Completed),
@@ -201,7 +220,7 @@
         registry.apply_submission(JobKey(key), queue, None);
         registry.apply_submission(JobKey(key), queue, None);
     }
-    registry.apply_progress(JobKey(1), summary(None));
+    registry.apply_status(JobKey(1), status(None));
     registry.apply_cancellation(JobKey(2));
     assert_eq!(registry.queued_jobs(queue), 1);
     check(&call("/a/b/", None, Action::Query), &registry, FRESH, &CallAnswer::Queued(1));
@@ -242,8 +261,15 @@
 fn cancellation_of_an_unknown_job_is_stored() {
     let path = format!("/a/b/{JOB}");
     let cancel = call(&path, None, Action::Cancel);
-    let decision =
-        admission::admit(NOW, &cancel, &catalog(), &JobRegistry::default(), FRESH, LIMITS);
+    let decision = admission::admit(
+        NOW,
+        &cancel,
+        &catalog(),
+        &JobRegistry::default(),
+        FRESH,
+        StartDelay::default(),
+        LIMITS,
+    );
     assert_eq!(decision, AdmissionDecision::StoreCancellation(JobKey(0xaa)));
 }
 
@@ -252,8 +278,15 @@
     for name in ["xyz", "00000000000000AA", "00000000000000aa1"] {
         let path = format!("/a/b/{name}");
         let call = call(&path, None, Action::Submit);
-        let decision =
-            admission::admit(NOW, &call, &catalog(), &JobRegistry::default(), FRESH, LIMITS);
+        let decision = admission::admit(
+            NOW,
+            &call,
+            &catalog(),
+            &JobRegistry::default(),
+            FRESH,
+            StartDelay::default(),
+            LIMITS,
+        );
         assert!(matches!(decision, AdmissionDecision::Answer(CallAnswer::Invalid(_))), "{name}");
     }
 }
@@ -300,8 +333,43 @@
     let job = spec(vec![step]);
     assert_eq!(JobSpec::decode(&job.encode()), Ok(job));
     let progress = progress(Some(JobOutcome::Failed));
+    let progress_status = progress.status();
     assert_eq!(Progress::decode(&progress.encode()), Ok(progress));
     let not_started = Progress { epoch: 1, ..Progress::default() };
-    let summary = ProgressSummary { outcome: None, has_started: false };
-    assert_eq!(ProgressSummary::decode(&not_started.encode()), Ok(summary));
+    let status = JobStatus { outcome: None, has_started: false };
+    assert_eq!(not_started.status(), status);
+    let ended = JobStatus { outcome: Some(JobOutcome::Failed), has_started: true };
+    assert_eq!(progress_status, ended);
+    for status in [status, ended] {
+        assert_eq!(JobStatus::decode(&status.encode()), Ok(status));
+    }
+}
+
+/// The owner has more starts to send than its link carries. A new job that
+/// would wait too long is refused at once, with the time at which there will be
+/// room.
+#[test]
+fn new_job_is_refused_while_the_link_of_the_owner_is_busy() {
+    let path = format!("/a/{JOB}");
+    let admit = |call: &Call<'_>, registry: &JobRegistry, delay_ms, age_ms: u64| {
+        let received_at = NOW.minus(age_ms);
+        let start_delay = StartDelay { delay_ms, received_at };
+        admission::admit(NOW, call, &catalog(), registry, FRESH, start_delay, LIMITS)
+    };
+    let submit = call(&path, Some("secret"), Action::Submit);
+    let none = JobRegistry::default();
+    let refused = |retry_after_ms| {
+        AdmissionDecision::Answer(CallAnswer::NotRun {
+            reason: NotRunReason::OwnerBusy,
+            retry_after_ms,
+        })
+    };
+    assert_eq!(admit(&submit, &none, 5_000, 0), refused(3_000));
+    assert_eq!(admit(&submit, &none, 5_000, 1_000), refused(2_000), "the estimate ages");
+    for (delay_ms, age_ms) in [(0, 0), (2_000, 0), (5_000, 3_000)] {
+        let decision = admit(&submit, &none, delay_ms, age_ms);
+        assert!(matches!(decision, AdmissionDecision::Store(_)), "{delay_ms} {age_ms}");
+    }
+    let cancel = call(&path, Some("secret"), Action::Cancel);
+    assert!(matches!(admit(&cancel, &none, 5_000, 0), AdmissionDecision::StoreCancellation(_)));
 }
