--- a/lib/src/workload/pool_autoscaler.rs
+++ b/lib/src/workload/pool_autoscaler.rs
@@ -142,8 +142,7 @@
         for (vm, pending) in &self.moves {
             let size = vms.get(vm).map_or(0, |entry| entry.capacity.cpu_milli);
             let Some(load) = loads.get_mut(&pending.to) else { continue };
-            load.capacity_cpu_milli += size;
-            load.workers += 1;
+            load.add_capacity(size);
         }
     }
 
@@ -269,9 +268,9 @@
     let mut shortages = BTreeMap::new();
     for (pool, load) in loads {
         let missing_cpu_milli = load.need_cpu_milli.saturating_sub(load.capacity_cpu_milli);
-        let missing_milli = missing_cpu_milli * 1_000 / size;
+        let missing_milli = missing_cpu_milli.saturating_mul(1_000) / size;
         let for_spread = load.spread_workers.saturating_sub(load.workers);
-        let for_need = (missing_milli + 1_000 - MIN_SHORTAGE_MILLI) / 1_000;
+        let for_need = missing_milli.saturating_add(1_000 - MIN_SHORTAGE_MILLI) / 1_000;
         let missing = usize::try_from(for_need).unwrap_or(usize::MAX).max(for_spread);
         if missing > 0 {
             shortages.insert(*pool, missing);
@@ -288,7 +287,8 @@
     let rank = |pool: &&PoolId| {
         let load = &loads[*pool];
         let can_spread = load.workers >= load.spread_workers;
-        let covered_milli = load.capacity_cpu_milli * 1_000 / load.need_cpu_milli.max(1);
+        let covered_milli =
+            load.capacity_cpu_milli.saturating_mul(1_000) / load.need_cpu_milli.max(1);
         (can_spread, covered_milli)
     };
     shortages.keys().min_by_key(rank).copied()
@@ -318,8 +318,7 @@
         load.remove_vm(size);
     }
     if let Some(load) = loads.get_mut(&to) {
-        load.capacity_cpu_milli += size;
-        load.workers += 1;
+        load.add_capacity(size);
     }
     Some(vm.entry.clone())
 }
--- a/lib/src/workload/pool_load.rs
+++ b/lib/src/workload/pool_load.rs
@@ -85,6 +85,14 @@
     }
 }
 
+impl PoolLoad {
+    /// Adds a worker. Sizes come from outside, so that sums saturate.
+    pub(crate) fn add_capacity(&mut self, cpu_milli: u64) {
+        self.capacity_cpu_milli = self.capacity_cpu_milli.saturating_add(cpu_milli);
+        self.workers += 1;
+    }
+}
+
 /// Loads of the pools that are not on standby.
 pub(crate) type PoolLoads = BTreeMap<PoolId, PoolLoad>;
 
@@ -99,11 +107,11 @@
             let accepts_tasks = !listing.is_draining && !worker.is_cordoned;
             let in_service = !self.data_centres_out.contains(&listing.data_centre);
             if accepts_tasks && in_service && !worker.is_unreachable() {
-                load.capacity_cpu_milli += listing.capacity.cpu_milli;
-                load.workers += 1;
+                load.add_capacity(listing.capacity.cpu_milli);
             }
-            load.used_cpu_milli += worker.used.cpu_milli;
-            load.need_cpu_milli += worker.used.cpu_milli;
+            let used = worker.used.cpu_milli;
+            load.used_cpu_milli = load.used_cpu_milli.saturating_add(used);
+            load.need_cpu_milli = load.need_cpu_milli.saturating_add(used);
         }
         for (id, job) in self.jobs.iter().filter(|(_, job)| !job.is_closing()) {
             let Some(load) = loads.get_mut(&job.pool) else { continue };
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use cowslipport_lib::resources::Resources;
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::catalog::CatalogSpec;
@@ -354,3 +355,32 @@
     ];
     assert_eq!(targets, expected);
 }
+
+/// Another writer left registry entries with the largest possible numbers.
+#[test]
+fn sizes_beyond_all_bounds_do_not_overflow() {
+    let mut pools = Pools::new(&[("a", 3), ("standby", 2)]);
+    for name in ["odd1", "odd2", "odd3"] {
+        let entry = WorkerEntry {
+            name: name.to_owned(),
+            pool: "a".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            data_centre: "odd".to_owned(),
+            rack: None,
+            capacity: Resources {
+                cpu_milli: u64::MAX,
+                memory_bytes: u64::MAX,
+                accelerators: u32::MAX,
+            },
+            labels: BTreeSet::new(),
+            is_draining: false,
+            started_unix_ms: Some(1),
+        };
+        pools.owner.worker_listed(&mut pools.catalog, &entry);
+    }
+    let huge = Resources { cpu_milli: u64::MAX, memory_bytes: 1, accelerators: 0 };
+    pools.submit(1, "a", vec![StepSpec { estimate_ms: u64::MAX, ..step(9, huge) }]);
+    pools.submit(2, "a", vec![StepSpec { estimate_ms: u64::MAX, ..step(9, huge) }]);
+    pools.submit(3, "b", vec![step(40, cores(1))]);
+    pools.advance(2_000);
+}
