node: statuses are appended by a task of their own

Change: the progress and the statuses have a task each; the statuses of several batches go in one append. A release, and the deletion of the progress of ended jobs, wait for the publication. The pause after a round of decisions is four times what the round took, at most 5 ms, so that small fleets have next to none.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -43,9 +43,10 @@
 use crate::node::settings::FOLLOWER_TICK;
 use crate::node::settings::NodeSettings;
 use crate::node::settings::OWNER_PAUSE;
-use crate::node::settings::OWNER_ROUND_INTERVAL;
 use crate::node::settings::OWNER_TICK;
 use crate::node::settings::RENEW_WITHOUT_STORE_MS;
+use crate::node::settings::ROUND_PAUSE_FACTOR;
+use crate::node::settings::ROUND_PAUSE_MAX;
 use crate::node::submissions::Submission;
 
 /// Maximum number of messages that are handled before the next decisions. A
@@ -140,9 +141,11 @@
                 continue;
             }
             self.reconcile();
+            let round_began_at = now;
             let now = Instant::now();
             let is_owner = self.state.owner.is_some();
-            next_round = if is_owner { now + OWNER_ROUND_INTERVAL } else { now };
+            let pause = (now - round_began_at) * ROUND_PAUSE_FACTOR;
+            next_round = now + pause.min(ROUND_PAUSE_MAX);
             let tick = if is_owner { OWNER_TICK } else { FOLLOWER_TICK };
             if next_tick <= now || next_tick > now + tick {
                 next_tick = now + tick;
--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -62,7 +62,7 @@
     Recovered(Vec<KeyedRecord>),
     /// The store has what a successor needs of the batch in flight.
     Stored { batch: u64 },
-    /// The store also has what all nodes need of a batch.
+    /// The store also has what all nodes need of the batches up to this one.
     Published { batch: u64 },
     /// A later owner has fenced this one.
     Fenced,
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -291,8 +291,11 @@
         }
     }
 
-    fn handle_published(&mut self, batch: u64) {
-        if self.release == (Release::Storing { batch }) {
+    fn handle_published(&mut self, published: u64) {
+        self.dispatcher.batch_published(published);
+        if let Release::Storing { batch } = self.release
+            && batch <= published
+        {
             self.release = Release::Stored;
         }
     }
--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -30,9 +30,15 @@
 /// the next number on.
 pub(crate) const FIRST_SEQUENCE: u64 = 0;
 
-/// Topics that the owner writes under its epoch. What a successor needs is
-/// stored before what callers see of it.
-const TOPICS: [Topic; 2] = [Topic::Progress, Topic::Jobs];
+/// Topics that the owner writes under its epoch.
+pub(crate) const TOPICS: [Topic; 2] = [Topic::Progress, Topic::Jobs];
+
+/// Capacity of the queue of the publisher. When it is full, the owner's next
+/// batch waits.
+pub(crate) const PUBLISHER_CAPACITY: usize = 256;
+/// Maximum number of batches that the publisher appends at once, which keeps the
+/// append far below the size limit of the store.
+const MAX_PUBLISHED_BATCHES: usize = 32;
 
 /// Records of a batch, by topic.
 #[derive(Clone, Debug, Default)]
@@ -57,30 +63,55 @@
     }
 }
 
-/// Appends batches in order until the owner ends or is fenced.
+/// Records of a batch for all nodes.
+#[derive(Clone, Debug)]
+pub(crate) struct Publication {
+    batch: u64,
+    records: Vec<KeyedRecord>,
+}
+
+/// Appends what a successor needs of each batch, in order, until the owner ends
+/// or is fenced. What all nodes need goes to the publisher afterwards, so that
+/// no caller sees what a successor would not know.
 pub(crate) async fn run<S>(
-    store: S,
+    mut writer: TopicWriter<S>,
     mut batches: mpsc::Receiver<OwnerRecords>,
+    publisher: mpsc::Sender<Publication>,
     mailbox: OwnerMailbox,
-    logger: Logger,
 ) where
     S: Store,
 {
-    let mut writer = OwnerWriter::new(store, mailbox.epoch, logger);
-    writer.sequences = [FIRST_SEQUENCE + 1; TOPICS.len()];
     while let Some(OwnerRecords { batch, progress, jobs }) = batches.recv().await {
-        let steps = [
-            (Topic::Progress, progress, OwnerMessage::Stored { batch }),
-            (Topic::Jobs, jobs, OwnerMessage::Published { batch }),
-        ];
-        for (topic, records, done) in steps {
-            let message = match writer.append(topic, &records).await {
-                Ok(()) => done,
-                Err(Fenced) => OwnerMessage::Fenced,
-            };
-            if !mailbox.send(message).await {
-                return;
-            }
+        let message = match writer.append_some(&progress).await {
+            Ok(()) => OwnerMessage::Stored { batch },
+            Err(Fenced) => OwnerMessage::Fenced,
+        };
+        let publication = Publication { batch, records: jobs };
+        if !mailbox.send(message).await || publisher.send(publication).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Appends what all nodes need of the batches, several batches at once.
+pub(crate) async fn publish<S>(
+    mut writer: TopicWriter<S>,
+    mut publications: mpsc::Receiver<Publication>,
+    mailbox: OwnerMailbox,
+) where
+    S: Store,
+{
+    let mut waiting = Vec::new();
+    while publications.recv_many(&mut waiting, MAX_PUBLISHED_BATCHES).await > 0 {
+        let batch = waiting.last().map_or(0, |publication| publication.batch);
+        let records = waiting.drain(..).flat_map(|publication| publication.records);
+        let records: Vec<KeyedRecord> = records.collect();
+        let message = match writer.append_some(&records).await {
+            Ok(()) => OwnerMessage::Published { batch },
+            Err(Fenced) => OwnerMessage::Fenced,
+        };
+        if !mailbox.send(message).await {
+            return;
         }
     }
 }
@@ -88,105 +119,74 @@
 /// A later owner has fenced this one.
 pub(crate) struct Fenced;
 
-/// Appends under the epoch of the owner.
-pub(crate) struct OwnerWriter<S> {
-    pub(crate) store: S,
+/// Appends to one topic under the epoch of the owner.
+pub(crate) struct TopicWriter<S> {
+    store: S,
+    topic: Topic,
     epoch: u64,
-    /// Next sequence number in each of [`TOPICS`].
-    sequences: [u64; TOPICS.len()],
+    /// Sequence number of the next append.
+    sequence: u64,
     timeout: AppendTimeout,
     logger: Logger,
 }
 
-impl<S> OwnerWriter<S>
+impl<S> TopicWriter<S>
 where
     S: Store,
 {
-    pub(crate) fn new(store: S, epoch: u64, logger: Logger) -> Self {
-        Self {
-            store,
-            epoch,
-            sequences: [FIRST_SEQUENCE; TOPICS.len()],
-            timeout: AppendTimeout::new(append_timeout::OWNER_MAX),
-            logger,
-        }
+    /// A writer for an owner that has fenced its predecessors.
+    pub(crate) fn new(store: S, topic: Topic, epoch: u64, logger: Logger) -> Self {
+        let timeout = AppendTimeout::new(append_timeout::OWNER_MAX);
+        Self { store, topic, epoch, sequence: FIRST_SEQUENCE + 1, timeout, logger }
     }
 
-    /// Fences former owners in all topics: the store refuses their appends from
-    /// now on.
-    pub(crate) async fn fence(&mut self) -> Result<(), Fenced> {
-        for topic in TOPICS {
-            self.append_to(topic, &[]).await?;
-        }
-        Ok(())
+    /// Fences former owners: the store refuses their appends from now on.
+    /// Returns the client of the store.
+    pub(crate) async fn fence(mut self) -> Result<S, Fenced> {
+        self.sequence = FIRST_SEQUENCE;
+        self.append(&[]).await?;
+        Ok(self.store)
     }
 
-    async fn append(&mut self, topic: Topic, records: &[KeyedRecord]) -> Result<(), Fenced> {
+    async fn append_some(&mut self, records: &[KeyedRecord]) -> Result<(), Fenced> {
         match records.is_empty() {
             true => Ok(()),
-            false => self.append_to(topic, records).await,
+            false => self.append(records).await,
         }
     }
 
-    async fn append_to(&mut self, topic: Topic, records: &[KeyedRecord]) -> Result<(), Fenced> {
-        for (written, sequence) in TOPICS.into_iter().zip(&mut self.sequences) {
-            if written == topic {
-                let append = Append { topic, epoch: self.epoch, records };
-                append.run(&mut self.store, sequence, &mut self.timeout, &self.logger).await?;
-            }
-        }
-        Ok(())
-    }
-}
-
-/// Records for one topic.
-struct Append<'a> {
-    topic: Topic,
-    epoch: u64,
-    records: &'a [KeyedRecord],
-}
-
-impl Append<'_> {
-    /// Retries the append until the store has it. The sequence number makes the
+    /// Retries an append until the store has it. The sequence number makes the
     /// store apply the append once.
-    async fn run<S>(
-        &self,
-        store: &mut S,
-        sequence: &mut u64,
-        timeout: &mut AppendTimeout,
-        logger: &Logger,
-    ) -> Result<(), Fenced>
-    where
-        S: Store,
-    {
+    async fn append(&mut self, records: &[KeyedRecord]) -> Result<(), Fenced> {
         let mut delay = RETRY_DELAY_MIN;
         let mut may_be_stored = false;
         loop {
-            let fence = WriterFence { epoch: self.epoch, sequence: *sequence };
-            match store.append(self.topic, Some(fence), self.records, timeout.current()).await {
+            let fence = WriterFence { epoch: self.epoch, sequence: self.sequence };
+            match self.store.append(self.topic, Some(fence), records, self.timeout.current()).await
+            {
                 Ok(()) => {
-                    timeout.reset();
-                    *sequence += 1;
+                    self.timeout.reset();
+                    self.sequence += 1;
                     return Ok(());
                 }
                 Err(AppendError::Fenced) => return Err(Fenced),
                 Err(AppendError::WrongSequence { expected }) => {
-                    let named = std::mem::replace(sequence, expected);
+                    let named = std::mem::replace(&mut self.sequence, expected);
                     let is_next = expected == named + 1;
                     if is_next && may_be_stored {
                         // An earlier call without an answer stored the append.
                         return Ok(());
                     }
-                    warn!(logger, "append has the wrong sequence number; retrying"; "named" => named,
+                    warn!(self.logger, "append has the wrong sequence number; retrying"; "named" => named,
                     "expected" => expected);
                 }
                 Err(error @ AppendError::Unknown { .. }) => {
                     may_be_stored = true;
-                    timeout.double();
-                    warn!(logger, "append failed; retrying"; "error" => %error);
+                    self.timeout.double();
+                    warn!(self.logger, "append failed; retrying"; "error" => %error);
                 }
                 Err(error @ AppendError::Refused { .. }) => {
-                    warn!(logger, "append failed; retrying"; "error" => %error);
+                    warn!(self.logger, "append failed; retrying"; "error" => %error);
                 }
             }
             sleep(delay).await;
--- a/daemon/src/node/recovery.rs
+++ b/daemon/src/node/recovery.rs
@@ -11,29 +11,35 @@
 use crate::clock::Clock;
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
-use crate::node::owner_writer::OwnerWriter;
+use crate::node::owner_writer::Fenced;
+use crate::node::owner_writer::TOPICS;
+use crate::node::owner_writer::TopicWriter;
 use crate::node::platform::Store;
-use crate::node::platform::Topic;
 use crate::node::topic_reader::SnapshotReader;
 
 /// Delay before a failed read of the job records is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Fences the former owner, reads all job records and sends them to the owner.
-pub(crate) async fn run<S>(store: S, mailbox: OwnerMailbox, clock: Clock, logger: Logger)
+pub(crate) async fn run<S>(mut store: S, mailbox: OwnerMailbox, clock: Clock, logger: Logger)
 where
     S: Store,
 {
     let began_at = clock.now();
-    let mut writer = OwnerWriter::new(store, mailbox.epoch, logger.clone());
-    if writer.fence().await.is_err() {
-        mailbox.send(OwnerMessage::Fenced).await;
-        return;
+    for topic in TOPICS {
+        let writer = TopicWriter::new(store, topic, mailbox.epoch, logger.clone());
+        match writer.fence().await {
+            Ok(client) => store = client,
+            Err(Fenced) => {
+                mailbox.send(OwnerMessage::Fenced).await;
+                return;
+            }
+        }
     }
     let mut records = Vec::new();
-    for topic in [Topic::Progress, Topic::Jobs] {
+    for topic in TOPICS {
         let mut reader = SnapshotReader::new(topic);
-        while let Err(error) = reader.read_remaining(&mut writer.store).await {
+        while let Err(error) = reader.read_remaining(&mut store).await {
             warn!(logger, "reading the job records failed; retrying"; "error" => %error,
                 "topic" => topic.as_str(), "records" => reader.records_read());
             sleep(RETRY_DELAY).await;
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -39,9 +39,13 @@
 /// Pause between reads of the job records on the owner. It groups submissions
 /// and the owner's own records, and limits the reads to about forty a second.
 pub const OWNER_PAUSE: Duration = Duration::from_millis(18);
-/// Shortest interval between two rounds of decisions of the owner. A round looks
-/// at all open jobs, and its records take about as long to be stored.
-pub const OWNER_ROUND_INTERVAL: Duration = Duration::from_millis(5);
+/// Pause after a round of decisions, as a multiple of the time that the round
+/// took. A round looks at all open jobs, so the rounds of a large fleet would
+/// otherwise take most of the processor, while those of a small one need no
+/// pause.
+pub const ROUND_PAUSE_FACTOR: u32 = 4;
+/// Longest pause after a round, about the time of an append.
+pub const ROUND_PAUSE_MAX: Duration = Duration::from_millis(5);
 /// Interval at which the owner checks timers, such as those of leases and of
 /// schedules.
 pub const OWNER_TICK: Duration = Duration::from_millis(50);
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -94,14 +94,26 @@
     pub fn batch_stored(&mut self, now: TimeMs, batch: &Batch, may_order: bool) {
         self.stored_batch = Some(batch.number);
         self.unreachable_records_dropped(&batch.reachable_again);
-        // The progress goes last: a submission without progress would run again.
-        let progress = batch.deleted_jobs.iter().map(|job| (RecordKey::Progress(*job), Vec::new()));
-        self.closed_job_records.extend(progress);
+        if !batch.deleted_jobs.is_empty() {
+            self.unpublished_deletions.push_back((batch.number, batch.deleted_jobs.clone()));
+        }
         for task in &batch.starts {
             self.order_start(now, *task, may_order);
         }
     }
 
+    /// Handles that the store has the records for all nodes of the batches up to
+    /// this one. The progress of deleted jobs goes last, because a submission
+    /// without progress would run again.
+    pub fn batch_published(&mut self, number: u64) {
+        while let Some((_, jobs)) =
+            self.unpublished_deletions.pop_front_if(|(batch, _)| *batch <= number)
+        {
+            let progress = jobs.into_iter().map(|job| (RecordKey::Progress(job), Vec::new()));
+            self.closed_job_records.extend(progress);
+        }
+    }
+
     fn order_start(&mut self, now: TimeMs, key: TaskKey, may_order: bool) {
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let is_closing = job.is_closing();
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use crate::arena::Arena;
 use crate::generational_arena::GenerationalArena;
@@ -84,6 +85,8 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Last progress records of jobs that were removed from the arena.
     pub(crate) closed_job_records: Vec<(RecordKey, Vec<u8>)>,
+    /// Jobs whose submissions are deleted in these batches.
+    pub(crate) unpublished_deletions: VecDeque<(u64, Vec<JobKey>)>,
     pub(crate) events: Vec<DispatcherEvent>,
     pub(crate) pacer: Pacer,
     pub(crate) tickets: Tickets,
@@ -136,6 +139,7 @@
             to_acknowledge: BTreeMap::new(),
             dirty: BTreeSet::new(),
             closed_job_records: Vec::new(),
+            unpublished_deletions: VecDeque::new(),
             events: Vec::new(),
             pacer: Pacer::default(),
             tickets: Tickets::default(),
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -122,6 +122,7 @@
             let now = self.time();
             if let Some(owner) = &mut self.owner {
                 owner.batch_stored(now, &batch, true);
+                owner.batch_published(batch.number);
             }
             for acknowledgement in &batch.acknowledged {
                 self.acknowledge(*acknowledgement);
