node: owners take no VM list as proof that a worker has ended

Its VM service lists no VMs, so each worker that did not answer counted as gone after two lists. An incomplete list is no proof.

Change: the owner no longer passes the list to Dispatcher::vms_listed.

--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -79,7 +79,6 @@
 
     pub(crate) fn handle_vm_list(&mut self, view: &mut OwnerView<'_>, vms: VmList) {
         self.is_listing_vms = false;
-        self.dispatcher.vms_listed(view.now, &vms);
         self.maintenance.vms_listed(&vms, &mut self.dispatcher);
         self.pool_autoscaler.vms_listed(view.now, &vms, view.catalog);
         self.vms = Some(vms);
