daemon: each ownership has an epoch of its own

Callers saw completed jobs run again after a change of owners, and jobs that had run stay queued. An owner whose process starts again within the time to live of its membership still holds the ownership in the same generation, and took it as its epoch again. Its appends were numbered from 1 under the same producer and epoch, so the store answered the first ones as repeats and stored nothing; the owner acknowledged ends whose records were lost.

Ownership now grants an epoch once: none up to the generation of the first answer, which a former process may have used, and none that was given up. The node leaves the group and joins it again, at once.

Looked at beside it: orders to workers and for VMs carry the epoch, which no two owners share now; an owner that was fenced or had released could be granted its own epoch again, or keep the store's ownership without using it (same change); submissions carry no epoch; wave statuses are not fenced (unchanged).

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -88,6 +88,9 @@
     pub(crate) ownership: Ownership,
     pub(crate) candidacy: Candidacy,
     pub(crate) owner: Option<Owner<P>>,
+    /// Whether the node leaves the group because the store confirms an ownership
+    /// that the node does not have.
+    pub(crate) must_leave_group: bool,
     pub(crate) is_shutting_down: bool,
     pub(crate) release_done: Option<oneshot::Sender<()>>,
 }
@@ -107,6 +110,7 @@
             ownership: Ownership::new(settings.membership_ttl_ms()),
             candidacy: Candidacy::new(&settings.name, settings.processor_milli, now),
             owner: None,
+            must_leave_group: false,
             is_shutting_down: false,
             release_done: None,
         }
@@ -162,8 +166,9 @@
             CoreMessage::Joined { sent_at, answer } => self.handle_join_answer(sent_at, answer),
             CoreMessage::Members { members } => self.state.candidacy.members_seen(&members),
             CoreMessage::LeftGroup => {
-                self.state.ownership.give_up();
-                self.state.candidacy.stepped_down(self.clock.now());
+                self.give_up_ownership();
+                self.state.must_leave_group = false;
+                self.state.candidacy.left_group(self.clock.now());
             }
             CoreMessage::Owner { epoch, message } => {
                 self.with_owner(|owner, view| {
@@ -207,11 +212,10 @@
         let is_fenced = self.state.owner.as_ref().is_some_and(Owner::is_fenced);
         if is_fenced {
             warn!(self.logger, "giving up ownership"; "reason" => "a later owner exists");
-            self.state.ownership.give_up();
-            self.drop_owner();
+            self.give_up_ownership();
         }
         if self.state.owner.as_ref().is_some_and(Owner::has_released) {
-            self.drop_owner();
+            self.give_up_ownership();
         }
         if self.state.is_shutting_down
             && self.state.owner.is_none()
@@ -232,11 +236,12 @@
         let now = self.clock.now();
         let state = &mut self.state;
         let is_owner = state.owner.is_some();
-        let is_candidate = state.candidacy.is_candidate(
-            now,
-            state.confirmed_at.jobs,
-            state.ownership.epoch().is_some(),
-        );
+        let is_candidate = !state.must_leave_group
+            && state.candidacy.is_candidate(
+                now,
+                state.confirmed_at.jobs,
+                state.ownership.epoch().is_some(),
+            );
         let was_candidate = *self.is_candidate.borrow();
         if is_candidate == was_candidate {
             return;
@@ -259,7 +264,11 @@
             && admission::is_fresh(now, confirmed_at.jobs, limits.configuration_ms)
     }
 
-    fn drop_owner(&mut self) {
+    /// Ends the owner. If the store still confirms the ownership, the node leaves
+    /// the group, so that another node can become the owner.
+    fn give_up_ownership(&mut self) {
+        self.state.must_leave_group |= self.state.ownership.epoch().is_some();
+        self.state.ownership.give_up();
         if self.state.owner.take().is_some() {
             metrics::gauge!("cowslipport_is_owner").set(0.0);
             self.job_pause.send_replace(FOLLOWER_PAUSE);
@@ -297,7 +306,12 @@
                     owner.release();
                 }
             }
-            Some(OwnershipChange::Gained { .. }) | None => {}
+            Some(OwnershipChange::EpochUsed { epoch }) if !self.state.is_shutting_down => {
+                info!(self.logger, "leaving the group";
+                    "reason" => "the epoch may have been used", "epoch" => epoch);
+                self.state.must_leave_group = true;
+            }
+            Some(OwnershipChange::Gained { .. } | OwnershipChange::EpochUsed { .. }) | None => {}
         }
     }
 
--- a/daemon/src/node/membership_task.rs
+++ b/daemon/src/node/membership_task.rs
@@ -62,7 +62,12 @@
                 return;
             }
             // A call without an answer is followed by the next one at once.
-            sleep_until(next_call).await;
+            tokio::select! {
+                () = sleep_until(next_call) => {}
+                changed = self.is_candidate.changed() => if changed.is_err() {
+                    return;
+                },
+            }
         }
     }
 
@@ -114,7 +119,7 @@
         match self.store.leave(&self.member).await {
             Ok(()) => {
                 membership.is_member = false;
-                info!(self.logger, "left the group"; "reason" => "a larger node is a candidate");
+                info!(self.logger, "left the group"; "reason" => "the node is not a candidate");
                 self.send(CoreMessage::LeftGroup).await
             }
             Err(error) => {
--- a/lib/src/workload/candidacy.rs
+++ b/lib/src/workload/candidacy.rs
@@ -67,10 +67,12 @@
                 .any(|member| self.processors_milli.get(member).is_some_and(|p| self.is_large(*p)));
     }
 
-    /// Handles that this node has left the group in favour of a larger one.
-    pub fn stepped_down(&mut self, now: TimeMs) {
-        self.has_larger_candidate = false;
-        self.owner_seen_at = now;
+    /// Handles that this node has left the group. A larger candidate becomes the
+    /// owner.
+    pub fn left_group(&mut self, now: TimeMs) {
+        if std::mem::take(&mut self.has_larger_candidate) {
+            self.owner_seen_at = now;
+        }
     }
 
     /// True if this node should be a candidate for ownership.
--- a/lib/src/workload/ownership.rs
+++ b/lib/src/workload/ownership.rs
@@ -4,6 +4,12 @@
 //! member's calls arrive within a time to live. The generation in which a
 //! member was granted the ownership is its epoch. Epochs rise from owner to
 //! owner, and workers and the store refuse lower ones.
+//!
+//! An epoch belongs to one ownership of one incarnation of a process, because
+//! the store takes the first appends of another one for repeats and drops them.
+//! A process that starts again before its membership has expired is still the
+//! owner for the store, in the epoch of its former incarnation. It uses no epoch
+//! that may be in use, but leaves the group and joins it again.
 
 use crate::time::TimeMs;
 
@@ -26,6 +32,12 @@
     },
     /// Another process is the owner, or may be.
     Lost,
+    /// The store confirms the ownership in an epoch that may have been used
+    /// before. The process has to leave the group to gain a later one.
+    EpochUsed {
+        /// The epoch.
+        epoch: u64,
+    },
 }
 
 /// Whether this process is the owner, and when the store last confirmed it.
@@ -34,6 +46,9 @@
     ttl_ms: u64,
     generation: u64,
     epoch: Option<u64>,
+    /// Highest epoch that this process or a former incarnation of it may have
+    /// used; `None` before the first answer.
+    last_used_epoch: Option<u64>,
     /// When the last call that was answered was sent.
     confirmed_at: TimeMs,
 }
@@ -42,7 +57,13 @@
     /// The state of a process that is not the owner. The store withdraws the
     /// ownership from a member that has made no call for `ttl_ms`.
     pub fn new(ttl_ms: u64) -> Self {
-        Self { ttl_ms, generation: 0, epoch: None, confirmed_at: TimeMs::default() }
+        Self {
+            ttl_ms,
+            generation: 0,
+            epoch: None,
+            last_used_epoch: None,
+            confirmed_at: TimeMs::default(),
+        }
     }
 
     /// Generation to be sent with the next call.
@@ -65,8 +86,13 @@
         self.generation = answer.generation;
         let has_expired = sent_at.since(self.confirmed_at) >= self.ttl_ms;
         self.confirmed_at = self.confirmed_at.max(sent_at);
+        let last_used_epoch = self.last_used_epoch.get_or_insert(answer.generation);
         match (answer.is_owner, self.epoch) {
+            (true, None) if answer.generation <= *last_used_epoch => {
+                Some(OwnershipChange::EpochUsed { epoch: answer.generation })
+            }
             (true, None) => {
+                *last_used_epoch = answer.generation;
                 self.epoch = Some(answer.generation);
                 Some(OwnershipChange::Gained { epoch: answer.generation })
             }
--- a/lib/tests/test_workload_candidacy.rs
+++ b/lib/tests/test_workload_candidacy.rs
@@ -54,7 +54,7 @@
     assert!(stays_owner(&candidacy, 5_100), "the large node is not a candidate");
     candidacy.members_seen(&["large".to_owned(), "small".to_owned()]);
     assert!(!stays_owner(&candidacy, 5_200));
-    candidacy.stepped_down(TimeMs(5_300));
+    candidacy.left_group(TimeMs(5_300));
     assert!(
         !is_candidate(&candidacy, 8_200),
         "the large node needs time to announce its ownership"
