workload: attempts of a restarted worker belong to an incarnation

Tasks ran twice at the same time after a worker had restarted under its id. The owner learned of the restart from the first report with another start time, and released all attempts that counted as running there. Answers to starts carry no start time, so these included attempts that the present incarnation had started since; they were stopped as unassigned and placed again before they had ended.

The first report of an incarnation now decides: what it lists stays placed, and only an attempt whose start was answered before the report was requested and that is not in it has ended. Starts that were answered later are left to the next report.

The same cause beside it: the promise to refuse an attempt, and answers to stops that are older than the restart, no longer count for the present incarnation.

--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -80,7 +80,7 @@
     /// A worker answered the start of an attempt.
     StartAnswered { worker: WorkerId, task: TaskKey, attempt: u32, answer: StartAnswer },
     /// A worker answered the stop of an attempt.
-    StopAnswered { worker: WorkerId, task: TaskName, attempt: u32 },
+    StopAnswered { worker: WorkerId, task: TaskName, attempt: u32, ordered_at: TimeMs },
     /// A worker did not answer a change of pace.
     PaceUnanswered { worker: WorkerId, task: TaskName, attempt: u32 },
     /// The list of VMs was read.
--- a/daemon/src/node/order_task.rs
+++ b/daemon/src/node/order_task.rs
@@ -69,7 +69,10 @@
             Order::Stop { task, attempt, reason } => {
                 let result = self.client.stop(epoch, &task.to_string(), attempt).await;
                 match result {
-                    Ok(()) => Some(OwnerMessage::StopAnswered { worker, task, attempt }),
+                    Ok(()) => {
+                        let ordered_at = queued.created_at;
+                        Some(OwnerMessage::StopAnswered { worker, task, attempt, ordered_at })
+                    }
                     Err(error) => {
                         // The next poll that reports the attempt makes the
                         // owner order the stop again.
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -270,8 +270,8 @@
                 self.is_fenced |= answer == StartAnswer::EpochTooLow;
                 self.dispatcher.start_answered(now, worker, task, attempt, answer);
             }
-            OwnerMessage::StopAnswered { worker, task, attempt } => {
-                self.dispatcher.stop_answered(now, worker, task, attempt);
+            OwnerMessage::StopAnswered { worker, task, attempt, ordered_at } => {
+                self.dispatcher.stop_answered(now, ordered_at, worker, task, attempt);
             }
             OwnerMessage::PaceUnanswered { worker, task, attempt } => {
                 self.dispatcher.pace_unanswered(worker, task, attempt);
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -38,6 +38,8 @@
     pub(crate) leases: LeaseTracker,
     /// Start time of the incarnation that sent the last report.
     pub(crate) started_unix_ms: Option<u64>,
+    /// When the owner learned of the last restart of the worker.
+    pub(crate) restarted_at: Option<TimeMs>,
     /// Highest number of an end that was handled in this incarnation.
     pub(crate) last_end_number: u64,
     /// Whether the worker gets no new tasks, because its VM is to be maintained
@@ -103,6 +105,7 @@
             reachability: Reachability::Unknown,
             leases,
             started_unix_ms: None,
+            restarted_at: None,
             last_end_number: 0,
             is_cordoned: false,
             failed_jobs: BTreeSet::new(),
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -28,6 +28,18 @@
 /// other half.
 const START_ANSWER_TIMEOUT_MS: u64 = 3_000;
 
+/// What it means that a report does not list an attempt that was running when
+/// the report was requested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unreported {
+    /// The worker has restarted since the last report, and the attempt ended with
+    /// the former incarnation. Attempts that the present one has started are in
+    /// the report.
+    Ended,
+    /// The worker does not know of the attempt, although it has started it.
+    Doubtful,
+}
+
 impl Dispatcher {
     /// Handles a worker's report of its running and ended tasks.
     pub fn worker_reported(&mut self, now: TimeMs, id: WorkerId, report: &WorkerReport) {
@@ -46,8 +58,9 @@
         worker.started_unix_ms = report.started_unix_ms.or(worker.started_unix_ms);
         if is_restarted {
             worker.last_end_number = 0;
+            worker.restarted_at = Some(now);
             self.to_acknowledge.remove(&id);
-            self.release_running(id, PlacementReleaseReason::WorkerRestarted);
+            self.drop_fences(id);
         }
         let mut reported = BTreeSet::new();
         for ended in &report.ended {
@@ -58,7 +71,11 @@
             reported.insert((running.task, running.attempt));
             self.handle_running(now, id, report.sent_at, running);
         }
-        self.check_unreported(id, report.sent_at, &reported);
+        let unreported = match is_restarted {
+            true => Unreported::Ended,
+            false => Unreported::Doubtful,
+        };
+        self.check_unreported(id, report.sent_at, &reported, unreported);
         self.stop_stalled(now, id);
         self.adjust_pace(now, id, report);
     }
@@ -221,6 +238,7 @@
         id: WorkerId,
         sent_at: TimeMs,
         reported: &BTreeSet<(TaskName, u32)>,
+        unreported: Unreported,
     ) {
         let Some(worker) = self.workers.get(id) else { return };
         for key in worker.tasks.clone() {
@@ -242,9 +260,18 @@
                 }
                 AttemptState::Running { confirmed_at } => {
                     // The report may be older than the answer to the start.
-                    if confirmed_at < sent_at {
-                        placement.state = AttemptState::Unknown { since: sent_at, fenced_at: None };
-                        self.order_stop(id, name, attempt, StopReason::StartUnknown);
+                    if confirmed_at >= sent_at {
+                        continue;
+                    }
+                    match unreported {
+                        Unreported::Ended => {
+                            self.release_placement(key, PlacementReleaseReason::WorkerRestarted);
+                        }
+                        Unreported::Doubtful => {
+                            placement.state =
+                                AttemptState::Unknown { since: sent_at, fenced_at: None };
+                            self.order_stop(id, name, attempt, StopReason::StartUnknown);
+                        }
                     }
                 }
                 AttemptState::Unknown { fenced_at: Some(fenced_at), .. } if fenced_at < sent_at => {
@@ -327,9 +354,22 @@
         }
     }
 
-    /// Handles the answer to a stop order: the worker stops the attempt if it
-    /// runs, and refuses to start it from now on.
-    pub fn stop_answered(&mut self, now: TimeMs, id: WorkerId, name: TaskName, attempt: u32) {
+    /// Handles the answer to a stop that was ordered at `ordered_at`: the worker
+    /// stops the attempt if it runs, and refuses to start it from now on. A former
+    /// incarnation of the worker may have answered a stop that is older than the
+    /// restart; its promise does not bind the present one.
+    pub fn stop_answered(
+        &mut self,
+        now: TimeMs,
+        ordered_at: TimeMs,
+        id: WorkerId,
+        name: TaskName,
+        attempt: u32,
+    ) {
+        let restarted_at = self.workers.get(id).and_then(|worker| worker.restarted_at);
+        if restarted_at.is_some_and(|restarted_at| ordered_at < restarted_at) {
+            return;
+        }
         let Some(key) = self.task_placed_on(id, name, attempt) else { return };
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let Some(placement) = job.task_mut(key).placement_mut() else { return };
@@ -360,12 +400,19 @@
         self.release_matching(id, reason, |placement| placement.state != AttemptState::Planned);
     }
 
-    /// Releases the placements of attempts that ran before a worker restarted.
-    /// A start that was not answered may still reach the restarted worker.
-    fn release_running(&mut self, id: WorkerId, reason: PlacementReleaseReason) {
-        self.release_matching(id, reason, |placement| {
-            matches!(placement.state, AttemptState::Running { .. })
-        });
+    /// Forgets which starts a worker has promised to refuse, since it has
+    /// restarted.
+    fn drop_fences(&mut self, id: WorkerId) {
+        let Some(worker) = self.workers.get(id) else { return };
+        for key in &worker.tasks {
+            let job = self.jobs.get_mut(key.step.job);
+            let placement = job.and_then(|job| job.task_mut(*key).placement_mut());
+            if let Some(Placement { state: AttemptState::Unknown { fenced_at, .. }, .. }) =
+                placement
+            {
+                *fenced_at = None;
+            }
+        }
     }
 
     pub(crate) fn release_matching<F>(
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -190,6 +190,27 @@
     fleet.assert_no_violations();
 }
 
+/// A worker restarts under its name and starts tasks before the owner learns of
+/// the restart. These run on; only those of the former incarnation have ended.
+#[test]
+fn tasks_that_a_restarted_worker_has_started_run_once() {
+    let mut fleet = Fleet::new(1, cores(3));
+    let work = Work { work_ms: 3_000, fails: false };
+    let before = fleet.submit(1, job(vec![step(1, cores(1))]), work);
+    fleet.advance(100);
+    fleet.unpolled_worker = Some("w0".to_owned());
+    fleet.restart_worker("w0");
+    let after = fleet.submit(2, job(vec![step(2, cores(1))]), work);
+    fleet.advance(100);
+    assert_eq!(fleet.running(), 2, "the restarted worker has started tasks");
+    fleet.unpolled_worker = None;
+    fleet.advance(9_000);
+    fleet.assert_no_violations();
+    assert_eq!(fleet.starts, 4, "only the task of the former incarnation starts again");
+    assert_eq!(fleet.outcome(before), Some(JobOutcome::Completed));
+    assert_eq!(fleet.outcome(after), Some(JobOutcome::Completed));
+}
+
 #[test]
 fn nothing_starts_while_the_store_is_down() {
     let mut fleet = Fleet::new(2, cores(4));
--- a/lib/tests/test_workload_random.rs
+++ b/lib/tests/test_workload_random.rs
@@ -1,5 +1,5 @@
 //! Randomised tests of the dispatcher: workers are unreachable, restart, or
-//! fail every task, starts are delayed, owners replace each other, and the
+//! fail every task, starts and polls are delayed, owners replace each other, and the
 //! store is down.
 
 mod workload_fake;
@@ -46,7 +46,7 @@
 
 fn inject_fault(rng: &mut ChaCha8Rng, fleet: &mut Fleet) {
     let name = worker_name(rng);
-    match rng.random_range(0..9) {
+    match rng.random_range(0..11) {
         0 => fleet.worker(&name).is_reachable = false,
         1 | 2 => fleet.worker(&name).is_reachable = true,
         3 => fleet.restart_worker(&name),
@@ -55,6 +55,8 @@
         6 => fleet.delayed_worker = None,
         7 => fleet.store_is_up = rng.random_bool(0.6),
         8 => fleet.worker(&name).fails_every_task = rng.random_bool(0.3),
+        9 => fleet.unpolled_worker = Some(name),
+        10 => fleet.unpolled_worker = None,
         _ => unreachable!("the range ends before"),
     }
 }
@@ -76,6 +78,7 @@
         assert!(fleet.violations.is_empty(), "seed {seed}: {:#?}", fleet.violations);
     }
     fleet.delayed_worker = None;
+    fleet.unpolled_worker = None;
     fleet.store_is_up = true;
     for index in 0..6 {
         let worker = fleet.worker(&format!("w{index}"));
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -83,6 +83,8 @@
     pub(crate) delayed_starts: Vec<(u64, String, u64, u64, StartOrder)>,
     /// Starts to this worker are delayed and not answered.
     pub(crate) delayed_worker: Option<String>,
+    /// The poll of this worker waits for its answer, while orders are answered.
+    pub(crate) unpolled_worker: Option<String>,
     pub(crate) limit: ResourceLimit,
     pub(crate) needs_advice: bool,
     /// Tickets that starts carried.
@@ -136,6 +138,7 @@
             starts: 0,
             delayed_starts: Vec::new(),
             delayed_worker: None,
+            unpolled_worker: None,
             limit: ResourceLimit::default(),
             needs_advice: false,
             tickets: Vec::new(),
@@ -309,6 +312,9 @@
             self.violations.push(format!("{now}: {task} starts after its end was acknowledged"));
         }
         let worker = self.workers.get_mut(name).expect("the worker exists");
+        if worker.running.contains_key(&task) {
+            self.violations.push(format!("{now}: {task} runs twice on {name}"));
+        }
         let fails = work.fails || worker.fails_every_task;
         let work_ms = if worker.fails_every_task { 40 } else { work.work_ms };
         worker.running.insert(
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -163,6 +163,9 @@
     /// Polls a worker for its report and renews its leases.
     pub(crate) fn poll(&mut self, name: &str) {
         let now = self.time();
+        if self.unpolled_worker.as_deref() == Some(name) {
+            return;
+        }
         let Some(owner) = &mut self.owner else { return };
         let id = owner.worker_id(name);
         let renews = owner.may_renew_leases(id);
@@ -233,7 +236,7 @@
                 let Some(worker) = self.workers.get_mut(name).filter(|_| reachable) else { return };
                 worker.stop(self.now, *task, *attempt);
                 if let Some(owner) = &mut self.owner {
-                    owner.stop_answered(now, id, *task, *attempt);
+                    owner.stop_answered(now, now, id, *task, *attempt);
                 }
             }
             Order::Pace { .. } => {}
