workload: steps that no free worker could start reserve none

Jobs of one organisation stayed queued while long-running tasks of another waited for its limit. Each long-running step that was not placed reserved a worker of the pool, for whatever reason it waited. A few steps over the limit of their organisation, or without a ticket of the advice service, kept all workers from short tasks.

A step now reserves a worker only if the limit allows its next start, and only one for which it has a ticket where it needs one. The need of a pool leaves out work beyond the limit of its organisation, for which VMs came from other pools. The write-only set of pools that lack capacity is removed.

--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -14,7 +14,6 @@
 use crate::arena::Arena;
 use crate::generational_arena::GenerationalArena;
 use crate::ids::OrganisationId;
-use crate::ids::PoolId;
 use crate::resources::Resources;
 use crate::time::TimeMs;
 use crate::workload::advice::Tickets;
@@ -90,7 +89,6 @@
     pub(crate) events: Vec<DispatcherEvent>,
     pub(crate) pacer: Pacer,
     pub(crate) tickets: Tickets,
-    pub(crate) pools_lacking_capacity: BTreeSet<PoolId>,
     pub(crate) waits: WaitTracker,
     pub(crate) arrivals: Arrivals,
     pub(crate) start_budget: StartBudget,
@@ -143,7 +141,6 @@
             events: Vec::new(),
             pacer: Pacer::default(),
             tickets: Tickets::default(),
-            pools_lacking_capacity: BTreeSet::new(),
             waits: WaitTracker::default(),
             arrivals: Arrivals::default(),
             start_budget: StartBudget::default(),
--- a/lib/src/workload/pool_load.rs
+++ b/lib/src/workload/pool_load.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use crate::ids::OrganisationId;
 use crate::ids::PoolId;
 use crate::time::TimeMs;
 use crate::workload::catalog::Catalog;
@@ -26,7 +27,8 @@
     pub capacity_cpu_milli: u64,
     /// CPU that placed tasks take.
     pub used_cpu_milli: u64,
-    /// CPU that tasks request that could start now.
+    /// CPU that tasks request that could start now within the limits of their
+    /// organisations.
     pub waiting_cpu_milli: u64,
     /// CPU that the pool should have, as far as known now.
     pub need_cpu_milli: u64,
@@ -113,10 +115,18 @@
             load.used_cpu_milli = load.used_cpu_milli.saturating_add(used);
             load.need_cpu_milli = load.need_cpu_milli.saturating_add(used);
         }
+        let mut allowances = BTreeMap::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| !job.is_closing()) {
             let Some(load) = loads.get_mut(&job.pool) else { continue };
             load.spread_workers = load.spread_workers.max(spread_workers(job));
-            let waiting_cpu_milli = waiting_cpu_milli(id, job, now_unix_ms);
+            let mut waiting_cpu_milli = waiting_cpu_milli(id, job, now_unix_ms);
+            if let Some(organisation) = job.organisation {
+                let left = allowances
+                    .entry(organisation)
+                    .or_insert_with(|| self.unused_limit_cpu_milli(catalog, organisation));
+                waiting_cpu_milli = waiting_cpu_milli.min(*left);
+                *left -= waiting_cpu_milli;
+            }
             load.waiting_cpu_milli = load.waiting_cpu_milli.saturating_add(waiting_cpu_milli);
             if !rank::is_overdue(now, job) {
                 load.need_cpu_milli = load.need_cpu_milli.saturating_add(waiting_cpu_milli);
@@ -129,6 +139,14 @@
         }
         loads
     }
+
+    /// CPU that an organisation may take in addition to what its tasks take, over
+    /// all pools.
+    fn unused_limit_cpu_milli(&self, catalog: &Catalog, organisation: OrganisationId) -> u64 {
+        let limit = catalog.organisation(organisation).and_then(|spec| spec.limit.cpu_milli);
+        let used = self.used_by_organisation.get(&organisation).copied().unwrap_or_default();
+        limit.map_or(u64::MAX, |limit| limit.saturating_sub(used.cpu_milli))
+    }
 }
 
 /// Number of workers that the long-running tasks of one step must be spread
--- a/lib/src/workload/spec.rs
+++ b/lib/src/workload/spec.rs
@@ -106,6 +106,15 @@
             false => self.request,
         }
     }
+
+    /// Resources that the next start of the step takes: those of one task, or of
+    /// all tasks of a gang, which start together.
+    pub(crate) fn start_request(&self) -> Resources {
+        match self.gang {
+            true => self.effective_request().scaled_up(self.task_count.into(), 1),
+            false => self.effective_request(),
+        }
+    }
 }
 
 impl JobSpec {
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -67,7 +67,6 @@
 impl Dispatcher {
     /// Places all tasks that may start and for which a worker has capacity.
     pub fn place_tasks(&mut self, now: TimeMs, now_unix_ms: u64, catalog: &Catalog) {
-        self.pools_lacking_capacity.clear();
         if !self.is_recovered {
             return;
         }
@@ -87,11 +86,10 @@
                 too_large_requests: Vec::new(),
             });
             if round.candidates.is_empty() {
-                self.pools_lacking_capacity.insert(pool);
                 continue;
             }
             round.needs_advice = self.needs_advice(catalog, id);
-            self.place_job(round, catalog, pool, id);
+            self.place_job(round, catalog, id);
         }
         self.start_delay_ms = self.estimate_start_delay_ms(now, now_unix_ms);
     }
@@ -147,13 +145,7 @@
         candidates
     }
 
-    fn place_job(
-        &mut self,
-        round: &mut PlacementRound,
-        catalog: &Catalog,
-        pool: PoolId,
-        id: JobId,
-    ) {
+    fn place_job(&mut self, round: &mut PlacementRound, catalog: &Catalog, id: JobId) {
         let Some(job) = self.jobs.get(id) else { return };
         let steps = job.startable_steps(id, round.now_unix_ms);
         let steps: Vec<StepKey> = steps.map(|(step, _)| step).collect();
@@ -163,8 +155,9 @@
             if self.place_step(round, catalog, step, spec) {
                 continue;
             }
-            self.pools_lacking_capacity.insert(pool);
-            if spec.long_running {
+            // A step that no free worker could start must not keep one from
+            // others.
+            if spec.long_running && self.is_within_limit(catalog, id, spec.start_request()) {
                 self.reserve_worker(round, spec, step);
             }
         }
@@ -254,8 +247,7 @@
             // The gang waits for the end of its former attempt, not for capacity.
             return waiting.len();
         }
-        let total = spec.effective_request().scaled_up(spec.task_count.into(), 1);
-        if !self.is_within_limit(catalog, step.job, total) {
+        if !self.is_within_limit(catalog, step.job, spec.start_request()) {
             return 0;
         }
         let Some(workers) = self.choose_gang_workers(round, step, spec, waiting) else { return 0 };
@@ -426,6 +418,7 @@
         let may_run = |id: &&WorkerId| {
             !round.reserved_workers.contains(*id)
                 && self.has_required_label(**id, spec)
+                && round.allows(self, step, **id)
                 && spec.max_tasks_per_worker.is_none_or(|max| state.on_worker(**id) < max)
                 && spec.effective_request().fits_in(self.capacity_for_long_running(**id))
         };
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -8,6 +8,7 @@
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::record::JobOutcome;
+use cowslipport_lib::workload::spec::JobSpec;
 use cowslipport_lib::workload::spec::StepSpec;
 
 use crate::workload_fake::Fleet;
@@ -307,6 +308,46 @@
     fleet.assert_no_violations();
 }
 
+/// Long-running steps wait for the limit of their organisation, not for
+/// capacity. They must keep no worker from the jobs of others.
+#[test]
+fn steps_over_a_limit_reserve_no_workers() {
+    let mut fleet = Fleet::new(3, cores(8));
+    fleet.limit = ResourceLimit { cpu_milli: Some(2_000), ..ResourceLimit::default() };
+    fleet.configure(2);
+    for key in 1..=10 {
+        let step = StepSpec { long_running: true, ..step(1, cores(1)) };
+        fleet.submit(key, job(vec![step]), SHORT_WORK);
+    }
+    fleet.advance(500);
+    assert_eq!(fleet.running(), 2, "the limit allows two tasks");
+    let other = JobSpec { organisation: Some("other".to_owned()), ..job(vec![step(1, cores(1))]) };
+    let other = fleet.submit(20, other, SHORT_WORK);
+    fleet.advance(1_000);
+    assert_eq!(fleet.outcome(other), Some(JobOutcome::Completed));
+    fleet.assert_no_violations();
+}
+
+/// Long-running steps wait for tickets of the advice service. They must keep no
+/// worker from the jobs of other queues.
+#[test]
+fn steps_without_tickets_reserve_no_workers() {
+    let mut fleet = Fleet::new(3, cores(8));
+    fleet.needs_advice = true;
+    fleet.configure(2);
+    for key in 1..=10 {
+        let step = StepSpec { long_running: true, ..step(1, cores(1)) };
+        fleet.submit(key, job(vec![step]), SHORT_WORK);
+    }
+    fleet.advance(500);
+    assert_eq!(fleet.running(), 0, "no step has a ticket");
+    let other = JobSpec { queue: "other".to_owned(), ..job(vec![step(1, cores(1))]) };
+    let other = fleet.submit(20, other, SHORT_WORK);
+    fleet.advance(1_000);
+    assert_eq!(fleet.outcome(other), Some(JobOutcome::Completed));
+    fleet.assert_no_violations();
+}
+
 /// A task that has failed on every worker with free capacity must be retried
 /// there. In the run hunt-edb8-27 of pvbc-sched, such a task waited for ever for
 /// the only other worker, which long-running tasks kept full.
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -9,7 +9,9 @@
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::catalog::CatalogSpec;
+use cowslipport_lib::workload::catalog::OrganisationSpec;
 use cowslipport_lib::workload::catalog::PoolSpec;
+use cowslipport_lib::workload::catalog::ResourceLimit;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::lease::LeaseTimes;
@@ -32,6 +34,7 @@
 
 use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::LEASE_MS;
+use crate::workload_fake::ORGANISATION;
 use crate::workload_fake::STATUS_KEPT_MS;
 use crate::workload_fake::cores;
 use crate::workload_fake::job;
@@ -54,12 +57,7 @@
 impl Pools {
     fn new(vms: &[(&str, usize)]) -> Self {
         let mut catalog = Catalog::default();
-        let pool = |name: &str, is_standby| PoolSpec { name: name.to_owned(), is_standby };
-        catalog.apply(CatalogSpec {
-            version: 1,
-            pools: vec![pool("a", false), pool("b", false), pool("standby", true)],
-            ..CatalogSpec::default()
-        });
+        catalog.apply(CatalogSpec { version: 1, pools: pool_specs(), ..CatalogSpec::default() });
         let incarnation = NodeIncarnation { node: "n".to_owned(), incarnation: 1 };
         let times = LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: FORMER_RENEWS_MS };
         let mut owner = Dispatcher::new(1, incarnation, TimeMs(0), times, STATUS_KEPT_MS);
@@ -115,7 +113,18 @@
     }
 
     fn submit(&mut self, key: u64, pool: &str, steps: Vec<StepSpec>) {
-        let spec = JobSpec { pool: pool.to_owned(), organisation: None, ..job(steps) };
+        self.submit_for(None, key, pool, steps);
+    }
+
+    fn submit_for(
+        &mut self,
+        organisation: Option<&str>,
+        key: u64,
+        pool: &str,
+        steps: Vec<StepSpec>,
+    ) {
+        let organisation = organisation.map(str::to_owned);
+        let spec = JobSpec { pool: pool.to_owned(), organisation, ..job(steps) };
         let now = TimeMs(self.now);
         self.owner.submitted(now, &mut self.catalog, JobKey(key), spec, None);
         self.owner.place_tasks(now, self.now, &self.catalog);
@@ -147,6 +156,11 @@
     }
 }
 
+fn pool_specs() -> Vec<PoolSpec> {
+    let pool = |name: &str, is_standby| PoolSpec { name: name.to_owned(), is_standby };
+    vec![pool("a", false), pool("b", false), pool("standby", true)]
+}
+
 /// Data centre of a VM: those with an odd number are in one, the others in
 /// another.
 fn data_centre_of(name: &str) -> String {
@@ -200,6 +214,30 @@
     assert!(pools.advance(4_000).is_empty());
 }
 
+/// Work beyond the limit of its organisation cannot start on any VM.
+#[test]
+fn work_over_a_limit_is_no_need() {
+    let mut pools = Pools::new(&[("a", 3), ("standby", 4)]);
+    pools.catalog.apply(CatalogSpec {
+        version: 2,
+        pools: pool_specs(),
+        organisations: vec![OrganisationSpec {
+            name: ORGANISATION.to_owned(),
+            keys: Vec::new(),
+            weight: 1,
+            limit: ResourceLimit { cpu_milli: Some(8_000), ..ResourceLimit::default() },
+        }],
+        ..CatalogSpec::default()
+    });
+    for key in 1..=20 {
+        pools.submit_for(Some(ORGANISATION), key, "a", vec![step(1, cores(4))]);
+    }
+    // Arrivals within a short time count for more than their requests.
+    pools.now += 1_000;
+    let orders = pools.advance(100);
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
 /// A long-running step that must be spread over more workers than the pool has
 /// gets further VMs.
 #[test]
