workload: a move that timed out gives its worker back

Small jobs stayed queued although VMs of their pool were up and empty. An order to move a VM cordons its worker. If the order got no answer and was not carried out, the move was dropped after 5 s, but nothing lifted the cordon: the worker got no tasks as long as the same owner stayed.

A move now ends with evidence that it was carried out, with a refusal, or with its timeout, and the last two lift the cordon. A VM that is missing from the list ends a move only by the timeout.

--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -80,7 +80,7 @@
     pub(crate) fn handle_vm_list(&mut self, view: &mut OwnerView<'_>, vms: VmList) {
         self.is_listing_vms = false;
         self.maintenance.vms_listed(&vms, &mut self.dispatcher);
-        self.pool_autoscaler.vms_listed(view.now, &vms, view.catalog);
+        self.pool_autoscaler.vms_listed(view.now, &vms, view.catalog, &mut self.dispatcher);
         self.vms = Some(vms);
     }
 
--- a/lib/src/workload/pool_autoscaler.rs
+++ b/lib/src/workload/pool_autoscaler.rs
@@ -57,6 +57,47 @@
     worker: Option<String>,
 }
 
+/// What the list of VMs shows of a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MoveProgress {
+    /// The order may still be carried out.
+    Pending,
+    /// The order was carried out.
+    CarriedOut,
+    /// The VM has not left its pool in time.
+    TimedOut,
+}
+
+impl Move {
+    fn progress(
+        &self,
+        now: TimeMs,
+        listed_at: TimeMs,
+        entry: Option<&VmEntry>,
+        catalog: &mut Catalog,
+    ) -> MoveProgress {
+        let is_timed_out = now.since(self.ordered_at) >= MOVE_TIMEOUT_MS;
+        let is_there = entry.is_some_and(|entry| {
+            entry.state == VmState::Up && catalog.pool_id(&entry.pool) == self.to
+        });
+        let is_moving = entry.is_some_and(|entry| entry.state == VmState::Moving);
+        if is_there && listed_at > self.ordered_at || is_moving && is_timed_out {
+            MoveProgress::CarriedOut
+        } else if is_timed_out {
+            MoveProgress::TimedOut
+        } else {
+            MoveProgress::Pending
+        }
+    }
+
+    /// Lets the worker of a VM that was not moved get tasks again.
+    fn lift_cordon(&self, dispatcher: &mut Dispatcher) {
+        if let Some(worker) = &self.worker {
+            dispatcher.set_cordoned(worker, false);
+        }
+    }
+}
+
 impl PoolAutoscaler {
     /// VMs that are being moved.
     pub fn moving_vms(&self) -> BTreeSet<String> {
@@ -64,14 +105,25 @@
     }
 
     /// Applies the list of VMs, which ends moves that are complete or timed
-    /// out.
-    pub fn vms_listed(&mut self, now: TimeMs, vms: &VmList, catalog: &mut Catalog) {
+    /// out. A move that timed out was not carried out, as far as the list shows:
+    /// its worker gets tasks again.
+    pub fn vms_listed(
+        &mut self,
+        now: TimeMs,
+        vms: &VmList,
+        catalog: &mut Catalog,
+        dispatcher: &mut Dispatcher,
+    ) {
         self.moves.retain(|vm, pending| {
-            let Some(entry) = vms.get(vm) else { return false };
-            let is_complete =
-                entry.state == VmState::Up && catalog.pool_id(&entry.pool) == pending.to;
-            let is_timed_out = now.since(pending.ordered_at) >= MOVE_TIMEOUT_MS;
-            !(is_timed_out || is_complete && vms.requested_at > pending.ordered_at)
+            match pending.progress(now, vms.requested_at, vms.get(vm), catalog) {
+                MoveProgress::Pending => true,
+                // The former worker has ended, but may still be registered.
+                MoveProgress::CarriedOut => false,
+                MoveProgress::TimedOut => {
+                    pending.lift_cordon(dispatcher);
+                    false
+                }
+            }
         });
     }
 
@@ -90,9 +142,7 @@
             | VmOrderAnswer::EpochTooLow
             | VmOrderAnswer::Refused => {
                 let Some(pending) = self.moves.remove(vm) else { return };
-                if let Some(worker) = pending.worker {
-                    dispatcher.set_cordoned(&worker, false);
-                }
+                pending.lift_cordon(dispatcher);
                 self.backoff_until.insert(vm.to_owned(), now.plus(REFUSED_MOVE_BACKOFF_MS));
             }
         }
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -13,6 +13,7 @@
 use cowslipport_lib::workload::catalog::PoolSpec;
 use cowslipport_lib::workload::catalog::ResourceLimit;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
+use cowslipport_lib::workload::event::DispatcherEvent;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order_rate_limiter::OrderRateLimiter;
@@ -130,6 +131,12 @@
         self.owner.place_tasks(now, self.now, &self.catalog);
     }
 
+    /// Takes the events and returns the number of tasks that were placed.
+    fn placed(&mut self) -> usize {
+        let events = self.owner.take_events().into_iter();
+        events.filter(|event| matches!(event, DispatcherEvent::Placed { .. })).count()
+    }
+
     /// Advances the time and returns the moves that are ordered meanwhile.
     fn advance(&mut self, ms: u64) -> Vec<VmOrder> {
         let mut orders = Vec::new();
@@ -138,7 +145,7 @@
             self.now += 100;
             let now = TimeMs(self.now);
             let vms = VmList::new(now, self.vms.clone());
-            self.autoscaler.vms_listed(now, &vms, &mut self.catalog);
+            self.autoscaler.vms_listed(now, &vms, &mut self.catalog, &mut self.owner);
             orders.extend(self.autoscaler.plan_moves(
                 now,
                 self.now,
@@ -250,6 +257,25 @@
     assert_eq!(orders.len(), 3);
 }
 
+/// An order to move a VM gets no answer and is never carried out. The worker on
+/// the VM must get tasks again.
+#[test]
+fn worker_of_a_lost_move_gets_tasks_again() {
+    let mut pools = Pools::new(&[("a", 8), ("standby", 1)]);
+    let orders = pools.advance(2_000);
+    assert_eq!(orders.len(), 5, "idle VMs move to standby");
+    for order in orders {
+        let now = TimeMs(pools.now);
+        let answer = VmOrderAnswer::Unknown;
+        pools.autoscaler.order_answered(now, &order.vm, answer, &mut pools.owner);
+    }
+    pools.submit(1, "a", vec![step(3, cores(4))]);
+    pools.advance(5_000);
+    pools.owner.take_events();
+    pools.submit(2, "a", vec![step(5, cores(4))]);
+    assert_eq!(pools.placed(), 5);
+}
+
 #[test]
 fn refused_move_is_retried_after_a_while() {
     let mut pools = Pools::new(&[("a", 3), ("b", 3), ("standby", 1)]);
