workload: a VM that restarts is not maintained by that

A wave was reported as completed although VMs of it had never been down for maintenance. After an order without an answer the scheduler took the states down and moving, and another worker on the VM, as proof that the order had been carried out. A VM that crashes shows the same.

Only the state of maintenance in a later list, or the acceptance of the order, counts now. An order without either is repeated, once the worker that is now on the VM is drained. Until then the VM counts against the limit of the wave, because the order may have been carried out.

--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -73,7 +73,12 @@
     /// The VM's worker gets no new tasks until it is empty.
     Draining { since: TimeMs },
     /// The VM was ordered down for maintenance.
-    Ordered { at: TimeMs, accepted_at: Option<TimeMs>, seen_down: bool },
+    Ordered {
+        at: TimeMs,
+        accepted_at: Option<TimeMs>,
+        /// Whether the list has shown the VM under maintenance since the order.
+        is_under_way: bool,
+    },
 }
 
 /// Schedules the maintenance of VMs in waves.
@@ -193,7 +198,7 @@
     ) {
         let mut finished = Vec::new();
         for (vm, in_progress) in &mut self.in_progress {
-            let Stage::Ordered { at, accepted_at, seen_down } = &mut in_progress.stage else {
+            let Stage::Ordered { at, accepted_at, is_under_way } = &mut in_progress.stage else {
                 continue;
             };
             let Some(entry) = vms.get(vm) else {
@@ -206,19 +211,21 @@
             }
             match entry.state {
                 VmState::Maintenance => {
-                    *seen_down = true;
+                    *is_under_way = true;
                     if let Some(worker) = &in_progress.worker {
                         dispatcher.vm_down_for_maintenance(worker);
                     }
                 }
-                VmState::Down | VmState::Moving => *seen_down = true,
-                VmState::Unknown => {}
+                // A VM may crash before its order has arrived.
+                VmState::Down | VmState::Moving | VmState::Unknown => {}
                 VmState::Up => {
                     // The order has no effect if a former owner has already had
                     // the VM maintained: the VM stays up.
-                    let was_maintained = accepted_at.is_some_and(|at| vms.requested_at > at);
-                    if *seen_down || was_maintained || entry.worker != in_progress.worker {
-                        finished.push(vm.clone());
+                    let was_accepted = accepted_at.is_some_and(|at| vms.requested_at > at);
+                    match *is_under_way || was_accepted {
+                        true => finished.push(vm.clone()),
+                        // A VM without an answer to its order may have restarted.
+                        false => in_progress.update_worker(Some(entry), dispatcher),
                     }
                 }
             }
@@ -315,25 +322,29 @@
             let may_order = orders.len() < max_orders;
             let is_ready = match in_progress.stage {
                 Stage::Draining { since } => {
-                    let is_timed_out = now.since(since) >= DRAIN_TIMEOUT_MS;
+                    let timeout = since.plus(DRAIN_TIMEOUT_MS);
                     in_progress.update_worker(vms.get(vm), dispatcher);
-                    let is_drained = in_progress.worker.as_deref().is_none_or(|worker| {
-                        dispatcher.drain_for_maintenance(
-                            worker,
-                            is_timed_out,
-                            may_stop_long_running,
-                        )
-                    });
+                    let is_drained =
+                        in_progress.drain(now >= timeout, may_stop_long_running, dispatcher);
                     let may_go_down = is_drained && may_order && free_slots > 0;
                     free_slots -= usize::from(may_go_down);
                     may_go_down
                 }
-                Stage::Ordered { at, seen_down, .. } => {
-                    may_order && !seen_down && now.since(at) >= ORDER_RETRY_MS
+                // The VM still counts as down, because the order may have been
+                // carried out, but tasks may run on it again.
+                Stage::Ordered { at, is_under_way: false, .. }
+                    if now.since(at) >= ORDER_RETRY_MS =>
+                {
+                    let timeout = at.plus(ORDER_RETRY_MS + DRAIN_TIMEOUT_MS);
+                    let is_drained =
+                        in_progress.drain(now >= timeout, may_stop_long_running, dispatcher);
+                    is_drained && may_order
                 }
+                Stage::Ordered { .. } => false,
             };
             if is_ready {
-                in_progress.stage = Stage::Ordered { at: now, accepted_at: None, seen_down: false };
+                in_progress.stage =
+                    Stage::Ordered { at: now, accepted_at: None, is_under_way: false };
                 let action = VmAction::Maintain { wave: self.spec.wave };
                 orders.push(VmOrder { vm: vm.clone(), action });
             }
@@ -348,6 +359,18 @@
 }
 
 impl VmMaintenance {
+    /// Drains the VM. Returns true once it may go down.
+    fn drain(
+        &self,
+        is_timed_out: bool,
+        may_stop_long_running: bool,
+        dispatcher: &mut Dispatcher,
+    ) -> bool {
+        self.worker.as_deref().is_none_or(|worker| {
+            dispatcher.drain_for_maintenance(worker, is_timed_out, may_stop_long_running)
+        })
+    }
+
     /// Applies the present worker of the VM, which may have been restarted.
     fn update_worker(&mut self, entry: Option<&VmEntry>, dispatcher: &mut Dispatcher) {
         let present = entry.and_then(|entry| entry.worker.clone());
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
 use cowslipport_lib::workload::maintenance::WaveSpec;
 use cowslipport_lib::workload::order::Order;
@@ -152,6 +153,82 @@
     assert!(repeated.take_changed().iter().any(|(_, progress)| progress.completed));
 }
 
+/// Orders one VM down and returns the scheduler and when it did.
+fn scheduler_with_order(fleet: &mut Fleet) -> (MaintenanceScheduler, TimeMs) {
+    let mut scheduler = scheduler_for("vm", fleet);
+    let now = fleet.time();
+    let vms = VmList::new(now, vec![vm("vm", VmState::Up, "w0")]);
+    let excluded = BTreeSet::new();
+    let owner = fleet.owner.as_mut().expect("an owner");
+    let orders = scheduler.plan_maintenance(now, plan_input(&vms, &excluded), owner);
+    assert_eq!(orders.len(), 1, "the VM is empty");
+    (scheduler, now)
+}
+
+/// Whether the wave has completed, as far as it was recorded since the last
+/// call.
+fn is_recorded_as_completed(scheduler: &mut MaintenanceScheduler) -> bool {
+    scheduler.take_changed().iter().any(|(_, progress)| progress.completed)
+}
+
+/// An order for maintenance gets no answer and is never carried out. Then the
+/// VM crashes and comes back with another worker. That is no maintenance: the
+/// order must be repeated.
+#[test]
+fn restart_of_a_vm_does_not_count_as_its_maintenance() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Unknown, owner);
+    let excluded = BTreeSet::new();
+    let mut orders = 0;
+    for (after_ms, state) in
+        [(400, VmState::Down), (800, VmState::Moving), (1_200, VmState::Up), (9_000, VmState::Up)]
+    {
+        let now = ordered_at.plus(after_ms);
+        let vms = VmList::new(now, vec![vm("vm", state, "w1")]);
+        scheduler.vms_listed(&vms, owner);
+        orders += scheduler.plan_maintenance(now, plan_input(&vms, &excluded), owner).len();
+        assert!(!is_recorded_as_completed(&mut scheduler), "after {after_ms} ms");
+    }
+    assert_eq!(orders, 1, "the order is repeated");
+    let now = ordered_at.plus(9_100);
+    scheduler.order_answered(now, "vm", 1, VmOrderAnswer::Accepted, owner);
+    for (after_ms, state) in [(9_400, VmState::Maintenance), (11_000, VmState::Up)] {
+        let now = ordered_at.plus(after_ms);
+        let vms = VmList::new(now, vec![vm("vm", state, "w2")]);
+        scheduler.vms_listed(&vms, owner);
+        scheduler.plan_maintenance(now, plan_input(&vms, &excluded), owner);
+    }
+    assert!(is_recorded_as_completed(&mut scheduler));
+}
+
+/// Tasks have started on a VM that came back with another worker. They have to
+/// be drained before the order for its maintenance is repeated.
+#[test]
+fn repeated_order_waits_until_the_vm_is_drained() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.advance(100);
+    let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
+    fleet.add_worker("w1", "a", cores(4));
+    fleet.list_workers();
+    fleet.worker("w0").is_up = false;
+    fleet.submit(1, job(vec![long_running(1)]), LONG_WORK);
+    fleet.advance(1_000);
+    assert_eq!(fleet.worker("w1").running.len(), 1);
+    fleet.advance(5_000);
+    let now = fleet.time();
+    assert!(now > ordered_at.plus(4_000), "the repetition is due");
+    let vms = VmList::new(now, vec![vm("vm", VmState::Up, "w1")]);
+    let excluded = BTreeSet::new();
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.vms_listed(&vms, owner);
+    assert!(scheduler.plan_maintenance(now, plan_input(&vms, &excluded), owner).is_empty());
+    let stops = owner.take_orders().into_iter();
+    assert_eq!(stops.filter(|order| matches!(order.order, Order::Stop { .. })).count(), 1);
+}
+
 /// A stop that the previous owner ordered may still be in progress while the
 /// worker reports the task as available. The new owner must not stop another
 /// task of the step as well.
