daemon: orders are checked against the ownership when they are sent

An owner that had stood still for 5 s sent queued orders for VMs with its epoch, after its successor had ordered the same VMs with a higher one. The ownership was checked when an order was queued, and not by the tasks that send orders.

The core publishes until when the store's confirmation is valid, and the tasks read it right before sending. An order for a VM is then answered as refused, a start as too late. Looked at: stops and changes of pace (fenced by the workers, still sent); a suspension of the machine, which the clock does not count (open).

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -86,6 +86,8 @@
     /// Waves by number, each with an estimate of when it was requested.
     pub(crate) waves: BTreeMap<u64, (TimeMs, WaveSpec)>,
     pub(crate) ownership: Ownership,
+    /// Time until which the ownership is confirmed, for the tasks of the owner.
+    pub(crate) confirmed_until: watch::Sender<TimeMs>,
     pub(crate) candidacy: Candidacy,
     pub(crate) owner: Option<Owner<P>>,
     /// Whether the node leaves the group because the store confirms an ownership
@@ -108,6 +110,7 @@
             data_centres_out: BTreeSet::new(),
             waves: BTreeMap::new(),
             ownership: Ownership::new(settings.membership_ttl_ms()),
+            confirmed_until: watch::channel(TimeMs::default()).0,
             candidacy: Candidacy::new(&settings.name, settings.processor_milli, now),
             owner: None,
             must_leave_group: false,
@@ -269,6 +272,7 @@
     fn give_up_ownership(&mut self) {
         self.state.must_leave_group |= self.state.ownership.epoch().is_some();
         self.state.ownership.give_up();
+        self.state.confirmed_until.send_replace(self.state.ownership.confirmed_until());
         if self.state.owner.take().is_some() {
             metrics::gauge!("cowslipport_is_owner").set(0.0);
             self.job_pause.send_replace(FOLLOWER_PAUSE);
@@ -276,7 +280,9 @@
     }
 
     fn handle_join_answer(&mut self, sent_at: TimeMs, answer: JoinAnswer) {
-        match self.state.ownership.join_answered(sent_at, answer) {
+        let change = self.state.ownership.join_answered(sent_at, answer);
+        self.state.confirmed_until.send_replace(self.state.ownership.confirmed_until());
+        match change {
             Some(OwnershipChange::Gained { epoch }) if !self.state.is_shutting_down => {
                 info!(self.logger, "ownership gained"; "epoch" => epoch);
                 metrics::gauge!("cowslipport_is_owner").set(1.0);
@@ -286,6 +292,7 @@
                     &self.settings,
                     self.clock,
                     self.sender.clone(),
+                    self.state.confirmed_until.subscribe(),
                     epoch,
                     &self.logger,
                 );
--- a/daemon/src/node/mod.rs
+++ b/daemon/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod owner_vms;
 mod owner_workers;
 mod owner_writer;
+mod ownership_check;
 pub mod platform;
 mod poll_task;
 mod recovery;
--- a/daemon/src/node/order_task.rs
+++ b/daemon/src/node/order_task.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
+use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::Worker;
 use crate::node::platform::WorkerError;
 
@@ -34,6 +35,7 @@
     pub(crate) worker: WorkerId,
     pub(crate) client: W,
     pub(crate) clock: Clock,
+    pub(crate) ownership: OwnershipCheck,
     pub(crate) mailbox: mpsc::Receiver<QueuedOrder>,
     pub(crate) owner: OwnerMailbox,
     pub(crate) logger: Logger,
@@ -59,7 +61,7 @@
         match queued.order {
             Order::Start(start) => {
                 let is_old = self.clock.now().since(queued.created_at) > START_AGE_MAX_MS;
-                let answer = match is_old {
+                let answer = match is_old || !self.ownership.is_confirmed() {
                     true => StartAnswer::TooLate,
                     false => self.client.start(epoch, queued.lease_until_worker_ms, &start).await,
                 };
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -23,6 +23,7 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::clock::Clock;
@@ -34,6 +35,7 @@
 use crate::node::owner_tasks;
 use crate::node::owner_tasks::Mailboxes;
 use crate::node::owner_writer::OwnerRecords;
+use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::platform::RecordCodec;
@@ -138,15 +140,18 @@
         settings: &NodeSettings,
         clock: Clock,
         core: mpsc::Sender<CoreMessage>,
+        confirmed_until: watch::Receiver<TimeMs>,
         epoch: u64,
         logger: &Logger,
     ) -> Self {
+        let ownership = OwnershipCheck::new(clock, confirmed_until);
         let mailbox = OwnerMailbox { epoch, core };
         let logger = logger.new(slog::o!("epoch" => epoch));
         let gained_at = clock.now();
         let (mailboxes, tasks) =
-            owner_tasks::spawn_tasks(platform, settings, clock, &mailbox, &logger);
-        let connections = WorkerConnections::new(platform.clone(), clock, mailbox, logger.clone());
+            owner_tasks::spawn_tasks(platform, settings, clock, &ownership, &mailbox, &logger);
+        let connections =
+            WorkerConnections::new(platform.clone(), clock, ownership, mailbox, logger.clone());
         let mut dispatcher = Dispatcher::new(
             epoch,
             settings.node_incarnation(),
--- a/daemon/src/node/owner_tasks.rs
+++ b/daemon/src/node/owner_tasks.rs
@@ -17,6 +17,7 @@
 use crate::node::owner_writer;
 use crate::node::owner_writer::OwnerRecords;
 use crate::node::owner_writer::TopicWriter;
+use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::platform::Store;
@@ -44,6 +45,7 @@
     platform: &P,
     settings: &NodeSettings,
     clock: Clock,
+    ownership: &OwnershipCheck,
     mailbox: &OwnerMailbox,
     logger: &Logger,
 ) -> (Mailboxes, JoinSet<()>)
@@ -71,7 +73,15 @@
         logger: logger(),
     };
     tasks.spawn_local(reader.run());
-    let vms = vm_task::spawn(platform, &settings.name, clock, &mailbox(), &logger(), &mut tasks);
+    let vms = vm_task::VmTasks {
+        platform,
+        holder: &settings.name,
+        clock,
+        ownership,
+        owner: &mailbox(),
+        logger: &logger(),
+    }
+    .spawn(&mut tasks);
     let (advice_requests, requests) = mpsc::channel(advice_task::REQUEST_QUEUE_CAPACITY);
     let service = platform.advice_service();
     tasks.spawn_local(advice_task::run(service, clock, requests, mailbox(), logger()));
--- a/daemon/src/node/vm_task.rs
+++ b/daemon/src/node/vm_task.rs
@@ -3,6 +3,7 @@
 //! would be too old for decisions.
 
 use cowslipport_lib::workload::vm::VmOrder;
+use cowslipport_lib::workload::vm::VmOrderAnswer;
 use slog::Logger;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -11,6 +12,7 @@
 use crate::clock::Clock;
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
+use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::Platform;
 use crate::node::platform::VmService;
 
@@ -41,29 +43,43 @@
     }
 }
 
-/// Starts the tasks and returns their mailboxes.
-pub(crate) fn spawn<P>(
-    platform: &P,
-    holder: &str,
-    clock: Clock,
-    owner: &OwnerMailbox,
-    logger: &Logger,
-    tasks: &mut JoinSet<()>,
-) -> VmMailboxes
+/// What the tasks need.
+pub(crate) struct VmTasks<'a, P> {
+    pub(crate) platform: &'a P,
+    /// Name of this node, under which orders are sent.
+    pub(crate) holder: &'a str,
+    pub(crate) clock: Clock,
+    pub(crate) ownership: &'a OwnershipCheck,
+    pub(crate) owner: &'a OwnerMailbox,
+    pub(crate) logger: &'a Logger,
+}
+
+impl<P> VmTasks<'_, P>
 where
     P: Platform,
 {
-    let (reads, mailbox) = mpsc::channel(READ_QUEUE_CAPACITY);
-    let (owner, logger) = (|| owner.clone(), || logger.clone());
-    tasks.spawn_local(read_lists(platform.vm_service(), clock, mailbox, owner(), logger()));
-    let mut orders = Vec::with_capacity(ORDER_TASKS);
-    for _ in 0..ORDER_TASKS {
-        let (sender, mailbox) = mpsc::channel(ORDER_QUEUE_CAPACITY);
-        let service = platform.vm_service();
-        tasks.spawn_local(send_orders(service, holder.to_owned(), mailbox, owner()));
-        orders.push(sender);
+    /// Starts the tasks and returns their mailboxes.
+    pub(crate) fn spawn(&self, tasks: &mut JoinSet<()>) -> VmMailboxes {
+        let (reads, mailbox) = mpsc::channel(READ_QUEUE_CAPACITY);
+        let service = self.platform.vm_service();
+        let (owner, logger) = (self.owner.clone(), self.logger.clone());
+        tasks.spawn_local(read_lists(service, self.clock, mailbox, owner, logger));
+        let mut orders = Vec::with_capacity(ORDER_TASKS);
+        for _ in 0..ORDER_TASKS {
+            let (sender, mailbox) = mpsc::channel(ORDER_QUEUE_CAPACITY);
+            let task = VmOrderTask {
+                service: self.platform.vm_service(),
+                holder: self.holder.to_owned(),
+                ownership: self.ownership.clone(),
+                mailbox,
+                owner: self.owner.clone(),
+                logger: self.logger.clone(),
+            };
+            tasks.spawn_local(task.run());
+            orders.push(sender);
+        }
+        VmMailboxes { reads, orders }
     }
-    VmMailboxes { reads, orders }
 }
 
 async fn read_lists<V>(
@@ -90,18 +106,37 @@
     }
 }
 
-async fn send_orders<V>(
-    mut service: V,
+/// Sends orders to the VM service, one at a time.
+struct VmOrderTask<V> {
+    service: V,
     holder: String,
-    mut mailbox: mpsc::Receiver<VmOrder>,
+    ownership: OwnershipCheck,
+    mailbox: mpsc::Receiver<VmOrder>,
     owner: OwnerMailbox,
-) where
+    logger: Logger,
+}
+
+impl<V> VmOrderTask<V>
+where
     V: VmService,
 {
-    while let Some(order) = mailbox.recv().await {
-        let answer = service.order(&holder, owner.epoch, &order).await;
-        if !owner.send(OwnerMessage::VmOrderAnswered { order, answer }).await {
-            return;
+    async fn run(mut self) {
+        while let Some(order) = self.mailbox.recv().await {
+            let answer = self.send(&order).await;
+            if !self.owner.send(OwnerMessage::VmOrderAnswered { order, answer }).await {
+                return;
+            }
+        }
+    }
+
+    /// Sends an order, unless another node may have become the owner while it
+    /// was queued.
+    async fn send(&mut self, order: &VmOrder) -> VmOrderAnswer {
+        if !self.ownership.is_confirmed() {
+            warn!(self.logger, "VM order dropped"; "vm" => &order.vm,
+                "reason" => "the ownership is not confirmed");
+            return VmOrderAnswer::Refused;
         }
+        self.service.order(&self.holder, self.owner.epoch, order).await
     }
 }
--- a/daemon/src/node/worker_connections.rs
+++ b/daemon/src/node/worker_connections.rs
@@ -21,6 +21,7 @@
 use crate::node::order_task::ORDER_QUEUE_CAPACITY;
 use crate::node::order_task::OrderTask;
 use crate::node::order_task::QueuedOrder;
+use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::Platform;
 use crate::node::poll_task::PollMessage;
 use crate::node::poll_task::PollState;
@@ -34,6 +35,7 @@
 pub(crate) struct WorkerConnections<P> {
     platform: P,
     clock: Clock,
+    ownership: OwnershipCheck,
     owner: OwnerMailbox,
     logger: Logger,
     connections: BTreeMap<WorkerId, WorkerConnection>,
@@ -56,8 +58,14 @@
 where
     P: Platform,
 {
-    pub(crate) fn new(platform: P, clock: Clock, owner: OwnerMailbox, logger: Logger) -> Self {
-        Self { platform, clock, owner, logger, connections: BTreeMap::new() }
+    pub(crate) fn new(
+        platform: P,
+        clock: Clock,
+        ownership: OwnershipCheck,
+        owner: OwnerMailbox,
+        logger: Logger,
+    ) -> Self {
+        Self { platform, clock, ownership, owner, logger, connections: BTreeMap::new() }
     }
 
     /// Connects to a worker, or connects again if the address has changed.
@@ -80,6 +88,7 @@
             worker: id,
             client: self.platform.worker(name, address),
             clock: self.clock,
+            ownership: self.ownership.clone(),
             mailbox: order_mailbox,
             owner: self.owner.clone(),
             logger,
--- a/lib/src/workload/ownership.rs
+++ b/lib/src/workload/ownership.rs
@@ -116,7 +116,16 @@
 
     /// True if this process is the owner and no other can have become it yet.
     pub fn is_confirmed(&self, now: TimeMs) -> bool {
-        self.epoch.is_some() && now.since(self.confirmed_at) < self.ttl_ms
+        now < self.confirmed_until()
+    }
+
+    /// Time until which no other process can be the owner; zero if this one is
+    /// not.
+    pub fn confirmed_until(&self) -> TimeMs {
+        match self.epoch {
+            Some(_) => self.confirmed_at.plus(self.ttl_ms),
+            None => TimeMs::default(),
+        }
     }
 
     /// Time since the last call that the store answered was sent.
