workload: progress records stay below the limit of the store

One job of 10,000 tasks that save their progress stopped all starts: its record was over the store's limit of 262,144 bytes, and the owner repeats a refused append until it succeeds.

The record leaves out the checkpoints of tasks that are done. If it is still too large, it is stored without checkpoints, with a line in the log. The largest job that is admitted fits then.

--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -57,6 +57,10 @@
                 warn!(logger, "worker avoided after failed tasks";
                     "worker" => dispatcher.worker_name(worker), "until" => %until);
             }
+            DispatcherEvent::CheckpointsNotStored { job, bytes } => {
+                warn!(logger, "checkpoints not stored"; "job" => %job, "bytes" => bytes,
+                    "effect" => "tasks that a successor starts again begin anew");
+            }
             DispatcherEvent::PoolMeasured { pool, load } => {
                 log_pool(logger, catalog.pool_name(pool), &load);
             }
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -6,6 +6,7 @@
 
 use crate::time::TimeMs;
 use crate::workload::dispatcher::Dispatcher;
+use crate::workload::event::DispatcherEvent;
 use crate::workload::event::PlacementReleaseReason;
 use crate::workload::job::AttemptState;
 use crate::workload::job_record;
@@ -22,6 +23,10 @@
 use crate::workload::record::RecordKey;
 use crate::workload::worker::Reachability;
 
+/// Maximum size of a progress record. The store refuses records over 256 KiB with
+/// their keys. Without checkpoints, a record of `MAX_TASKS` tasks fits.
+const MAX_RECORD_BYTES: usize = 250 * 1_024;
+
 impl Dispatcher {
     /// The records of a job: its progress, and its status if that has changed.
     pub(crate) fn job_records(&mut self, id: JobId) -> Vec<(RecordKey, Vec<u8>)> {
@@ -29,7 +34,13 @@
         let worker_name = |id| self.worker_name(id).to_owned();
         let progress = job_record::progress_of(job, self.epoch, worker_name);
         let (key, status) = (job.key, progress.status());
-        let mut records = vec![(RecordKey::Progress(key), progress.encode())];
+        let mut encoded = progress.encode();
+        if encoded.len() > MAX_RECORD_BYTES {
+            let bytes = encoded.len();
+            self.events.push(DispatcherEvent::CheckpointsNotStored { job: key, bytes });
+            encoded = progress.without_checkpoints().encode();
+        }
+        let mut records = vec![(RecordKey::Progress(key), encoded)];
         if status != job.recorded_status {
             records.push((RecordKey::Status(key), status.encode()));
         }
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -60,6 +60,13 @@
         /// Time until which it gets none.
         until: TimeMs,
     },
+    /// The checkpoints of a job do not fit into its record.
+    CheckpointsNotStored {
+        /// The job.
+        job: JobKey,
+        /// Size of the record with the checkpoints.
+        bytes: usize,
+    },
     /// The capacity and demand of a pool were computed.
     PoolMeasured {
         /// The pool.
--- a/lib/src/workload/job_record.rs
+++ b/lib/src/workload/job_record.rs
@@ -47,7 +47,8 @@
         phase,
         attempt: task.attempt,
         failures: task.failures,
-        checkpoint: task.checkpoint.clone(),
+        // A task that is done does not start again.
+        checkpoint: task.checkpoint.clone().filter(|_| !task.is_done()),
     }
 }
 
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -372,6 +372,15 @@
         raw::Progress { outcome: outcome.into(), workers, steps, epoch: self.epoch }.encode_to_vec()
     }
 
+    /// The progress without saved checkpoints. Tasks that a successor starts again
+    /// begin anew.
+    pub(crate) fn without_checkpoints(mut self) -> Self {
+        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
+            task.checkpoint = None;
+        }
+        self
+    }
+
     /// Decodes and checks a progress record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
         let raw = raw::Progress::decode(bytes)
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -8,11 +8,17 @@
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::record::JobOutcome;
+use cowslipport_lib::workload::record::Progress;
+use cowslipport_lib::workload::record::RecordedPhase;
+use cowslipport_lib::workload::record::StepProgress;
+use cowslipport_lib::workload::record::TaskProgress;
 use cowslipport_lib::workload::spec::JobSpec;
+use cowslipport_lib::workload::spec::MAX_TASKS;
 use cowslipport_lib::workload::spec::StepSpec;
 
 use crate::workload_fake::Fleet;
 use crate::workload_fake::LEASE_MS;
+use crate::workload_fake::MAX_RECORD_BYTES;
 use crate::workload_fake::SHORT_WORK;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
@@ -348,6 +354,45 @@
     fleet.assert_no_violations();
 }
 
+/// The store refuses records over its limit. A job with the largest number of
+/// tasks must fit although all of them have saved progress.
+#[test]
+fn largest_job_with_checkpoints_fits_into_a_record() {
+    let tasks = u32::try_from(MAX_TASKS).expect("a small number");
+    let mut fleet = Fleet::new(2, cores(MAX_TASKS));
+    let work = Work { work_ms: 2_000, fails: false };
+    let key = fleet.submit(1, job(vec![step(tasks, cores(1))]), work);
+    fleet.advance(100);
+    for worker in fleet.workers.values_mut() {
+        for run in worker.running.values_mut() {
+            run.checkpoint = Some("00000bb87a21d94b".to_owned());
+        }
+    }
+    fleet.advance(3_000);
+    fleet.assert_no_violations();
+    assert_eq!(fleet.outcome(key), Some(JobOutcome::Completed));
+}
+
+/// Occurrences take more of a record than tasks of one step.
+#[test]
+fn record_of_most_occurrences_fits_without_checkpoints() {
+    let occurrence = |occurrence| StepProgress {
+        occurrence,
+        step: 1,
+        tasks: vec![TaskProgress {
+            phase: RecordedPhase::Placed(format!("i-{:09}", occurrence % 1_000)),
+            attempt: 100,
+            failures: 100,
+            checkpoint: None,
+        }],
+    };
+    let tasks = u32::try_from(MAX_TASKS).expect("a small number");
+    let steps = (0..tasks).map(occurrence).collect();
+    let progress = Progress { outcome: None, steps, epoch: 1_000 };
+    let bytes = progress.encode().len();
+    assert!(bytes < MAX_RECORD_BYTES, "{bytes} bytes");
+}
+
 /// A task that has failed on every worker with free capacity must be retried
 /// there. In the run hunt-edb8-27 of pvbc-sched, such a task waited for ever for
 /// the only other worker, which long-running tasks kept full.
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -36,6 +36,8 @@
 
 pub(crate) const LEASE_MS: u64 = 4_000;
 pub(crate) const FORMER_RENEWS_MS: u64 = 8_000;
+/// The store refuses larger records.
+pub(crate) const MAX_RECORD_BYTES: usize = 262_144;
 pub(crate) const STATUS_KEPT_MS: u64 = 120_000;
 /// Time from a stop order until the task has stopped.
 pub(crate) const STOP_MS: u64 = 400;
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -20,6 +20,7 @@
 use super::FakeWorker;
 use super::Fleet;
 use super::LEASE_MS;
+use super::MAX_RECORD_BYTES;
 use super::POOL;
 use super::STATUS_KEPT_MS;
 
@@ -134,6 +135,9 @@
 
     pub(crate) fn persist(&mut self, batch: &Batch) {
         for (key, value) in &batch.records {
+            if value.len() > MAX_RECORD_BYTES {
+                self.violations.push(format!("{key:?} has {} bytes", value.len()));
+            }
             if value.is_empty() {
                 self.dropped.insert(key.clone());
             }
