workload: a withdrawn wave gives its workers back

Workers of VMs that were drained for a wave stayed cordoned when the operator withdrew it, because the scheduler forgot the wave with its cordons.

VMs that were only drained get tasks again at once. VMs that were ordered down are tracked until the list shows the outcome, or the order has had no effect for 4 s. A wave that is requested again under its number starts anew.

Measured: with the former body of wave_withdrawn both new tests fail; they pass.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -234,7 +234,7 @@
     }
 
     pub(crate) fn wave_withdrawn(&mut self, wave: u64) {
-        self.maintenance.wave_withdrawn(wave);
+        self.maintenance.wave_withdrawn(wave, &mut self.dispatcher);
     }
 
     /// Handles a message of one of the owner's tasks.
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -57,6 +57,9 @@
     requested_at: TimeMs,
     maintained: BTreeSet<String>,
     is_completed: bool,
+    /// Whether the operator has withdrawn the wave, which then waits only for the
+    /// outcome of its orders.
+    is_withdrawn: bool,
     in_progress: BTreeMap<String, VmMaintenance>,
     retry_at: BTreeMap<String, TimeMs>,
 }
@@ -96,10 +99,15 @@
             requested_at,
             maintained: BTreeSet::new(),
             is_completed: false,
+            is_withdrawn: false,
             in_progress: BTreeMap::new(),
             retry_at: BTreeMap::new(),
         });
         wave.spec = spec;
+        if std::mem::take(&mut wave.is_withdrawn) {
+            wave.maintained.clear();
+            wave.is_completed = false;
+        }
         self.changed.insert(wave.spec.wave);
     }
 
@@ -110,9 +118,23 @@
         wave.is_completed |= progress.completed;
     }
 
-    /// Forgets a wave that the operator has withdrawn.
-    pub fn wave_withdrawn(&mut self, number: u64) {
-        self.waves.remove(&number);
+    /// Ends a wave that the operator has withdrawn. VMs that were only drained get
+    /// tasks again; those that were ordered down follow once the outcome is known.
+    pub fn wave_withdrawn(&mut self, number: u64, dispatcher: &mut Dispatcher) {
+        let Some(wave) = self.waves.get_mut(&number) else { return };
+        wave.is_withdrawn = true;
+        let is_draining = |vm: &VmMaintenance| matches!(vm.stage, Stage::Draining { .. });
+        let draining = wave.in_progress.iter().filter(|(_, vm)| is_draining(vm));
+        for vm in draining.map(|(vm, _)| vm.clone()).collect::<Vec<String>>() {
+            wave.stop_tracking(&vm, dispatcher);
+        }
+        self.changed.remove(&number);
+        self.forget_withdrawn();
+    }
+
+    /// Forgets withdrawn waves without an order whose outcome is unknown.
+    fn forget_withdrawn(&mut self) {
+        self.waves.retain(|_, wave| !wave.is_withdrawn || !wave.in_progress.is_empty());
     }
 
     /// VMs that are drained or down for maintenance.
@@ -125,6 +147,7 @@
         for wave in self.waves.values_mut() {
             wave.apply_vm_list(vms, dispatcher, &mut self.changed);
         }
+        self.forget_withdrawn();
     }
 
     /// Handles the answer to an order.
@@ -166,7 +189,8 @@
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
         let mut orders = Vec::new();
-        for wave in self.waves.values_mut().filter(|wave| !wave.is_completed) {
+        let is_open = |wave: &&mut Wave| !wave.is_completed && !wave.is_withdrawn;
+        for wave in self.waves.values_mut().filter(is_open) {
             wave.start_draining(now, input.vms, input.excluded, dispatcher);
             wave.order_drained(now, input, dispatcher, &mut orders);
             if wave.is_finished(input.vms) {
@@ -181,7 +205,7 @@
     pub fn take_changed(&mut self) -> Vec<(u64, WaveProgress)> {
         let changed = std::mem::take(&mut self.changed);
         let records = changed.into_iter().filter_map(|number| {
-            let wave = self.waves.get(&number)?;
+            let wave = self.waves.get(&number).filter(|wave| !wave.is_withdrawn)?;
             let maintained = wave.maintained.iter().cloned().collect();
             Some((number, WaveProgress { maintained, completed: wave.is_completed }))
         });
@@ -222,10 +246,12 @@
                     // The order has no effect if a former owner has already had
                     // the VM maintained: the VM stays up.
                     let was_accepted = accepted_at.is_some_and(|at| vms.requested_at > at);
-                    match *is_under_way || was_accepted {
-                        true => finished.push(vm.clone()),
+                    let is_ineffective = vms.requested_at.since(*at) >= ORDER_RETRY_MS;
+                    if *is_under_way || was_accepted || self.is_withdrawn && is_ineffective {
+                        finished.push(vm.clone());
+                    } else {
                         // A VM without an answer to its order may have restarted.
-                        false => in_progress.update_worker(Some(entry), dispatcher),
+                        in_progress.update_worker(Some(entry), dispatcher);
                     }
                 }
             }
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -229,6 +229,51 @@
     assert_eq!(stops.filter(|order| matches!(order.order, Order::Stop { .. })).count(), 1);
 }
 
+/// A wave is withdrawn while a VM is drained for it. The worker on the VM must get
+/// tasks again.
+#[test]
+fn withdrawn_wave_gives_its_workers_back() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(100);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    let now = fleet.time();
+    let vms = VmList::new(now, vec![vm("vm", VmState::Up, "w0")]);
+    let excluded = BTreeSet::new();
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.plan_maintenance(now, plan_input(&vms, &excluded), owner);
+    scheduler.wave_withdrawn(1, owner);
+    assert!(scheduler.vms_under_maintenance().is_empty());
+    fleet.submit(2, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(200);
+    assert_eq!(fleet.running(), 2);
+}
+
+/// A wave is withdrawn after a VM was ordered down. The order may still be carried
+/// out, so the worker gets no tasks until the list shows the outcome, or the order
+/// has had no effect for a while.
+#[test]
+fn withdrawn_wave_waits_for_its_orders() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.advance(100);
+    let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.wave_withdrawn(1, owner);
+    assert_eq!(scheduler.vms_under_maintenance().len(), 1);
+    let excluded = BTreeSet::new();
+    for after_ms in [400, 3_900, 4_100] {
+        let now = ordered_at.plus(after_ms);
+        let vms = VmList::new(now, vec![vm("vm", VmState::Up, "w0")]);
+        scheduler.vms_listed(&vms, owner);
+        assert!(scheduler.plan_maintenance(now, plan_input(&vms, &excluded), owner).is_empty());
+        assert_eq!(scheduler.vms_under_maintenance().is_empty(), after_ms > 4_000);
+    }
+    assert!(!is_recorded_as_completed(&mut scheduler));
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(200);
+    assert_eq!(fleet.running(), 1);
+}
+
 /// A stop that the previous owner ordered may still be in progress while the
 /// worker reports the task as available. The new owner must not stop another
 /// task of the step as well.
