--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -3,6 +3,7 @@
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::event::DispatcherEvent;
+use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::pool_load::PoolLoad;
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::report::TaskEnd;
@@ -21,22 +22,7 @@
                     "worker" => dispatcher.worker_name(worker), "waited_ms" => waited_ms);
             }
             DispatcherEvent::Ended { task, attempt, worker, end } => {
-                metrics::counter!("cowslipport_tasks_ended_total", "end" => end.as_str())
-                    .increment(1);
-                let worker = dispatcher.worker_name(worker);
-                match end {
-                    TaskEnd::Done | TaskEnd::Stopped => {
-                        info!(logger, "task ended"; "task" => %task, "attempt" => attempt,
-                            "worker" => worker, "end" => end.as_str());
-                    }
-                    TaskEnd::Failed
-                    | TaskEnd::LeaseExpired
-                    | TaskEnd::GangBroken
-                    | TaskEnd::GangIncomplete => {
-                        warn!(logger, "task ended"; "task" => %task, "attempt" => attempt,
-                            "worker" => worker, "end" => end.as_str());
-                    }
-                }
+                log_end(logger, task, attempt, dispatcher.worker_name(worker), end);
             }
             DispatcherEvent::PlacementReleased { task, attempt, worker, reason } => {
                 metrics::counter!("cowslipport_places_freed_total", "reason" => reason.as_str())
@@ -78,6 +64,20 @@
     }
 }
 
+fn log_end(logger: &Logger, task: TaskName, attempt: u32, worker: &str, end: TaskEnd) {
+    metrics::counter!("cowslipport_tasks_ended_total", "end" => end.as_str()).increment(1);
+    match end {
+        TaskEnd::Done | TaskEnd::Stopped => {
+            info!(logger, "task ended"; "task" => %task, "attempt" => attempt,
+                "worker" => worker, "end" => end.as_str());
+        }
+        TaskEnd::Failed | TaskEnd::LeaseExpired | TaskEnd::GangBroken | TaskEnd::GangIncomplete => {
+            warn!(logger, "task ended"; "task" => %task, "attempt" => attempt,
+                "worker" => worker, "end" => end.as_str());
+        }
+    }
+}
+
 fn log_pool(logger: &Logger, pool: &str, load: &PoolLoad) {
     let gauge = |name: &'static str, value: u64| {
         metrics::gauge!(name, "pool" => pool.to_owned()).set(as_float(value));
