workload: calls change no job of another organisation

A caller with a valid key of one organisation could cancel a job of another, and a submission under its key replaced its record. Admission hides such a job from the caller, and then treated the call like one for an unknown job. Found by reading.

A node that knows the job now answers a cancellation with `no such job`, and a submission as invalid.

Measured: job_of_another_organisation_is_not_changed failed before and passes.

--- a/lib/src/workload/admission.rs
+++ b/lib/src/workload/admission.rs
@@ -317,6 +317,16 @@
     };
     let belongs_to_caller = registry.organisation(job) == authorised.organisation;
     let view = registry.view(job).filter(|_| belongs_to_caller);
+    let is_of_other_organisation = registry
+        .organisation(job)
+        .zip(authorised.organisation)
+        .is_some_and(|(owner, caller)| owner != caller);
+    if is_of_other_organisation {
+        return AdmissionDecision::Answer(match action {
+            Action::Submit => CallAnswer::Invalid("the job key is in use".to_owned()),
+            Action::Query | Action::Cancel => CallAnswer::NoSuchJob,
+        });
+    }
     match (action, view) {
         (Action::Submit, Some(_)) => AdmissionDecision::Answer(CallAnswer::Accepted),
         (Action::Submit, None) => {
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -245,6 +245,21 @@
     check(&call(&path, Some("secret"), Action::Query), &registry, FRESH, &CallAnswer::NoSuchJob);
 }
 
+/// The caller has a valid key, but the job is that of another organisation. It
+/// must be neither cancelled nor replaced.
+#[test]
+fn job_of_another_organisation_is_not_changed() {
+    let mut catalog = catalog();
+    let mut registry = JobRegistry::default();
+    let queue = catalog.queue_id("short");
+    let other = catalog.organisation_id("other");
+    registry.apply_submission(JobKey(0xaa), queue, Some(other));
+    let path = format!("/a/{JOB}");
+    check(&call(&path, Some("secret"), Action::Cancel), &registry, FRESH, &CallAnswer::NoSuchJob);
+    let in_use = CallAnswer::Invalid("the job key is in use".to_owned());
+    check(&call(&path, Some("secret"), Action::Submit), &registry, FRESH, &in_use);
+}
+
 #[test]
 fn missing_job_is_reported_only_while_the_registry_is_fresh() {
     let path = format!("/a/b/{JOB}");
