--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -35,6 +35,7 @@
 mod rank;
 mod stall;
 mod unreachable;
+mod vm_drain;
 mod worker;
 mod worker_choice;
 mod worker_reports;
