workload: a VM that one list misses is not maintained by that

What callers would see: the status of a wave says completed although a VM of it was never down for maintenance.

Cause: the scheduler took a VM that the present list does not show for one that was removed, and stored it as maintained for good. A list is read page by page while VMs change, and may miss a VM. The completion of a wave was stored once, too, so that a VM that an operator added to a completed wave was ignored.

A VM now counts as removed if no list has shown it for 2 s, and is due again when a list shows it. Whether a wave is completed follows from its VMs each time. The record of the progress names the removed VMs.

Looked at as well: VmState::Unknown and VMs without a worker, moves of VMs that the list misses (they wait for their timeout), the evidence that a worker has ended (does not use the list).

--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -201,6 +201,9 @@
     pub maintained: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(bool, tag = "2")]
     pub completed: bool,
+    /// VMs of the wave that were removed.
+    #[prost(string, repeated, tag = "3")]
+    pub removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -26,6 +26,9 @@
 const ORDER_RETRY_MS: u64 = 4_000;
 /// A VM that the VM service reported as busy is retried after this time.
 const BUSY_BACKOFF_MS: u64 = 1_000;
+/// A VM that no list has shown for this time was removed. A single list may miss
+/// a VM, because its pages are read one after the other.
+const REMOVED_AFTER_MS: u64 = 2_000;
 
 /// A maintenance wave as the operator requests it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,6 +56,10 @@
     spec: WaveSpec,
     requested_at: TimeMs,
     maintained: BTreeSet<String>,
+    /// VMs that the lists no longer show. A VM that is shown again is due again.
+    removed: BTreeSet<String>,
+    /// When the first list was requested of those that miss a VM.
+    missing_since: BTreeMap<String, TimeMs>,
     is_completed: bool,
     /// Whether the operator has withdrawn the wave, which then waits only for the
     /// outcome of its orders.
@@ -95,6 +102,8 @@
             spec: spec.clone(),
             requested_at,
             maintained: BTreeSet::new(),
+            removed: BTreeSet::new(),
+            missing_since: BTreeMap::new(),
             is_completed: false,
             is_withdrawn: false,
             in_progress: BTreeMap::new(),
@@ -103,8 +112,8 @@
         wave.spec = spec;
         if std::mem::take(&mut wave.is_withdrawn) {
             wave.maintained.clear();
-            wave.is_completed = false;
         }
+        wave.is_completed &= wave.is_finished();
         self.changed.insert(wave.spec.wave);
     }
 
@@ -112,7 +121,9 @@
     pub fn wave_restored(&mut self, number: u64, progress: &WaveProgress) {
         let Some(wave) = self.waves.get_mut(&number) else { return };
         wave.maintained.extend(progress.maintained.iter().cloned());
-        wave.is_completed |= progress.completed;
+        wave.removed.extend(progress.removed.iter().cloned());
+        // The operator may have added VMs since.
+        wave.is_completed |= progress.completed && wave.is_finished();
     }
 
     /// Ends a wave that the operator has withdrawn. VMs that were only drained get
@@ -186,12 +197,13 @@
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
         let mut orders = Vec::new();
-        let is_open = |wave: &&mut Wave| !wave.is_completed && !wave.is_withdrawn;
-        for wave in self.waves.values_mut().filter(is_open) {
-            wave.start_draining(now, input.vms, input.excluded, dispatcher);
-            wave.order_drained(now, input, dispatcher, &mut orders);
-            if wave.is_finished(input.vms) {
-                wave.is_completed = true;
+        for wave in self.waves.values_mut().filter(|wave| !wave.is_withdrawn) {
+            if !wave.is_finished() {
+                wave.start_draining(now, input.vms, input.excluded, dispatcher);
+                wave.order_drained(now, input, dispatcher, &mut orders);
+            }
+            if wave.is_completed != wave.is_finished() {
+                wave.is_completed = wave.is_finished();
                 self.changed.insert(wave.spec.wave);
             }
         }
@@ -203,33 +215,66 @@
         let changed = std::mem::take(&mut self.changed);
         let records = changed.into_iter().filter_map(|number| {
             let wave = self.waves.get(&number).filter(|wave| !wave.is_withdrawn)?;
-            let maintained = wave.maintained.iter().cloned().collect();
-            Some((number, WaveProgress { maintained, completed: wave.is_completed }))
+            Some((number, wave.progress()))
         });
         records.collect()
     }
 }
 
 impl Wave {
+    fn progress(&self) -> WaveProgress {
+        WaveProgress {
+            maintained: self.maintained.iter().cloned().collect(),
+            removed: self.removed.iter().cloned().collect(),
+            completed: self.is_completed,
+        }
+    }
+
+    /// Finds out which VMs were removed, or are there again. A list without any VM
+    /// is no evidence: the VM service may have lost its state.
+    fn update_removed(
+        &mut self,
+        vms: &VmList,
+        dispatcher: &mut Dispatcher,
+        changed: &mut BTreeSet<u64>,
+    ) {
+        if vms.is_empty() {
+            return;
+        }
+        let mut newly_removed = Vec::new();
+        for vm in self.spec.vms.iter().chain(self.in_progress.keys()) {
+            if vms.get(vm).is_some() {
+                self.missing_since.remove(vm);
+                if self.removed.remove(vm) {
+                    changed.insert(self.spec.wave);
+                }
+                continue;
+            }
+            let since = *self.missing_since.entry(vm.clone()).or_insert(vms.requested_at);
+            let is_removed = vms.requested_at.since(since) >= REMOVED_AFTER_MS;
+            if is_removed && self.removed.insert(vm.clone()) {
+                newly_removed.push(vm.clone());
+            }
+        }
+        for vm in newly_removed {
+            self.stop_tracking(&vm, dispatcher);
+            changed.insert(self.spec.wave);
+        }
+    }
+
     fn apply_vm_list(
         &mut self,
         vms: &VmList,
         dispatcher: &mut Dispatcher,
         changed: &mut BTreeSet<u64>,
     ) {
+        self.update_removed(vms, dispatcher, changed);
         let mut finished = Vec::new();
         for (vm, in_progress) in &mut self.in_progress {
             let Stage::Ordered { at, accepted_at, is_under_way } = &mut in_progress.stage else {
                 continue;
             };
-            let Some(entry) = vms.get(vm) else {
-                // The VM was removed for good.
-                finished.push(vm.clone());
-                continue;
-            };
-            if vms.requested_at <= *at {
-                continue;
-            }
+            let Some(entry) = vms.get(vm).filter(|_| vms.requested_at > *at) else { continue };
             match entry.state {
                 VmState::Maintenance => {
                     *is_under_way = true;
@@ -374,10 +419,14 @@
         }
     }
 
-    /// True if every VM that still exists was maintained.
-    fn is_finished(&self, vms: &VmList) -> bool {
+    /// True if every VM was maintained or removed.
+    fn is_finished(&self) -> bool {
         self.in_progress.is_empty()
-            && self.spec.vms.iter().all(|vm| self.maintained.contains(vm) || vms.get(vm).is_none())
+            && self
+                .spec
+                .vms
+                .iter()
+                .all(|vm| self.maintained.contains(vm) || self.removed.contains(vm))
     }
 }
 
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -154,6 +154,8 @@
 pub struct WaveProgress {
     /// VMs that were maintained.
     pub maintained: Vec<String>,
+    /// VMs that were removed before they were maintained.
+    pub removed: Vec<String>,
     /// Whether the wave is completed.
     pub completed: bool,
 }
@@ -161,15 +163,19 @@
 impl WaveProgress {
     /// Encodes the record.
     pub fn encode(&self) -> Vec<u8> {
-        raw::WaveProgress { maintained: self.maintained.clone(), completed: self.completed }
-            .encode_to_vec()
+        raw::WaveProgress {
+            maintained: self.maintained.clone(),
+            removed: self.removed.clone(),
+            completed: self.completed,
+        }
+        .encode_to_vec()
     }
 
     /// Decodes a record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
         let raw = raw::WaveProgress::decode(bytes)
             .map_err(|error| decode_error("wave", error.to_string()))?;
-        Ok(Self { maintained: raw.maintained, completed: raw.completed })
+        Ok(Self { maintained: raw.maintained, removed: raw.removed, completed: raw.completed })
     }
 }
 
--- a/lib/src/workload/vm.rs
+++ b/lib/src/workload/vm.rs
@@ -78,6 +78,11 @@
         self.entries.get(vm)
     }
 
+    /// Whether the list shows no VM at all.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// All VMs, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = &VmEntry> {
         self.entries.values()
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -10,6 +10,7 @@
 use cowslipport_lib::workload::maintenance::WaveSpec;
 use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::order::StopReason;
+use cowslipport_lib::workload::owner_record::WaveProgress;
 use cowslipport_lib::workload::spec::StepSpec;
 use cowslipport_lib::workload::vm::VmEntry;
 use cowslipport_lib::workload::vm::VmList;
@@ -204,6 +205,116 @@
     assert!(is_recorded_as_completed(&mut scheduler));
 }
 
+/// A list that shows another VM, and the VM of the wave in a state, if any.
+fn list_with(at: TimeMs, state: Option<VmState>) -> VmList {
+    let mut vms = vec![vm("other", VmState::Up, "w1")];
+    vms.extend(state.map(|state| vm("vm", state, "w0")));
+    VmList::new(at, vms)
+}
+
+/// Applies a list and plans maintenance. Returns the number of orders.
+fn apply_list(scheduler: &mut MaintenanceScheduler, fleet: &mut Fleet, vms: &VmList) -> usize {
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.vms_listed(vms, owner);
+    let excluded = BTreeSet::new();
+    scheduler.plan_maintenance(vms.requested_at, plan_input(vms, &excluded), owner).len()
+}
+
+/// The last record of the wave's progress since the last call.
+fn last_progress(scheduler: &mut MaintenanceScheduler) -> Option<WaveProgress> {
+    scheduler.take_changed().pop().map(|(_, progress)| progress)
+}
+
+/// An order gets no answer and is never carried out, and one list misses the VM.
+/// That is no maintenance: the order must be repeated.
+#[test]
+fn vm_that_one_list_misses_is_not_maintained() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Unknown, owner);
+    let mut orders = 0;
+    for (after_ms, state) in [(400, None), (800, Some(VmState::Up)), (4_100, Some(VmState::Up))] {
+        orders +=
+            apply_list(&mut scheduler, &mut fleet, &list_with(ordered_at.plus(after_ms), state));
+        assert!(!is_recorded_as_completed(&mut scheduler), "after {after_ms} ms");
+    }
+    assert_eq!(orders, 1, "the order is repeated");
+}
+
+/// A wave must not wait for a VM that was removed. If the VM is back later, its
+/// maintenance is still due.
+#[test]
+fn removed_vm_is_due_again_when_it_is_back() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    let now = fleet.time();
+    assert_eq!(apply_list(&mut scheduler, &mut fleet, &list_with(now, None)), 0);
+    assert!(!is_recorded_as_completed(&mut scheduler), "one list may miss a VM");
+    apply_list(&mut scheduler, &mut fleet, &list_with(now.plus(2_000), None));
+    let progress = last_progress(&mut scheduler).expect("the wave has changed");
+    assert!(progress.completed && progress.maintained.is_empty(), "{progress:?}");
+    let back = list_with(now.plus(2_400), Some(VmState::Up));
+    assert_eq!(apply_list(&mut scheduler, &mut fleet, &back), 1);
+    let progress = last_progress(&mut scheduler).expect("the wave has changed");
+    assert!(!progress.completed && progress.removed.is_empty(), "{progress:?}");
+}
+
+/// A new owner knows which VMs of a completed wave were removed. The wave stays
+/// completed.
+#[test]
+fn wave_with_a_removed_vm_stays_completed_under_a_new_owner() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    let now = fleet.time();
+    for after_ms in [0, 2_000] {
+        apply_list(&mut scheduler, &mut fleet, &list_with(now.plus(after_ms), None));
+    }
+    let progress = last_progress(&mut scheduler).expect("the wave has changed");
+    let mut successor = scheduler_for("vm", &fleet);
+    successor.wave_restored(1, &WaveProgress::decode(&progress.encode()).expect("a record"));
+    apply_list(&mut successor, &mut fleet, &list_with(now.plus(2_400), None));
+    let restored = last_progress(&mut successor).expect("the wave was requested");
+    assert_eq!(restored, progress);
+}
+
+/// A list without any VM says nothing about the VMs of a wave.
+#[test]
+fn empty_list_completes_no_wave() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.advance(100);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    let now = fleet.time();
+    for after_ms in [0, 2_000, 4_000] {
+        let vms = VmList::new(now.plus(after_ms), Vec::new());
+        apply_list(&mut scheduler, &mut fleet, &vms);
+        assert!(!is_recorded_as_completed(&mut scheduler), "after {after_ms} ms");
+    }
+}
+
+/// An operator adds a VM to a wave that has completed. The wave must not be
+/// reported as completed until that VM is maintained, too.
+#[test]
+fn vm_added_to_a_completed_wave_is_due() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    let list = list_with(ordered_at.plus(2_400), Some(VmState::Up));
+    apply_list(&mut scheduler, &mut fleet, &list);
+    assert!(is_recorded_as_completed(&mut scheduler));
+    let vms = vec!["vm".to_owned(), "other".to_owned()];
+    let wave = WaveSpec { wave: 1, vms, deadline_ms: 10_000, max_down: 1 };
+    scheduler.wave_requested(fleet.time(), wave);
+    assert!(!is_recorded_as_completed(&mut scheduler));
+    let list = list_with(ordered_at.plus(2_800), Some(VmState::Up));
+    assert_eq!(apply_list(&mut scheduler, &mut fleet, &list), 1);
+}
+
 /// Tasks have started on a VM that came back with another worker. They have to
 /// be drained before the order for its maintenance is repeated.
 #[test]
