workload: a VM that goes down while it is drained keeps no cordon

What callers would see: jobs wait although the worker of a VM in a wave is empty.

Cause: a VM that is down has no worker in the list. The scheduler dropped the name of the cordoned worker, took the VM for empty and ordered it down. The VM service answers busy, and nobody lifts the cordon of a worker that starts again under its name.

The draining ends when a list shows the VM as not up, and lifts the cordon.

Measured: vm_that_goes_down_while_drained_keeps_no_cordon fails on the former code (an order is sent) and passes.

--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -262,6 +262,20 @@
         }
     }
 
+    /// Ends the draining of VMs that are not up: they cannot be ordered down, and
+    /// they may come back under the name of their worker. They are due again then.
+    fn give_up_draining(&mut self, vms: &VmList, dispatcher: &mut Dispatcher) {
+        let is_up = |vm: &str| vms.get(vm).is_some_and(|entry| entry.state == VmState::Up);
+        let is_given_up = |(vm, in_progress): &(&String, &VmMaintenance)| {
+            matches!(in_progress.stage, Stage::Draining { since } if vms.requested_at > since)
+                && !is_up(vm)
+        };
+        let given_up = self.in_progress.iter().filter(is_given_up);
+        for vm in given_up.map(|(vm, _)| vm.clone()).collect::<Vec<String>>() {
+            self.stop_tracking(&vm, dispatcher);
+        }
+    }
+
     fn apply_vm_list(
         &mut self,
         vms: &VmList,
@@ -269,6 +283,7 @@
         changed: &mut BTreeSet<u64>,
     ) {
         self.update_removed(vms, dispatcher, changed);
+        self.give_up_draining(vms, dispatcher);
         let mut finished = Vec::new();
         for (vm, in_progress) in &mut self.in_progress {
             let Stage::Ordered { at, accepted_at, is_under_way } = &mut in_progress.stage else {
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -295,6 +295,25 @@
     }
 }
 
+/// A VM goes down while it is drained, and comes back with the same worker. It must
+/// not be ordered down meanwhile, and its worker must not stay cordoned.
+#[test]
+fn vm_that_goes_down_while_drained_keeps_no_cordon() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(100);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    let now = fleet.time();
+    let up = VmList::new(now, vec![vm("vm", VmState::Up, "w0")]);
+    assert_eq!(apply_list(&mut scheduler, &mut fleet, &up), 0, "the VM is not empty");
+    let down = VmList::new(now.plus(400), vec![vm("vm", VmState::Down, "w0")]);
+    assert_eq!(apply_list(&mut scheduler, &mut fleet, &down), 0, "the VM is not up");
+    assert!(scheduler.vms_under_maintenance().is_empty());
+    fleet.submit(2, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(200);
+    assert_eq!(fleet.running(), 2);
+}
+
 /// An operator adds a VM to a wave that has completed. The wave must not be
 /// reported as completed until that VM is maintained, too.
 #[test]
