workload: maintenance for one wave does not count for another

What callers would see: the status of a wave says completed although a VM of it was maintained only for another wave.

Cause: the list shows that a VM is under maintenance, not for which wave. The scheduler took the state as proof for an order without an answer. A VM in two waves was ordered down for both at once.

Only the acceptance of the order counts. An order without an answer is repeated as soon as a list shows the VM up again, and drained; the VM service accepts it if its work is done. Orders for VMs that are not up are not repeated.

--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -83,8 +83,11 @@
     Ordered {
         at: TimeMs,
         accepted_at: Option<TimeMs>,
-        /// Whether the list has shown the VM under maintenance since the order.
+        /// Whether the list has shown the VM under maintenance since the order,
+        /// which may be the maintenance of another wave.
         is_under_way: bool,
+        /// When the order is repeated if it has no answer until then.
+        repeat_at: TimeMs,
     },
 }
 
@@ -197,9 +200,13 @@
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
         let mut orders = Vec::new();
+        // A VM in several waves is maintained for one after the other.
+        let mut excluded = input.excluded.clone();
+        excluded.extend(self.vms_under_maintenance());
         for wave in self.waves.values_mut().filter(|wave| !wave.is_withdrawn) {
             if !wave.is_finished() {
-                wave.start_draining(now, input.vms, input.excluded, dispatcher);
+                wave.start_draining(now, input.vms, &excluded, dispatcher);
+                excluded.extend(wave.in_progress.keys().cloned());
                 wave.order_drained(now, input, dispatcher, &mut orders);
             }
             if wave.is_completed != wave.is_finished() {
@@ -286,7 +293,9 @@
         self.give_up_draining(vms, dispatcher);
         let mut finished = Vec::new();
         for (vm, in_progress) in &mut self.in_progress {
-            let Stage::Ordered { at, accepted_at, is_under_way } = &mut in_progress.stage else {
+            let Stage::Ordered { at, accepted_at, is_under_way, repeat_at } =
+                &mut in_progress.stage
+            else {
                 continue;
             };
             let Some(entry) = vms.get(vm).filter(|_| vms.requested_at > *at) else { continue };
@@ -304,12 +313,16 @@
                     // the VM maintained: the VM stays up.
                     let was_accepted = accepted_at.is_some_and(|at| vms.requested_at > at);
                     let is_ineffective = vms.requested_at.since(*at) >= ORDER_RETRY_MS;
-                    if *is_under_way || was_accepted || self.is_withdrawn && is_ineffective {
+                    if was_accepted || self.is_withdrawn && (*is_under_way || is_ineffective) {
                         finished.push(vm.clone());
-                    } else {
-                        // A VM without an answer to its order may have restarted.
-                        in_progress.update_worker(Some(entry), dispatcher);
+                        continue;
                     }
+                    // The VM service accepts a repeated order whose work is done.
+                    if *is_under_way {
+                        *repeat_at = vms.requested_at.min(*repeat_at);
+                    }
+                    // A VM without an answer to its order may have restarted.
+                    in_progress.update_worker(Some(entry), dispatcher);
                 }
             }
         }
@@ -400,6 +413,7 @@
         orders: &mut Vec<VmOrder>,
     ) {
         let VmPlanInput { vms, max_orders, may_stop_long_running, .. } = input;
+        let is_up = |vm: &str| vms.get(vm).is_some_and(|entry| entry.state == VmState::Up);
         let mut free_slots = (self.spec.max_down as usize).saturating_sub(self.down_count(vms));
         for (vm, in_progress) in &mut self.in_progress {
             let may_order = orders.len() < max_orders;
@@ -415,10 +429,8 @@
                 }
                 // The VM still counts as down, because the order may have been
                 // carried out, but tasks may run on it again.
-                Stage::Ordered { at, is_under_way: false, .. }
-                    if now.since(at) >= ORDER_RETRY_MS =>
-                {
-                    let timeout = at.plus(ORDER_RETRY_MS + DRAIN_TIMEOUT_MS);
+                Stage::Ordered { repeat_at, .. } if now >= repeat_at && is_up(vm) => {
+                    let timeout = repeat_at.plus(DRAIN_TIMEOUT_MS);
                     let is_drained =
                         in_progress.drain(now >= timeout, may_stop_long_running, dispatcher);
                     is_drained && may_order
@@ -426,8 +438,12 @@
                 Stage::Ordered { .. } => false,
             };
             if is_ready {
-                in_progress.stage =
-                    Stage::Ordered { at: now, accepted_at: None, is_under_way: false };
+                in_progress.stage = Stage::Ordered {
+                    at: now,
+                    accepted_at: None,
+                    is_under_way: false,
+                    repeat_at: now.plus(ORDER_RETRY_MS),
+                };
                 let action = VmAction::Maintain { wave: self.spec.wave };
                 orders.push(VmOrder { vm: vm.clone(), action });
             }
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -12,8 +12,10 @@
 use cowslipport_lib::workload::order::StopReason;
 use cowslipport_lib::workload::owner_record::WaveProgress;
 use cowslipport_lib::workload::spec::StepSpec;
+use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmEntry;
 use cowslipport_lib::workload::vm::VmList;
+use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
 use cowslipport_lib::workload::vm::VmPlanInput;
 use cowslipport_lib::workload::vm::VmState;
@@ -214,10 +216,7 @@
 
 /// Applies a list and plans maintenance. Returns the number of orders.
 fn apply_list(scheduler: &mut MaintenanceScheduler, fleet: &mut Fleet, vms: &VmList) -> usize {
-    let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.vms_listed(vms, owner);
-    let excluded = BTreeSet::new();
-    scheduler.plan_maintenance(vms.requested_at, plan_input(vms, &excluded), owner).len()
+    plan_orders(scheduler, fleet, vms).len()
 }
 
 /// The last record of the wave's progress since the last call.
@@ -314,6 +313,60 @@
     assert_eq!(fleet.running(), 2);
 }
 
+/// Plans maintenance and returns the waves that the VM is ordered down for.
+fn plan_orders(scheduler: &mut MaintenanceScheduler, fleet: &mut Fleet, vms: &VmList) -> Vec<u64> {
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.vms_listed(vms, owner);
+    let excluded = BTreeSet::new();
+    let orders =
+        scheduler.plan_maintenance(vms.requested_at, plan_input(vms, &excluded), owner).into_iter();
+    let wave = |order: VmOrder| match order.action {
+        VmAction::Maintain { wave } => Some(wave),
+        VmAction::MoveTo { .. } => None,
+    };
+    orders.filter_map(wave).collect()
+}
+
+/// A VM is in two waves. It must be maintained for one of them at a time: its state
+/// in the list does not tell for which.
+#[test]
+fn vm_in_two_waves_is_ordered_for_one_at_a_time() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    let vms = vec!["vm".to_owned()];
+    let wave = WaveSpec { wave: 2, vms, deadline_ms: 10_000, max_down: 1 };
+    scheduler.wave_requested(fleet.time(), wave);
+    let now = fleet.time();
+    let up = |at| list_with(at, Some(VmState::Up));
+    assert_eq!(plan_orders(&mut scheduler, &mut fleet, &up(now)), [1]);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(now.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    assert_eq!(plan_orders(&mut scheduler, &mut fleet, &up(now.plus(2_400))), [2]);
+}
+
+/// The order for a VM gets no answer and is not carried out, while the VM is
+/// maintained for another wave. That does not count: the order must be repeated
+/// until the VM service accepts it.
+#[test]
+fn maintenance_for_another_wave_does_not_count() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Unknown, owner);
+    let under_way = list_with(ordered_at.plus(400), Some(VmState::Maintenance));
+    assert!(plan_orders(&mut scheduler, &mut fleet, &under_way).is_empty());
+    let up = list_with(ordered_at.plus(2_400), Some(VmState::Up));
+    assert_eq!(plan_orders(&mut scheduler, &mut fleet, &up), [1], "the order is repeated");
+    assert!(!is_recorded_as_completed(&mut scheduler));
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(ordered_at.plus(2_500), "vm", 1, VmOrderAnswer::Accepted, owner);
+    let up = list_with(ordered_at.plus(2_800), Some(VmState::Up));
+    assert!(plan_orders(&mut scheduler, &mut fleet, &up).is_empty());
+    assert!(is_recorded_as_completed(&mut scheduler));
+}
+
 /// An operator adds a VM to a wave that has completed. The wave must not be
 /// reported as completed until that VM is maintained, too.
 #[test]
