platform: a rejected order is no maintenance of its VM

What callers would see: a wave is reported as completed although one of its VMs was never ordered down.

Cause: 400, the answer to an order for a VM that the VM service does not know, was translated like the answer that the VM is not part of the wave, which counts as maintained. The list may show the VM all the same.

For moves nothing changes.

--- a/lib/src/workload/vm.rs
+++ b/lib/src/workload/vm.rs
@@ -48,7 +48,7 @@
     Accepted,
     /// The VM is not up, or is leaving.
     Busy,
-    /// The VM is not part of the wave, or does not exist.
+    /// The VM is not part of the wave.
     NotDue,
     /// The service has seen an order with a higher epoch.
     EpochTooLow,
