daemon: the status of a wave is appended under the epoch of its owner

What operators would see: a completed wave is reported as active for good, or a wave that was requested again as completed.

Cause: the status was appended without an epoch, so that the store could not refuse an append of a former owner that it carried out late, or that the owner sent after it had stood still.

The task that writes it uses the writer of the owner's other topics. A new owner writes the status of all waves, which fences the former owners.

Looked at as well: submissions and cancellations are appended without an epoch by any node, and repeats change nothing; the incarnation of a node is written by it alone.

--- a/daemon/src/node/owner_tasks.rs
+++ b/daemon/src/node/owner_tasks.rs
@@ -1,20 +1,17 @@
 //! The tasks of the owner that do not belong to a single worker.
 
-use std::time::Duration;
-
 use cowslipport_lib::workload::advice::AdviceRequest;
 use slog::Logger;
-use slog::warn;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::clock::Clock;
 use crate::node::advice_task;
-use crate::node::append_timeout;
-use crate::node::append_timeout::AppendTimeout;
 use crate::node::messages::OwnerMailbox;
+use crate::node::messages::OwnerMessage;
 use crate::node::owner_writer;
+use crate::node::owner_writer::Fenced;
 use crate::node::owner_writer::OwnerRecords;
 use crate::node::owner_writer::TopicWriter;
 use crate::node::ownership_check::OwnershipCheck;
@@ -62,7 +59,7 @@
     tasks.spawn_local(owner_writer::run(progress, batches, publisher, mailbox()));
     tasks.spawn_local(owner_writer::publish(topic_writer(Topic::Jobs), publications, mailbox()));
     let (status_writer, statuses) = mpsc::channel(WRITER_CAPACITY);
-    tasks.spawn_local(write_status(platform.store(), statuses, logger()));
+    tasks.spawn_local(write_status(topic_writer(Topic::Status), statuses, mailbox()));
     let (_, pause) = watch::channel(OWNER_PAUSE);
     let reader = TopicReader {
         topic: Topic::Workers,
@@ -88,23 +85,20 @@
     (Mailboxes { writer, status_writer, vms, advice_requests }, tasks)
 }
 
-/// Stores the status of waves, which only operators read.
+/// Stores the status of waves, which only operators read, until the owner ends or
+/// is fenced. A new owner writes the status of all waves, so that its first append
+/// fences the former owners.
 async fn write_status<S>(
-    mut store: S,
+    mut writer: TopicWriter<S>,
     mut mailbox: mpsc::Receiver<Vec<KeyedRecord>>,
-    logger: Logger,
+    owner: OwnerMailbox,
 ) where
     S: Store,
 {
-    /// Delay before a failed write of the status is retried.
-    const RETRY_DELAY: Duration = Duration::from_millis(200);
     while let Some(records) = mailbox.recv().await {
-        let mut timeout = AppendTimeout::new(append_timeout::OWNER_MAX);
-        while let Err(error) = store.append(Topic::Status, None, &records, timeout.current()).await
-        {
-            timeout.double();
-            warn!(logger, "writing the status of waves failed; retrying"; "error" => %error);
-            tokio::time::sleep(RETRY_DELAY).await;
+        if let Err(Fenced) = writer.append_some(&records).await {
+            owner.send(OwnerMessage::Fenced).await;
+            return;
         }
     }
 }
--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -148,7 +148,7 @@
         Ok(self.store)
     }
 
-    async fn append_some(&mut self, records: &[KeyedRecord]) -> Result<(), Fenced> {
+    pub(crate) async fn append_some(&mut self, records: &[KeyedRecord]) -> Result<(), Fenced> {
         match records.is_empty() {
             true => Ok(()),
             false => self.append(records).await,
