workload: progress of a withdrawn wave is deleted

What operators would see: a wave that is requested again is reported as completed without any order.

Cause: progress is stored under the number of the wave and was kept when the wave was withdrawn. A new owner applied it to the next wave of that number. Within one owner, the acceptance of an order from before the withdrawal counted, too.

The owner deletes the record with the withdrawal. A new owner deletes records of waves that the operators do not request, if it has read their requests since it became the owner, and logs it. A wave that is requested again ignores former acceptances.

The two new tests of the scheduler name what did not exist before.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -373,6 +373,10 @@
         }
         let mut wave_status = Vec::new();
         for (wave, progress) in waves {
+            let Some(progress) = progress else {
+                records.push(&RecordKey::Wave(wave), Vec::new());
+                continue;
+            };
             records.push(&RecordKey::Wave(wave), progress.encode());
             wave_status.push(self.record_codec.wave_status(wave, progress.completed));
         }
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -140,13 +140,7 @@
                             "findings" => findings.to_string());
                     }
                 },
-                Some(RecordKey::Wave(wave)) => match WaveProgress::decode(&record.value) {
-                    Ok(decoded) => self.maintenance.wave_restored(wave, &decoded),
-                    Err(findings) => {
-                        warn!(self.logger, "decoding the progress of a wave failed"; "wave" => wave,
-                            "findings" => findings.to_string());
-                    }
-                },
+                Some(RecordKey::Wave(wave)) => self.restore_wave(view, wave, &record.value),
                 Some(RecordKey::Unreachable(worker)) => match Unreachable::decode(&record.value) {
                     Ok(unreachable) => {
                         self.dispatcher.restore_unreachable(view.now, &worker, unreachable);
@@ -191,4 +185,27 @@
         }
         stored
     }
+
+    /// Applies the progress of a wave, or deletes it if the wave was withdrawn.
+    fn restore_wave(&mut self, view: &OwnerView<'_>, wave: u64, value: &[u8]) {
+        let progress = match WaveProgress::decode(value) {
+            Ok(progress) => progress,
+            Err(findings) => {
+                warn!(self.logger, "decoding the progress of a wave failed"; "wave" => wave,
+                    "findings" => findings.to_string());
+                return;
+            }
+        };
+        if self.maintenance.has_wave(wave) {
+            self.maintenance.wave_restored(wave, &progress);
+            return;
+        }
+        // The former owner may have read a request that this node has not read yet.
+        let is_withdrawn = view.operator_confirmed_at.is_some_and(|at| at >= self.gained_at);
+        if is_withdrawn {
+            self.maintenance.forget_progress(wave);
+        }
+        info!(self.logger, "progress of a wave not restored"; "wave" => wave,
+            "is_withdrawn" => is_withdrawn);
+    }
 }
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -114,12 +114,23 @@
         });
         wave.spec = spec;
         if std::mem::take(&mut wave.is_withdrawn) {
-            wave.maintained.clear();
+            wave.start_anew();
         }
         wave.is_completed &= wave.is_finished();
         self.changed.insert(wave.spec.wave);
     }
 
+    /// Whether the operator requests the wave, or the outcome of its orders is
+    /// awaited.
+    pub fn has_wave(&self, number: u64) -> bool {
+        self.waves.contains_key(&number)
+    }
+
+    /// Has the progress of a wave deleted that was withdrawn under a former owner.
+    pub fn forget_progress(&mut self, number: u64) {
+        self.changed.insert(number);
+    }
+
     /// Applies the progress of a wave that a former owner recorded.
     pub fn wave_restored(&mut self, number: u64, progress: &WaveProgress) {
         let Some(wave) = self.waves.get_mut(&number) else { return };
@@ -139,7 +150,7 @@
         for vm in draining.map(|(vm, _)| vm.clone()).collect::<Vec<String>>() {
             wave.stop_tracking(&vm, dispatcher);
         }
-        self.changed.remove(&number);
+        self.changed.insert(number);
         self.forget_withdrawn();
     }
 
@@ -217,18 +228,30 @@
         orders
     }
 
-    /// Takes the progress of waves that changed since the last call.
-    pub fn take_changed(&mut self) -> Vec<(u64, WaveProgress)> {
+    /// Takes the progress of waves that changed since the last call; none for a wave
+    /// that was withdrawn, whose progress must not count if it is requested again.
+    pub fn take_changed(&mut self) -> Vec<(u64, Option<WaveProgress>)> {
         let changed = std::mem::take(&mut self.changed);
-        let records = changed.into_iter().filter_map(|number| {
-            let wave = self.waves.get(&number).filter(|wave| !wave.is_withdrawn)?;
-            Some((number, wave.progress()))
+        let records = changed.into_iter().map(|number| {
+            let wave = self.waves.get(&number).filter(|wave| !wave.is_withdrawn);
+            (number, wave.map(Wave::progress))
         });
         records.collect()
     }
 }
 
 impl Wave {
+    /// Forgets what was done before the wave was withdrawn. VMs with an order under
+    /// way are ordered again.
+    fn start_anew(&mut self) {
+        self.maintained.clear();
+        for vm in self.in_progress.values_mut() {
+            if let Stage::Ordered { accepted_at, .. } = &mut vm.stage {
+                *accepted_at = None;
+            }
+        }
+    }
+
     fn progress(&self) -> WaveProgress {
         WaveProgress {
             maintained: self.maintained.iter().cloned().collect(),
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -153,7 +153,7 @@
     repeated.vms_listed(&vms, owner);
     let input = plan_input(&vms, &excluded);
     assert!(repeated.plan_maintenance(now.plus(10_000), input, owner).is_empty());
-    assert!(repeated.take_changed().iter().any(|(_, progress)| progress.completed));
+    assert!(is_recorded_as_completed(&mut repeated));
 }
 
 /// Orders one VM down and returns the scheduler and when it did.
@@ -171,7 +171,10 @@
 /// Whether the wave has completed, as far as it was recorded since the last
 /// call.
 fn is_recorded_as_completed(scheduler: &mut MaintenanceScheduler) -> bool {
-    scheduler.take_changed().iter().any(|(_, progress)| progress.completed)
+    scheduler
+        .take_changed()
+        .iter()
+        .any(|(_, progress)| matches!(progress, Some(progress) if progress.completed))
 }
 
 /// An order for maintenance gets no answer and is never carried out. Then the
@@ -221,7 +224,7 @@
 
 /// The last record of the wave's progress since the last call.
 fn last_progress(scheduler: &mut MaintenanceScheduler) -> Option<WaveProgress> {
-    scheduler.take_changed().pop().map(|(_, progress)| progress)
+    scheduler.take_changed().pop().and_then(|(_, progress)| progress)
 }
 
 /// An order gets no answer and is never carried out, and one list misses the VM.
@@ -457,6 +460,39 @@
     assert_eq!(fleet.running(), 1);
 }
 
+/// What was maintained for a withdrawn wave must not count if the wave is requested
+/// again under another owner.
+#[test]
+fn withdrawn_wave_deletes_its_progress() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.advance(100);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    scheduler.take_changed();
+    scheduler.wave_withdrawn(1, fleet.owner.as_mut().expect("an owner"));
+    assert_eq!(scheduler.take_changed(), [(1, None)]);
+    scheduler.forget_progress(2);
+    assert_eq!(scheduler.take_changed(), [(2, None)], "a former owner stored it");
+}
+
+/// The order for a VM is accepted, and its wave is withdrawn and requested again. The
+/// VM must be ordered down again.
+#[test]
+fn orders_before_a_withdrawal_do_not_count() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    scheduler.wave_withdrawn(1, owner);
+    let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
+    scheduler.wave_requested(ordered_at.plus(100), wave);
+    let up = list_with(ordered_at.plus(2_400), Some(VmState::Up));
+    assert!(plan_orders(&mut scheduler, &mut fleet, &up).is_empty());
+    assert!(!is_recorded_as_completed(&mut scheduler));
+    let up = list_with(ordered_at.plus(4_100), Some(VmState::Up));
+    assert_eq!(plan_orders(&mut scheduler, &mut fleet, &up), [1]);
+}
+
 /// A stop that the previous owner ordered may still be in progress while the
 /// worker reports the task as available. The new owner must not stop another
 /// task of the step as well.
