daemon: records over the limit of an append are stored in several

What callers would see: no job starts or completes any more until the owner is replaced.

Cause: all records of a batch went into one append. The store refuses calls over 2 MiB, and the owner repeats a refused append until it succeeds.

Records over 1 MiB go into several appends with a sequence number each. A batch counts as stored after the last one. Records of different keys do not depend on each other: what a successor reads after a part of a batch is a state in which the rest is not yet stored, and starts and acknowledgements wait for the whole batch.

--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -40,6 +40,10 @@
 /// append far below the size limit of the store.
 const MAX_PUBLISHED_BATCHES: usize = 32;
 
+/// Records of more bytes than this go into several appends. The store refuses larger
+/// calls than 2 MiB, and encodes keys in base64.
+const MAX_APPEND_BYTES: usize = 1_024 * 1_024;
+
 /// Records of a batch, by topic.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnerRecords {
@@ -148,11 +152,16 @@
         Ok(self.store)
     }
 
+    /// Appends records in as many calls as the size limit of the store requires. A
+    /// successor may find only the first of them.
     pub(crate) async fn append_some(&mut self, records: &[KeyedRecord]) -> Result<(), Fenced> {
-        match records.is_empty() {
-            true => Ok(()),
-            false => self.append(records).await,
+        let mut remaining = records;
+        while !remaining.is_empty() {
+            let (next, rest) = remaining.split_at(append_length(remaining));
+            self.append(next).await?;
+            remaining = rest;
         }
+        Ok(())
     }
 
     /// Retries an append until the store has it. The sequence number makes the
@@ -194,3 +203,13 @@
         }
     }
 }
+
+/// Number of the records that go into the next append: at least one.
+fn append_length(records: &[KeyedRecord]) -> usize {
+    let mut bytes = 0;
+    let is_within_limit = |record: &&KeyedRecord| {
+        bytes += record.key.len() + record.value.len();
+        bytes <= MAX_APPEND_BYTES
+    };
+    records.iter().take_while(is_within_limit).count().max(1)
+}
