workload: test of the promises of a restarted worker

The fake worker can now restart without refusing the starts that were delayed for its former incarnation.

Measured: promise_of_a_restarted_worker_does_not_count passes; without Dispatcher::drop_fences the task runs twice at the same time.

--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -190,6 +190,30 @@
     fleet.assert_no_violations();
 }
 
+/// A worker promises to refuse a start without an answer, and restarts before its next
+/// report. It has forgotten the promise, and the start is only delayed: the owner
+/// must get another promise before it starts the task elsewhere.
+#[test]
+fn promise_of_a_restarted_worker_does_not_count() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    fleet.delayed_worker = Some("w0".to_owned());
+    fleet.worker("w1").is_draining = true;
+    fleet.list_workers();
+    fleet.submit(1, job(vec![step(1, cores(1))]), Work { work_ms: 60_000, fails: false });
+    while fleet.worker("w0").fenced.is_empty() {
+        assert!(fleet.now < 5_000, "the owner orders a stop");
+        fleet.advance(20);
+    }
+    fleet.delayed_worker = None;
+    fleet.restart_worker_unnoticed("w0");
+    fleet.worker("w1").is_draining = false;
+    fleet.list_workers();
+    fleet.advance(6_000);
+    assert_eq!(fleet.running(), 1);
+    fleet.assert_no_violations();
+}
+
 /// A worker restarts under its name and starts tasks before the owner learns of
 /// the restart. These run on; only those of the former incarnation have ended.
 #[test]
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -342,12 +342,17 @@
         StartAnswer::Started
     }
 
-    /// Restarts a worker, which loses all its tasks.
+    /// Restarts a worker, which loses all its tasks. It refuses delayed starts, which
+    /// name the incarnation that they are for.
     pub(crate) fn restart_worker(&mut self, name: &str) {
-        let now = self.now;
-        // The restarted worker refuses delayed starts, which name the
-        // incarnation that they are for.
         self.delayed_starts.retain(|start| start.1 != name);
+        self.restart_worker_unnoticed(name);
+    }
+
+    /// Restarts a worker, which loses all its tasks, and carries out starts that were
+    /// delayed.
+    pub(crate) fn restart_worker_unnoticed(&mut self, name: &str) {
+        let now = self.now;
         let worker = self.workers.get_mut(name).expect("the worker exists");
         worker.running.clear();
         worker.fenced.clear();
