--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -377,6 +377,9 @@
                 records.push(&RecordKey::Wave(wave), Vec::new());
                 continue;
             };
+            info!(self.logger, "wave progressed"; "wave" => wave,
+                "maintained" => progress.maintained.len(), "removed" => progress.removed.len(),
+                "completed" => progress.completed);
             records.push(&RecordKey::Wave(wave), progress.encode());
             wave_status.push(self.record_codec.wave_status(wave, progress.completed));
         }
