workload: completed waves are checked once in each plan

A plan asked up to three times whether all VMs of a wave are settled, 20 times a second, also for waves that are completed.

--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -40,8 +40,8 @@
 /// append far below the size limit of the store.
 const MAX_PUBLISHED_BATCHES: usize = 32;
 
-/// Records of more bytes than this go into several appends. The store refuses larger
-/// calls than 2 MiB, and encodes keys in base64.
+/// Records of more bytes than this go into several appends. The store refuses calls
+/// over 2 MiB, in which keys are encoded in base64.
 const MAX_APPEND_BYTES: usize = 1_024 * 1_024;
 
 /// Records of a batch, by topic.
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -215,13 +215,15 @@
         let mut excluded = input.excluded.clone();
         excluded.extend(self.vms_under_maintenance());
         for wave in self.waves.values_mut().filter(|wave| !wave.is_withdrawn) {
-            if !wave.is_finished() {
-                wave.start_draining(now, input.vms, &excluded, dispatcher);
-                excluded.extend(wave.in_progress.keys().cloned());
-                wave.order_drained(now, input, dispatcher, &mut orders);
+            if wave.is_completed && wave.is_finished() {
+                continue;
             }
-            if wave.is_completed != wave.is_finished() {
-                wave.is_completed = wave.is_finished();
+            wave.start_draining(now, input.vms, &excluded, dispatcher);
+            excluded.extend(wave.in_progress.keys().cloned());
+            wave.order_drained(now, input, dispatcher, &mut orders);
+            let is_finished = wave.is_finished();
+            if is_finished != wave.is_completed {
+                wave.is_completed = is_finished;
                 self.changed.insert(wave.spec.wave);
             }
         }
@@ -478,12 +480,8 @@
 
     /// True if every VM was maintained or removed.
     fn is_finished(&self) -> bool {
-        self.in_progress.is_empty()
-            && self
-                .spec
-                .vms
-                .iter()
-                .all(|vm| self.maintained.contains(vm) || self.removed.contains(vm))
+        let is_settled = |vm: &String| self.maintained.contains(vm) || self.removed.contains(vm);
+        self.in_progress.is_empty() && self.spec.vms.iter().all(is_settled)
     }
 }
 
