--- a/lib/tests/test_workload_upkeep_random.rs
+++ b/lib/tests/test_workload_upkeep_random.rs
@@ -192,7 +192,7 @@
     if !is_completed(&world) {
         return Err(format!("not completed: {:?}, {:#?}", world.stored, world.scheduler));
     }
-    // No worker stays cordoned: each gets a task that no two of fit on one.
+    // No worker stays cordoned: each has to take one of the tasks, as two do not fit.
     for _ in 0..500 {
         world.step();
     }
