--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod ends;
 mod gang;
 
 use std::io;
@@ -10,6 +11,7 @@
 /// Plays a case.
 pub fn play(name: &str, folder: &Path, has_trouble: bool) -> io::Result<Outcome> {
     match name {
+        "ends" => ends::play(folder, has_trouble),
         "gang" => gang::play(folder, has_trouble),
         other => Ok(Outcome::NotRun(format!("there is no case {other}"))),
     }
--- a/review/standins-2/src/minion.rs
+++ b/review/standins-2/src/minion.rs
@@ -72,9 +72,17 @@
     /// Members of the gang; zero for a task that is in none.
     gang: usize,
     is_lasting: bool,
+    /// Tasks of one step work for up to this much longer.
+    uneven_ms: u64,
 }
 
 impl Work {
+    /// By how much a task works longer than the shortest one of its step.
+    fn spread_ms(self, task: &str) -> u64 {
+        let index: u64 = task.rsplit('.').next().and_then(|index| index.parse().ok()).unwrap_or(0);
+        index.wrapping_mul(2_654_435_761) % 1_000 * self.uneven_ms / 1_000
+    }
+
     fn parse(spec: &str) -> Self {
         let fields: BTreeMap<&str, u64> = spec
             .split(';')
@@ -87,6 +95,7 @@
             cpu: field("cpu"),
             gang: usize::try_from(field("gang")).unwrap_or(0),
             is_lasting: field("lasting") > 0,
+            uneven_ms: field("uneven_ms"),
         }
     }
 }
@@ -132,6 +141,12 @@
     pub task: String,
     pub attempt: u64,
     pub how: &'static str,
+    /// Number of the end in its boot.
+    number: u64,
+    /// When `last_seen` reached the end.
+    pub noted_at_ms: Option<u64>,
+    /// Whether the lease of the minion lapsed before that.
+    pub has_lapsed: bool,
 }
 
 /// What all minions have seen.
@@ -378,7 +393,10 @@
                 let expires = body.get("expires_ms");
                 boot.extend_lease((!expires.is_null()).then(|| expires.number()));
                 let last_seen = body.get("last_seen").number();
-                boot.finished.retain(|(number, _)| *number > last_seen);
+                if boot.finished.first().is_some_and(|(number, _)| *number <= last_seen) {
+                    boot.finished.retain(|(number, _)| *number > last_seen);
+                    self.note_ends(&boot.id, last_seen);
+                }
                 let wait = Duration::from_millis(body.get("wait_ms").number().min(2_000));
                 let deadline = Instant::now() + wait;
                 let born = boot.born;
@@ -444,7 +462,8 @@
         }
         boot.extend_lease(Some(expires_ms));
         let checkpoint = body.get("checkpoint").text().to_owned();
-        let work = Work::parse(body.get("spec").text());
+        let mut work = Work::parse(body.get("spec").text());
+        work.run_ms += work.spread_ms(task);
         let run = Run {
             attempt,
             work,
@@ -496,9 +515,31 @@
             task: task.to_owned(),
             attempt: run.attempt,
             how,
+            number,
+            noted_at_ms: None,
+            has_lapsed: false,
         });
     }
 
+    /// Notes that the ends of a minion up to `last_seen` are known.
+    fn note_ends(&self, id: &str, last_seen: u64) {
+        let now = self.record.now_ms();
+        let mut seen = self.seen.lock().unwrap();
+        let is_known = |end: &&mut End| end.minion == id && end.number <= last_seen;
+        for end in seen.ends.iter_mut().filter(is_known) {
+            end.noted_at_ms.get_or_insert(now);
+        }
+    }
+
+    /// Notes that the lease of a minion has lapsed while it holds ends that are not
+    /// known.
+    fn note_lapse(&self, id: &str) {
+        let mut seen = self.seen.lock().unwrap();
+        for end in seen.ends.iter_mut().filter(|end| end.minion == id) {
+            end.has_lapsed |= end.noted_at_ms.is_none();
+        }
+    }
+
     /// Advances all runs by `passed_ms`.
     fn tick(&self, passed_ms: u64) {
         for minion in &self.all {
@@ -510,6 +551,9 @@
             let now = boot.clock_ms();
             let ends_before = boot.next_end;
             let has_lapsed = now >= boot.lease_ends_at_ms;
+            if has_lapsed && !boot.finished.is_empty() {
+                self.note_lapse(&boot.id);
+            }
             let tasks: Vec<String> = boot.running.keys().cloned().collect();
             for task in tasks {
                 let Some(run) = boot.running.get_mut(&task) else { continue };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -20,8 +20,8 @@
 
 /// Partitions of each topic, as `platform.parts` says.
 pub const PARTITIONS: u64 = 32;
-/// Duration of an append, `platform.append_ms`.
-const APPEND: Duration = Duration::from_millis(2);
+/// Time until the store answers, as the pages say; an append takes as long.
+const ANSWER: Duration = Duration::from_millis(4);
 const RECORD_BYTES: usize = 262_144;
 const REQUEST_BYTES: usize = 2_097_152;
 /// Responses of a producer that are repeated.
@@ -58,6 +58,8 @@
 struct State {
     partitions: BTreeMap<(String, u64), Partition>,
     groups: BTreeMap<String, Group>,
+    /// Since when the store rejects all calls.
+    down_since: Option<Instant>,
 }
 
 /// The store.
@@ -86,6 +88,21 @@
         self.changed.notify_all();
     }
 
+    /// Rejects all calls with 503, or answers again. The times of the members of
+    /// groups pause meanwhile.
+    pub fn set_down(&self, is_down: bool) {
+        let mut state = self.state.lock().unwrap();
+        match (is_down, state.down_since) {
+            (true, None) => state.down_since = Some(Instant::now()),
+            (false, Some(since)) => {
+                state.down_since = None;
+                let members = state.groups.values_mut().flat_map(|group| &mut group.members);
+                members.for_each(|(_, end)| *end += since.elapsed());
+            }
+            (true, Some(_)) | (false, None) => {}
+        }
+    }
+
     /// The newest value of a key.
     pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.state.lock().unwrap();
@@ -94,6 +111,10 @@
     }
 
     fn handle(&self, request: &Request) -> Response {
+        thread::sleep(ANSWER);
+        if self.state.lock().unwrap().down_since.is_some() {
+            return Response::new(503, "{}");
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/log-append") => self.append(request),
             ("GET", "/log-read") => self.read(request),
@@ -107,7 +128,6 @@
     }
 
     fn append(&self, request: &Request) -> Response {
-        thread::sleep(APPEND);
         let topic = request.query.get("topic").cloned().unwrap_or_default();
         if topic == "keyed.op" || topic == "keyed.servers" {
             return Response::new(403, "{}");
@@ -162,6 +182,9 @@
         let deadline = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
+            if state.down_since.is_some() {
+                return Response::new(503, "{}");
+            }
             let partition = state.partitions.entry(key.clone()).or_default();
             let left = deadline.saturating_duration_since(Instant::now());
             if partition.records.len() > from || left.is_zero() {
