--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -2,6 +2,7 @@
 
 mod ends;
 mod gang;
+mod reborn;
 
 use std::io;
 use std::path::Path;
@@ -12,6 +13,7 @@
 pub fn play(name: &str, folder: &Path, has_trouble: bool) -> io::Result<Outcome> {
     match name {
         "ends" => ends::play(folder, has_trouble),
+        "reborn" => reborn::play(folder, has_trouble),
         "gang" => gang::play(folder, has_trouble),
         other => Ok(Outcome::NotRun(format!("there is no case {other}"))),
     }
