--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod advised;
 mod ends;
 mod gang;
 mod reborn;
@@ -12,6 +13,7 @@
 /// Plays a case.
 pub fn play(name: &str, folder: &Path, has_trouble: bool) -> io::Result<Outcome> {
     match name {
+        "advised" => advised::play(folder, has_trouble),
         "ends" => ends::play(folder, has_trouble),
         "reborn" => reborn::play(folder, has_trouble),
         "gang" => gang::play(folder, has_trouble),
--- a/review/standins-2/src/cases/ends.rs
+++ b/review/standins-2/src/cases/ends.rs
@@ -16,8 +16,13 @@
 use crate::world::Queue;
 use crate::world::World;
 
-const QUEUE: Queue =
-    Queue { name: "r-render", prefix: "/render/", service: "studio", max_attempts: 4 };
+const QUEUE: Queue = Queue {
+    name: "r-render",
+    prefix: "/render/",
+    service: "studio",
+    max_attempts: 4,
+    advice: None,
+};
 /// Tasks of the submission, half of them on each minion.
 const TASKS: u64 = 3_000;
 const ID: &str = "5c0e7a21d94b36f8";
--- a/review/standins-2/src/cases/gang.rs
+++ b/review/standins-2/src/cases/gang.rs
@@ -16,8 +16,13 @@
 use crate::world::Queue;
 use crate::world::World;
 
-const QUEUE: Queue =
-    Queue { name: "r-render", prefix: "/render/", service: "studio", max_attempts: 4 };
+const QUEUE: Queue = Queue {
+    name: "r-render",
+    prefix: "/render/",
+    service: "studio",
+    max_attempts: 4,
+    advice: None,
+};
 const MACHINES: usize = 8;
 const GANGS: u64 = 6;
 const MEMBERS: u64 = 4;
--- a/review/standins-2/src/cases/reborn.rs
+++ b/review/standins-2/src/cases/reborn.rs
@@ -15,8 +15,13 @@
 use crate::world::Queue;
 use crate::world::World;
 
-const QUEUE: Queue =
-    Queue { name: "r-render", prefix: "/render/", service: "studio", max_attempts: 4 };
+const QUEUE: Queue = Queue {
+    name: "r-render",
+    prefix: "/render/",
+    service: "studio",
+    max_attempts: 4,
+    advice: None,
+};
 const MACHINES: usize = 6;
 /// The machine whose minion crashes.
 const CRASHED: usize = 0;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment it leaves the disruption out.
 
+mod advice;
 mod cases;
 mod http;
 mod json;
--- a/review/standins-2/src/minion.rs
+++ b/review/standins-2/src/minion.rs
@@ -14,6 +14,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use crate::advice::Advice;
 use crate::http::Request;
 use crate::http::Response;
 use crate::http::Server;
@@ -171,6 +172,8 @@
     pub seen: Mutex<Seen>,
     gangs: Mutex<BTreeMap<(String, u64), u64>>,
     store: Arc<Store>,
+    /// The service whose tickets all starts need, if there is one.
+    advice: Option<Arc<Advice>>,
     record: Record,
 }
 
@@ -240,12 +243,17 @@
 
 impl Minions {
     /// Starts a minion on each machine.
-    pub fn start(machines: Vec<(Machine, Kind)>, store: Arc<Store>, record: Record) -> Arc<Self> {
+    pub fn start(
+        machines: Vec<(Machine, Kind)>,
+        store: Arc<Store>,
+        advice: Option<Arc<Advice>>,
+        record: Record,
+    ) -> Arc<Self> {
         let mut all = Vec::new();
         for (number, (machine, kind)) in (0..).zip(machines) {
             let listener = std::net::TcpListener::bind(("127.0.0.1", 0));
             let address = listener.and_then(|listener| listener.local_addr());
-            let boot = Boot::new(&format!("i-{number:04x}"), kind);
+            let boot = Boot::new(&Self::first_id(number), kind);
             all.push(Arc::new(Minion {
                 machine,
                 boot: Mutex::new(boot),
@@ -255,7 +263,7 @@
             }));
         }
         let (seen, gangs) = (Mutex::default(), Mutex::default());
-        let minions = Arc::new(Self { all, seen, gangs, store, record });
+        let minions = Arc::new(Self { all, seen, gangs, store, advice, record });
         for minion in &minions.all {
             minions.listen(minion);
         }
@@ -273,6 +281,11 @@
         minions
     }
 
+    /// Id of the first minion of a machine.
+    pub fn first_id(number: usize) -> String {
+        format!("i-{number:04x}")
+    }
+
     fn listen(self: &Arc<Self>, minion: &Arc<Minion>) {
         let (minions, target) = (Arc::clone(self), Arc::clone(minion));
         let server = Server::start(
@@ -460,6 +473,11 @@
         if expires_ms <= boot.clock_ms() {
             return boot.refuse("late");
         }
+        let ticket = body.get("ticket").text();
+        let is_valid = |advice: &Arc<Advice>| advice.is_valid(&step_of(task), &boot.id, ticket);
+        if !self.advice.as_ref().is_none_or(is_valid) {
+            return boot.refuse("ticket");
+        }
         boot.extend_lease(Some(expires_ms));
         let checkpoint = body.get("checkpoint").text().to_owned();
         let mut work = Work::parse(body.get("spec").text());
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::advice::Advice;
 use crate::http;
 use crate::http::Response;
 use crate::http::Server;
@@ -44,6 +45,17 @@
     pub prefix: &'static str,
     pub service: &'static str,
     pub max_attempts: u64,
+    pub advice: Option<Policy>,
+}
+
+/// The policy of a queue, for which the advice service gives tickets.
+#[derive(Clone, Copy)]
+pub struct Policy {
+    pub decision_ms: u64,
+    pub period_ms: u64,
+    pub valid_ms: u64,
+    /// Numbers of the machines whose minions may run the steps.
+    pub allowed: &'static [usize],
 }
 
 impl World {
@@ -59,9 +71,22 @@
         let record = Record::create(&folder.join("record.txt"))?;
         let (store, store_server) = Store::start();
         store.put("keyed.op", "config", &configuration(queues).to_string());
-        let minions = Minions::start(machines, Arc::clone(&store), record.clone());
-        let listed = Arc::clone(&minions);
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let policy = queues.iter().find_map(|queue| queue.advice);
+        let advice = policy.map(|policy| {
+            let Policy { decision_ms, period_ms, valid_ms, allowed } = policy;
+            let allowed = allowed.iter().map(|number| Minions::first_id(*number)).collect();
+            Arc::new(Advice::new(decision_ms, period_ms, valid_ms, allowed, record.clone()))
+        });
+        let advice_server = match advice.clone() {
+            Some(advice) => Some(Server::start(
+                loopback,
+                Arc::new(move |request| Some(advice.handle(request))),
+            )?),
+            None => None,
+        };
+        let minions = Minions::start(machines, Arc::clone(&store), advice, record.clone());
+        let listed = Arc::clone(&minions);
         let cloud_server = Server::start(
             loopback,
             Arc::new(move |request| {
@@ -72,13 +97,16 @@
                 })
             }),
         )?;
-        let platform =
-            Platform { store: store_server.address, cloud: cloud_server.address, advice: None };
+        let platform = Platform {
+            store: store_server.address,
+            cloud: cloud_server.address,
+            advice: advice_server.as_ref().map(|server| server.address),
+        };
         let mut nodes = Vec::new();
         for number in 1..=3 {
             nodes.push(Node::start(&format!("edge-a-{number}"), &directory, platform)?);
         }
-        let servers = vec![store_server, cloud_server];
+        let servers = [store_server, cloud_server].into_iter().chain(advice_server).collect();
         Ok(Self { record, store, minions, nodes, directory, _servers: servers })
     }
 
@@ -164,7 +192,7 @@
     let routes: Vec<Value> = queues
         .iter()
         .map(|queue| {
-            object(&[
+            let mut fields = vec![
                 ("name", queue.name.into()),
                 ("host", HOST.into()),
                 ("path_prefix", queue.prefix.into()),
@@ -176,7 +204,16 @@
                 ("max_attempts", queue.max_attempts.into()),
                 ("slack_factor", Value::Number(1.6)),
                 ("public", false.into()),
-            ])
+            ];
+            if let Some(policy) = queue.advice {
+                let advice = object(&[
+                    ("decision_ms", policy.decision_ms.into()),
+                    ("period_ms", policy.period_ms.into()),
+                    ("valid_ms", policy.valid_ms.into()),
+                ]);
+                fields.push(("advice", advice));
+            }
+            object(&fields)
         })
         .collect();
     let mut names: Vec<&str> = queues.iter().map(|queue| queue.service).collect();
