--- a/review/standins-2/src/minion.rs
+++ b/review/standins-2/src/minion.rs
@@ -21,6 +21,7 @@
 use crate::json;
 use crate::json::Value;
 use crate::json::object;
+use crate::node::free_port;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -36,6 +37,8 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Ends in one response.
 const MAX_ENDS: usize = 500;
+/// `maintenance_s` of the settings.
+const UPKEEP: Duration = Duration::from_millis(2_000);
 /// Time of a lasting task until it is at work.
 const STARTUP_MS: u64 = 500;
 
@@ -108,6 +111,8 @@
     born: u64,
     started_at: Instant,
     is_up: bool,
+    /// Whether the machine is down for its upkeep.
+    is_in_upkeep: bool,
     reaches_store: bool,
     sequence: u64,
     written_at: Option<Instant>,
@@ -204,6 +209,7 @@
             born: unix_ms(),
             started_at: Instant::now(),
             is_up: true,
+            is_in_upkeep: false,
             reaches_store: true,
             sequence: 0,
             written_at: None,
@@ -251,15 +257,14 @@
     ) -> Arc<Self> {
         let mut all = Vec::new();
         for (number, (machine, kind)) in (0..).zip(machines) {
-            let listener = std::net::TcpListener::bind(("127.0.0.1", 0));
-            let address = listener.and_then(|listener| listener.local_addr());
+            let port = free_port().expect("a loopback port is free");
             let boot = Boot::new(&Self::first_id(number), kind);
             all.push(Arc::new(Minion {
                 machine,
                 boot: Mutex::new(boot),
                 has_news: Condvar::new(),
                 server: Mutex::new(None),
-                address: address.expect("a loopback port is free"),
+                address: SocketAddr::from(([127, 0, 0, 1], port)),
             }));
         }
         let (seen, gangs) = (Mutex::default(), Mutex::default());
@@ -337,6 +342,35 @@
         self.listen(minion);
     }
 
+    /// Answers an order for the upkeep of a machine. It ends all that runs there, and
+    /// a new minion follows.
+    pub fn upkeep(self: &Arc<Self>, machine: &str) -> (u16, &'static str) {
+        let number = self.all.iter().position(|minion| minion.machine.name == machine);
+        let Some(number) = number else { return (400, "") };
+        if !self.all[number].boot.lock().unwrap().is_up {
+            return (409, "busy");
+        }
+        self.record.line(format!("UPKEEP {machine}"));
+        self.crash(number);
+        let kind = {
+            let mut boot = self.all[number].boot.lock().unwrap();
+            boot.is_in_upkeep = true;
+            boot.kind.clone()
+        };
+        let minions = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(UPKEEP);
+            minions.boot(number, &format!("i-{:04x}", 0x100 + number), kind, true);
+        });
+        (200, "")
+    }
+
+    /// Processor time of the minion of a machine that no run takes.
+    pub fn free_cpu(&self, number: usize) -> u64 {
+        let boot = self.all[number].boot.lock().unwrap();
+        if boot.is_up { boot.kind.cpu.saturating_sub(boot.used_cpu()) } else { 0 }
+    }
+
     /// Connects a minion to the store again, or cuts it off.
     pub fn set_reaches_store(&self, number: usize, reaches_store: bool) {
         let mut boot = self.all[number].boot.lock().unwrap();
@@ -367,10 +401,15 @@
             .map(|minion| {
                 let boot = minion.boot.lock().unwrap();
                 let id = if boot.is_up { boot.id.as_str().into() } else { Value::Null };
+                let state = match boot.is_up {
+                    true => "up",
+                    false if boot.is_in_upkeep => "upkeep",
+                    false => "down",
+                };
                 object(&[
                     ("machine", minion.machine.name.as_str().into()),
                     ("pool", minion.machine.service.as_str().into()),
-                    ("state", if boot.is_up { "up".into() } else { "down".into() }),
+                    ("state", state.into()),
                     ("zone", minion.machine.zone.as_str().into()),
                     ("labels", minion.labels(&boot)),
                     ("capacity", boot.kind.capacity()),
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -11,6 +11,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use crate::json::Value;
 use crate::json::object;
@@ -34,8 +36,22 @@
     child: Option<Child>,
 }
 
-fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?.port())
+/// Ports below those that the system gives to outgoing connections, so that a port
+/// stays free while nothing listens on it.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+
+/// A loopback port on which nothing listens, other than those returned before.
+pub fn free_port() -> io::Result<u16> {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let size = u32::from(PORTS.end - PORTS.start);
+    for _ in 0..size {
+        let number = TAKEN.fetch_add(1, Ordering::Relaxed) + std::process::id() * 97;
+        let port = PORTS.start + u16::try_from(number % size).unwrap_or(0);
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return Ok(port);
+        }
+    }
+    Err(io::Error::other("no loopback port is free"))
 }
 
 impl Node {
@@ -133,22 +149,10 @@
         }
     }
 
-    /// Starts the process again with the same settings.
-    pub fn restart(&mut self) -> io::Result<()> {
-        self.kill();
-        self.launch()
-    }
-
     /// Whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
-
-    /// Lines of the log that contain `text`.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Node {
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -92,7 +92,12 @@
             Arc::new(move |request| {
                 Some(match request.path.as_str() {
                     "/machines" => Response::new(200, listed.machines().to_string()),
-                    // No pool is on standby and there is no wave, so no order is due.
+                    "/machine-upkeep" => {
+                        let body = json::parse(request.text()).unwrap_or(Value::Null);
+                        let (status, reason) = listed.upkeep(body.get("machine").text());
+                        Response::new(status, object(&[("reason", reason.into())]).to_string())
+                    }
+                    // There is one pool, so no move is due.
                     _ => Response::new(409, object(&[("reason", "busy".into())]).to_string()),
                 })
             }),
