--- a/review/standins-2/src/minion.rs
+++ b/review/standins-2/src/minion.rs
@@ -147,8 +147,9 @@
     pub task: String,
     pub attempt: u64,
     pub how: &'static str,
-    /// Number of the end in its boot.
+    /// Number of the end in its boot, and the start of that boot.
     number: u64,
+    born: u64,
     /// When `last_seen` reached the end.
     pub noted_at_ms: Option<u64>,
     /// Whether the lease of the minion lapsed before that.
@@ -447,7 +448,7 @@
                 let last_seen = body.get("last_seen").number();
                 if boot.finished.first().is_some_and(|(number, _)| *number <= last_seen) {
                     boot.finished.retain(|(number, _)| *number > last_seen);
-                    self.note_ends(&boot.id, last_seen);
+                    self.note_ends(&boot.id, boot.born, last_seen);
                 }
                 let wait = Duration::from_millis(body.get("wait_ms").number().min(2_000));
                 let deadline = Instant::now() + wait;
@@ -573,16 +574,18 @@
             attempt: run.attempt,
             how,
             number,
+            born: boot.born,
             noted_at_ms: None,
             has_lapsed: false,
         });
     }
 
-    /// Notes that the ends of a minion up to `last_seen` are known.
-    fn note_ends(&self, id: &str, last_seen: u64) {
+    /// Notes that the ends of a boot up to `last_seen` are known.
+    fn note_ends(&self, id: &str, born: u64, last_seen: u64) {
         let now = self.record.now_ms();
         let mut seen = self.seen.lock().unwrap();
-        let is_known = |end: &&mut End| end.minion == id && end.number <= last_seen;
+        let is_known =
+            |end: &&mut End| end.minion == id && end.born == born && end.number <= last_seen;
         for end in seen.ends.iter_mut().filter(is_known) {
             end.noted_at_ms.get_or_insert(now);
         }
