node: log restarts of workers and leases that last too long

The logs of the incident could not tell whether a start or a poll had reached another incarnation of a worker, by which clock its lease was computed, or how long the worker granted it.

The client now returns what the answer to a call proves of its leases: the time that is left on the worker's clock, or nothing. The owner logs and counts leases of more than the intended length, and each restart of a worker with both start times. No decision changes.

--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -3,6 +3,7 @@
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::event::DispatcherEvent;
+use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::pool_load::PoolLoad;
 use cowslipport_lib::workload::record::JobOutcome;
@@ -21,6 +22,22 @@
                 info!(logger, "task placed"; "task" => %task, "attempt" => attempt,
                     "worker" => dispatcher.worker_name(worker), "waited_ms" => waited_ms);
             }
+            DispatcherEvent::WorkerRestarted {
+                worker,
+                former_unix_ms,
+                present_unix_ms,
+                reported,
+            } => {
+                metrics::counter!("cowslipport_worker_restarts_total").increment(1);
+                warn!(logger, "worker has restarted"; "worker" => dispatcher.worker_name(worker),
+                    "former_unix_ms" => former_unix_ms, "present_unix_ms" => present_unix_ms,
+                    "reported_tasks" => reported);
+            }
+            DispatcherEvent::LeaseTooLong { worker, remaining_ms } => {
+                metrics::counter!("cowslipport_long_leases_total").increment(1);
+                warn!(logger, "leases on a worker last too long";
+                    "worker" => dispatcher.worker_name(worker), "remaining_ms" => remaining_ms);
+            }
             DispatcherEvent::Ended { task, attempt, worker, end } => {
                 log_end(logger, task, attempt, dispatcher.worker_name(worker), end);
             }
@@ -31,13 +48,7 @@
                     "worker" => dispatcher.worker_name(worker), "reason" => reason.as_str());
             }
             DispatcherEvent::JobEnded { job, outcome } => {
-                let outcome = match outcome {
-                    JobOutcome::Completed => "completed",
-                    JobOutcome::Failed => "failed",
-                };
-                metrics::counter!("cowslipport_jobs_ended_total", "outcome" => outcome)
-                    .increment(1);
-                info!(logger, "job ended"; "job" => %job, "outcome" => outcome);
+                log_job_end(logger, job, outcome);
             }
             DispatcherEvent::WorkerAvoided { worker, until } => {
                 warn!(logger, "worker avoided after failed tasks";
@@ -78,6 +89,15 @@
     }
 }
 
+fn log_job_end(logger: &Logger, job: JobKey, outcome: JobOutcome) {
+    let outcome = match outcome {
+        JobOutcome::Completed => "completed",
+        JobOutcome::Failed => "failed",
+    };
+    metrics::counter!("cowslipport_jobs_ended_total", "outcome" => outcome).increment(1);
+    info!(logger, "job ended"; "job" => %job, "outcome" => outcome);
+}
+
 fn log_pool(logger: &Logger, pool: &str, load: &PoolLoad) {
     let gauge = |name: &'static str, value: u64| {
         metrics::gauge!(name, "pool" => pool.to_owned()).set(as_float(value));
--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -8,7 +8,7 @@
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::key::WorkerId;
 use cowslipport_lib::workload::ownership::JoinAnswer;
-use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::WorkerReport;
 use cowslipport_lib::workload::vm::VmEntry;
 use cowslipport_lib::workload::vm::VmOrder;
@@ -78,7 +78,7 @@
     /// Another worker listens at the address of this one.
     Replaced { worker: WorkerId },
     /// A worker answered the start of an attempt.
-    StartAnswered { worker: WorkerId, task: TaskKey, attempt: u32, answer: StartAnswer },
+    StartAnswered { worker: WorkerId, task: TaskKey, attempt: u32, reply: StartReply },
     /// A worker answered the stop of an attempt.
     StopAnswered { worker: WorkerId, task: TaskName, attempt: u32, ordered_at: TimeMs },
     /// A worker did not answer a change of pace.
--- a/daemon/src/node/order_task.rs
+++ b/daemon/src/node/order_task.rs
@@ -4,6 +4,7 @@
 use cowslipport_lib::workload::key::WorkerId;
 use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::report::StartReply;
 use slog::Logger;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -61,12 +62,12 @@
         match queued.order {
             Order::Start(start) => {
                 let is_old = self.clock.now().since(queued.created_at) > START_AGE_MAX_MS;
-                let answer = match is_old || !self.ownership.is_confirmed() {
-                    true => StartAnswer::TooLate,
+                let reply = match is_old || !self.ownership.is_confirmed() {
+                    true => StartReply::without_lease(StartAnswer::TooLate),
                     false => self.client.start(epoch, queued.lease_until_worker_ms, &start).await,
                 };
                 let (task, attempt) = (start.key, start.attempt);
-                Some(OwnerMessage::StartAnswered { worker, task, attempt, answer })
+                Some(OwnerMessage::StartAnswered { worker, task, attempt, reply })
             }
             Order::Stop { task, attempt, reason } => {
                 let result = self.client.stop(epoch, &task.to_string(), attempt).await;
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -265,7 +265,8 @@
                 self.dispatcher.worker_replaced(worker);
                 self.connections.disconnect(worker);
             }
-            OwnerMessage::StartAnswered { worker, task, attempt, answer } => {
+            OwnerMessage::StartAnswered { worker, task, attempt, reply } => {
+                let answer = reply.answer;
                 if answer != StartAnswer::Started {
                     warn!(self.logger, "start of a task not confirmed"; "answer" => answer.as_str(),
                         "worker" => self.dispatcher.worker_name(worker),
@@ -273,7 +274,7 @@
                         "attempt" => attempt);
                 }
                 self.is_fenced |= answer == StartAnswer::EpochTooLow;
-                self.dispatcher.start_answered(now, worker, task, attempt, answer);
+                self.dispatcher.start_answered(now, worker, task, attempt, reply);
             }
             OwnerMessage::StopAnswered { worker, task, attempt, ordered_at } => {
                 self.dispatcher.stop_answered(now, ordered_at, worker, task, attempt);
--- a/daemon/src/node/owner_workers.rs
+++ b/daemon/src/node/owner_workers.rs
@@ -7,6 +7,7 @@
 use cowslipport_lib::workload::dispatcher::WorkerActivity;
 use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::report::StartReply;
 use slog::info;
 use slog::warn;
 
@@ -115,8 +116,8 @@
                 }
                 let is_sent = self.connections.send(view.now, worker, worker_order.order);
                 if let Some((task, attempt)) = start.filter(|_| !is_sent) {
-                    let answer = StartAnswer::TooLate;
-                    self.dispatcher.start_answered(view.now, worker, task, attempt, answer);
+                    let reply = StartReply::without_lease(StartAnswer::TooLate);
+                    self.dispatcher.start_answered(view.now, worker, task, attempt, reply);
                 }
             }
         }
--- a/daemon/src/node/platform.rs
+++ b/daemon/src/node/platform.rs
@@ -14,8 +14,9 @@
 use cowslipport_lib::workload::order::StartOrder;
 use cowslipport_lib::workload::ownership::JoinAnswer;
 use cowslipport_lib::workload::report::EndedTask;
+use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::report::RunningTask;
-use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::WorkerEntry;
 use cowslipport_lib::workload::vm::VmEntry;
 use cowslipport_lib::workload::vm::VmOrder;
@@ -269,6 +270,8 @@
     /// Start of the worker's process in milliseconds since 1970, if the worker
     /// reports it.
     pub started_unix_ms: Option<u64>,
+    /// What the poll granted.
+    pub lease: LeaseGrant,
     /// Running tasks.
     pub running: Vec<RunningTask>,
     /// Ended tasks that the owner has not acknowledged.
@@ -289,7 +292,7 @@
         epoch: u64,
         lease_until_worker_ms: u64,
         start: &StartOrder,
-    ) -> impl Future<Output = StartAnswer>;
+    ) -> impl Future<Output = StartReply>;
 
     /// Stops an attempt. The worker refuses later starts of the same attempt.
     fn stop(
--- a/daemon/src/node/poll_task.rs
+++ b/daemon/src/node/poll_task.rs
@@ -128,6 +128,7 @@
         let report = WorkerReport {
             sent_at,
             started_unix_ms: answer.started_unix_ms,
+            lease: answer.lease,
             running: answer.running,
             ended: answer.ended,
         };
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -23,6 +23,24 @@
         /// Time since the task was ready to start.
         waited_ms: u64,
     },
+    /// A worker has restarted under its name.
+    WorkerRestarted {
+        /// The worker.
+        worker: WorkerId,
+        /// Start of the former incarnation in milliseconds since 1970.
+        former_unix_ms: u64,
+        /// Start of the present incarnation in milliseconds since 1970.
+        present_unix_ms: u64,
+        /// Tasks that the present incarnation runs or has run.
+        reported: usize,
+    },
+    /// The leases on a worker last longer than owners intend.
+    LeaseTooLong {
+        /// The worker.
+        worker: WorkerId,
+        /// Time until the leases expire, as the worker said.
+        remaining_ms: u64,
+    },
     /// An attempt ended.
     Ended {
         /// The task.
--- a/lib/src/workload/lease.rs
+++ b/lib/src/workload/lease.rs
@@ -20,6 +20,11 @@
 }
 
 impl LeaseTimes {
+    /// Whether a lease lasts longer than owners intend.
+    pub(crate) fn is_too_long(self, remaining_ms: u64) -> bool {
+        remaining_ms > self.lease_ms + CLOCK_ESTIMATE_SLACK_MS
+    }
+
     /// When a lease that is granted by a call sent at `sent_at` has expired.
     pub(crate) fn expires_at(self, sent_at: TimeMs) -> TimeMs {
         let drift_ms = self.lease_ms * MAX_CLOCK_DRIFT_MILLI / (1_000 - MAX_CLOCK_DRIFT_MILLI);
--- a/lib/src/workload/report.rs
+++ b/lib/src/workload/report.rs
@@ -39,6 +39,8 @@
     /// Start of this incarnation of the worker in milliseconds since 1970, if
     /// it is known.
     pub started_unix_ms: Option<u64>,
+    /// What the request for the report granted.
+    pub lease: LeaseGrant,
     /// Running tasks.
     pub running: Vec<RunningTask>,
     /// Tasks that have ended and whose ends are not acknowledged.
@@ -109,6 +111,39 @@
     }
 }
 
+/// What is known of the leases that a call granted. A lease ends at a time on the
+/// worker's clock, which begins anew when the worker restarts, and holds for all
+/// tasks of the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseGrant {
+    /// The call granted no lease.
+    None,
+    /// The worker answered when the leases had this time left on its clock.
+    Remaining {
+        /// Time until the leases expire.
+        ms: u64,
+    },
+    /// No answer tells when the leases expire.
+    Unknown,
+}
+
+/// Outcome of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartReply {
+    /// The answer.
+    pub answer: StartAnswer,
+    /// What the start granted.
+    pub lease: LeaseGrant,
+}
+
+impl StartReply {
+    /// Reply for a start that was not sent, or that the worker has refused
+    /// without granting a lease.
+    pub fn without_lease(answer: StartAnswer) -> Self {
+        Self { answer, lease: LeaseGrant::None }
+    }
+}
+
 /// Answer of a worker to a start, or why the owner did not send the start or
 /// received no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -17,8 +17,10 @@
 use crate::workload::order::StopReason;
 use crate::workload::order::WorkerOrder;
 use crate::workload::report::EndedTask;
+use crate::workload::report::LeaseGrant;
 use crate::workload::report::RunningTask;
 use crate::workload::report::StartAnswer;
+use crate::workload::report::StartReply;
 use crate::workload::report::TaskEnd;
 use crate::workload::report::WorkerReport;
 use crate::workload::worker::Reachability;
@@ -47,21 +49,29 @@
             return;
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let is_restarted = match (worker.started_unix_ms, report.started_unix_ms) {
-            (Some(before), Some(started)) => before != started,
-            (None, _) | (_, None) => false,
+        let restart = match (worker.started_unix_ms, report.started_unix_ms) {
+            (Some(former), Some(present)) => (former != present).then_some((former, present)),
+            (None, _) | (_, None) => None,
         };
         worker.reachability = Reachability::Reachable;
         // The call that returned the report may have renewed the leases.
         worker.leases.granted(self.lease_times.expires_at(report.sent_at));
         worker.leases.worker_answered();
         worker.started_unix_ms = report.started_unix_ms.or(worker.started_unix_ms);
-        if is_restarted {
+        if let Some((former_unix_ms, present_unix_ms)) = restart {
+            let reported = report.running.len() + report.ended.len();
+            self.events.push(DispatcherEvent::WorkerRestarted {
+                worker: id,
+                former_unix_ms,
+                present_unix_ms,
+                reported,
+            });
             worker.last_end_number = 0;
             worker.restarted_at = Some(now);
             self.to_acknowledge.remove(&id);
             self.drop_fences(id);
         }
+        self.lease_granted(id, report.lease);
         let mut reported = BTreeSet::new();
         for ended in &report.ended {
             reported.insert((ended.task, ended.attempt));
@@ -71,15 +81,26 @@
             reported.insert((running.task, running.attempt));
             self.handle_running(now, id, report.sent_at, running);
         }
-        let unreported = match is_restarted {
-            true => Unreported::Ended,
-            false => Unreported::Doubtful,
+        let unreported = match restart {
+            Some(_) => Unreported::Ended,
+            None => Unreported::Doubtful,
         };
         self.check_unreported(id, report.sent_at, &reported, unreported);
         self.stop_stalled(now, id);
         self.adjust_pace(now, id, report);
     }
 
+    /// Handles what is known of the leases that a call to a worker has granted.
+    fn lease_granted(&mut self, id: WorkerId, grant: LeaseGrant) {
+        match grant {
+            LeaseGrant::Remaining { ms } if self.lease_times.is_too_long(ms) => {
+                let event = DispatcherEvent::LeaseTooLong { worker: id, remaining_ms: ms };
+                self.events.push(event);
+            }
+            LeaseGrant::Remaining { .. } | LeaseGrant::None | LeaseGrant::Unknown => {}
+        }
+    }
+
     fn handle_end(&mut self, now: TimeMs, id: WorkerId, ended: &EndedTask) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if ended.number <= worker.last_end_number {
@@ -311,8 +332,9 @@
         id: WorkerId,
         key: TaskKey,
         attempt: u32,
-        answer: StartAnswer,
+        StartReply { answer, lease }: StartReply,
     ) {
+        self.lease_granted(id, lease);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let state = job.task_mut(key);
         if state.attempt != attempt {
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -11,6 +11,7 @@
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::report::EndedTask;
+use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::report::RunningTask;
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerReport;
@@ -63,6 +64,7 @@
     let report = WorkerReport {
         sent_at: TimeMs(10),
         started_unix_ms: Some(1),
+        lease: LeaseGrant::None,
         running: vec![RunningTask { task, attempt: 1, checkpoint: None, percent: 0, reading: 0 }],
         ended: vec![EndedTask {
             number: 1,
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -20,6 +20,7 @@
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::pool_autoscaler::PoolAutoscaler;
+use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::report::WorkerEntry;
 use cowslipport_lib::workload::report::WorkerReport;
 use cowslipport_lib::workload::spec::JobSpec;
@@ -107,6 +108,7 @@
         let report = WorkerReport {
             sent_at: TimeMs(self.now),
             started_unix_ms: Some(1),
+            lease: LeaseGrant::None,
             running: Vec::new(),
             ended: Vec::new(),
         };
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -13,6 +13,7 @@
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::report::StartAnswer;
+use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerEntry;
 
@@ -233,7 +234,8 @@
                     StartAnswer::Unknown
                 };
                 if let Some(owner) = &mut self.owner {
-                    owner.start_answered(now, id, start.key, start.attempt, answer);
+                    let reply = StartReply::without_lease(answer);
+                    owner.start_answered(now, id, start.key, start.attempt, reply);
                 }
             }
             Order::Stop { task, attempt, .. } => {
--- a/lib/tests/workload_fake/worker.rs
+++ b/lib/tests/workload_fake/worker.rs
@@ -7,6 +7,7 @@
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::report::EndedTask;
+use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::report::RunningTask;
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerReport;
@@ -84,6 +85,7 @@
         WorkerReport {
             sent_at,
             started_unix_ms: Some(self.started_at),
+            lease: LeaseGrant::None,
             running: running.collect(),
             ended: self.ended.clone(),
         }
