workload: the owner counts leases by what workers answer

Back ends had started again under their ids and were cut off soon after.

Cause: an owner took it for granted that each lease ends 4 s after the call that grants it. A lease ends at a time on the worker's clock, which begins anew when the worker restarts. A start or poll that is computed by the former clock and reaches the new incarnation grants the longest lease that workers allow (10 s), to everything that runs there; refused starts do so, too. When the worker was then cut off, the owner released its tasks after 4.33 s while they ran on. A successor of the owner did the same.

Change: each reply proves how long a lease is, and a longer one is counted. An attempt whose start is not answered may run on an incarnation that nobody knows: its lease counts as the longest that workers allow (bound `hold_max_ms`), which concerns that attempt only. Records of placements name the incarnation by whose clock the lease was computed and whether the lease is known, and the record of an unreachable worker states both waits, so that a successor counts like its predecessor. Attempts of long-running steps, and others after 2 s, are recorded again once their lease is known: a worker and an owner that are lost at once keep the bound of 8.0 + 4.33 s for them.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -7,7 +7,6 @@
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::WorkerId;
-use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
 use cowslipport_lib::workload::maintenance::WaveSpec;
 use cowslipport_lib::workload::order::Batch;
@@ -39,17 +38,11 @@
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::platform::RecordCodec;
-use crate::node::settings::LEASE_MS;
 use crate::node::settings::NodeSettings;
 use crate::node::settings::OPERATOR_AGE_MAX_MS;
-use crate::node::settings::RENEW_WITHOUT_STORE_MS;
 use crate::node::settings::WORKERS_AGE_MAX_MS;
 use crate::node::worker_connections::WorkerConnections;
 
-/// Duration of leases, and how long a former owner may renew them.
-const LEASE_TIMES: LeaseTimes =
-    LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: RENEW_WITHOUT_STORE_MS };
-
 /// Interval of the checks for expired leases, each of which looks at all
 /// workers.
 const LEASE_CHECK_INTERVAL_MS: u64 = 20;
@@ -156,7 +149,7 @@
             epoch,
             settings.node_incarnation(),
             gained_at,
-            LEASE_TIMES,
+            settings.lease_times(),
             settings.status_kept_ms,
         );
         dispatcher.set_start_budget(StartBudget::new(gained_at, settings.link_bits_per_second));
@@ -257,7 +250,7 @@
                     warn!(self.logger, "worker unreachable";
                         "worker" => self.dispatcher.worker_name(worker), "reason" => reason);
                 }
-                self.dispatcher.worker_unreachable(worker, renewed_at);
+                self.dispatcher.worker_unreachable(now, worker, renewed_at);
             }
             OwnerMessage::Replaced { worker } => {
                 warn!(self.logger, "another worker listens at the address; disconnecting";
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cowslipport_lib::workload::admission::AgeLimits;
+use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::owner_record::NodeRecord;
 
@@ -77,6 +78,8 @@
     pub vm_handover_ms: u64,
     /// Number of orders that the VM service accepts per second.
     pub vm_orders_per_second: u32,
+    /// Longest lease that a worker grants.
+    pub worker_lease_max_ms: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace_ms: u64,
 }
@@ -95,6 +98,15 @@
 const BITS_PER_BYTE: u64 = 8;
 
 impl NodeSettings {
+    /// Times of the leases on workers.
+    pub(crate) fn lease_times(&self) -> LeaseTimes {
+        LeaseTimes {
+            lease_ms: LEASE_MS,
+            longest_ms: self.worker_lease_max_ms,
+            former_renewal_ms: RENEW_WITHOUT_STORE_MS,
+        }
+    }
+
     /// Longest time for which a message waits for the link behind large ones,
     /// such as a snapshot of the job records.
     pub fn link_delay(&self) -> Duration {
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -95,6 +95,10 @@
     /// Names of workers. Steps refer to them by index plus one.
     #[prost(string, repeated, tag = "2")]
     pub workers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// For each entry of workers, the start of the incarnation by whose clock leases
+    /// there were computed, in milliseconds since 1970; zero if it is not known.
+    #[prost(uint64, repeated, tag = "5")]
+    pub worker_incarnations_unix_ms: ::prost::alloc::vec::Vec<u64>,
     #[prost(message, repeated, tag = "3")]
     pub steps: ::prost::alloc::vec::Vec<StepProgress>,
     /// Epoch of the owner that wrote the record.
@@ -142,10 +146,13 @@
 pub struct Silence {
     #[prost(string, tag = "1")]
     pub worker: ::prost::alloc::string::String,
-    /// Time from the writing of the record until all leases on the worker have
+    /// Time from the writing of the record until all known leases on the worker have
     /// expired.
     #[prost(uint64, tag = "2")]
     pub remaining_ms: u64,
+    /// The same for leases of starts without an answer, which may be longer.
+    #[prost(uint64, tag = "3")]
+    pub unknown_remaining_ms: u64,
 }
 /// The owner of an epoch.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -240,6 +247,9 @@
     Waiting = 0,
     Placed = 1,
     Done = 2,
+    /// Placed, and the worker has answered that it runs the task with the intended
+    /// lease.
+    Running = 3,
 }
 impl TaskPhase {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -251,6 +261,7 @@
             Self::Waiting => "TASK_PHASE_WAITING",
             Self::Placed => "TASK_PHASE_PLACED",
             Self::Done => "TASK_PHASE_DONE",
+            Self::Running => "TASK_PHASE_RUNNING",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -259,6 +270,7 @@
             "TASK_PHASE_WAITING" => Some(Self::Waiting),
             "TASK_PHASE_PLACED" => Some(Self::Placed),
             "TASK_PHASE_DONE" => Some(Self::Done),
+            "TASK_PHASE_RUNNING" => Some(Self::Running),
             _ => None,
         }
     }
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -5,10 +5,12 @@
 use std::rc::Rc;
 
 use crate::time::TimeMs;
+use crate::workload::attempt_lease::AttemptLease;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::event::PlacementReleaseReason;
 use crate::workload::job::AttemptState;
+use crate::workload::job::Placement;
 use crate::workload::job_record;
 use crate::workload::key::JobId;
 use crate::workload::key::JobKey;
@@ -31,8 +33,8 @@
     /// The records of a job: its progress, and its status if that has changed.
     pub(crate) fn job_records(&mut self, id: JobId) -> Vec<(RecordKey, Vec<u8>)> {
         let Some(job) = self.jobs.get(id) else { return Vec::new() };
-        let worker_name = |id| self.worker_name(id).to_owned();
-        let progress = job_record::progress_of(job, self.epoch, worker_name);
+        let recorded = |placement: &Placement| self.recorded_placement(placement);
+        let progress = job_record::progress_of(job, self.epoch, recorded);
         let (key, status) = (job.key, progress.status());
         let mut encoded = progress.encode();
         if encoded.len() > MAX_RECORD_BYTES {
@@ -146,6 +148,11 @@
         }
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.leases.granted(self.lease_times.expires_at(now));
+            // The reply tells more. It may be lost with the connections to the worker.
+            placement.lease = AttemptLease::Unknown {
+                incarnation_unix_ms: worker.started_unix_ms,
+                expires_at: self.lease_times.longest_expires_at(now),
+            };
         }
         placement.state = AttemptState::Ordered;
         placement.since = now;
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -5,6 +5,7 @@
 use crate::ids::OrganisationId;
 use crate::ids::PoolId;
 use crate::time::TimeMs;
+use crate::workload::attempt_lease::AttemptLease;
 use crate::workload::key::JobId;
 use crate::workload::key::JobKey;
 use crate::workload::key::StepKey;
@@ -93,6 +94,9 @@
     pub(crate) progressed_at: TimeMs,
     /// Why a stop was requested; none if none was.
     pub(crate) stop: Option<StopReason>,
+    pub(crate) lease: AttemptLease,
+    /// Whether the store holds that the lease is known.
+    pub(crate) is_lease_recorded: bool,
 }
 
 /// State of an attempt as the owner knows it.
--- a/lib/src/workload/job_record.rs
+++ b/lib/src/workload/job_record.rs
@@ -1,6 +1,7 @@
 //! Conversion between the state of a job and its progress record.
 
 use crate::time::TimeMs;
+use crate::workload::attempt_lease::AttemptLease;
 use crate::workload::job::AttemptState;
 use crate::workload::job::Job;
 use crate::workload::job::Phase;
@@ -9,13 +10,14 @@
 use crate::workload::key::WorkerId;
 use crate::workload::record::Progress;
 use crate::workload::record::RecordedPhase;
+use crate::workload::record::RecordedPlacement;
 use crate::workload::record::StepProgress;
 use crate::workload::record::TaskProgress;
 
 /// The progress record of a job. Steps without an attempt are left out.
-pub(crate) fn progress_of<F>(job: &Job, epoch: u64, worker_name: F) -> Progress
+pub(crate) fn progress_of<F>(job: &Job, epoch: u64, recorded: F) -> Progress
 where
-    F: Fn(WorkerId) -> String,
+    F: Fn(&Placement) -> RecordedPlacement,
 {
     let mut steps = Vec::new();
     for (occurrence, states) in (0..).zip(&job.occurrences) {
@@ -23,7 +25,7 @@
             if state.tasks.iter().all(is_never_placed) {
                 continue;
             }
-            let tasks = state.tasks.iter().map(|task| record_of(task, &worker_name)).collect();
+            let tasks = state.tasks.iter().map(|task| record_of(task, &recorded)).collect();
             steps.push(StepProgress { occurrence, step, tasks });
         }
     }
@@ -34,13 +36,13 @@
     task.is_waiting() && task.attempt == 0
 }
 
-fn record_of<F>(task: &Task, worker_name: F) -> TaskProgress
+fn record_of<F>(task: &Task, recorded: F) -> TaskProgress
 where
-    F: Fn(WorkerId) -> String,
+    F: Fn(&Placement) -> RecordedPlacement,
 {
     let phase = match &task.phase {
         Phase::Waiting => RecordedPhase::Waiting,
-        Phase::Placed(placement) => RecordedPhase::Placed(worker_name(placement.worker)),
+        Phase::Placed(placement) => RecordedPhase::Placed(recorded(placement)),
         Phase::Done => RecordedPhase::Done,
     };
     TaskProgress {
@@ -71,8 +73,9 @@
             task.phase = match &recorded.phase {
                 RecordedPhase::Waiting => Phase::Waiting,
                 RecordedPhase::Done => Phase::Done,
-                RecordedPhase::Placed(name) => {
-                    Phase::Placed(inherited_placement(worker_id(name), now))
+                RecordedPhase::Placed(recorded) => {
+                    let worker = worker_id(&recorded.worker);
+                    Phase::Placed(inherited_placement(worker, now, recorded))
                 }
             };
         }
@@ -81,7 +84,15 @@
 }
 
 /// Placement of a task that an earlier owner placed on a worker.
-fn inherited_placement(worker: WorkerId, now: TimeMs) -> Placement {
-    let state = AttemptState::Unknown { since: now, fenced_at: None };
-    Placement { worker, state, since: now, percent: 0, progressed_at: now, stop: None }
+fn inherited_placement(worker: WorkerId, now: TimeMs, recorded: &RecordedPlacement) -> Placement {
+    Placement {
+        worker,
+        state: AttemptState::Unknown { since: now, fenced_at: None },
+        since: now,
+        percent: 0,
+        progressed_at: now,
+        stop: None,
+        lease: AttemptLease::restored(recorded),
+        is_lease_recorded: recorded.is_lease_known,
+    }
 }
--- a/lib/src/workload/lease.rs
+++ b/lib/src/workload/lease.rs
@@ -1,10 +1,11 @@
 //! Time by which all leases on a worker have certainly expired.
 
 use crate::time::TimeMs;
+use crate::workload::owner_record::Unreachable;
 
-/// A worker's clock may be this much slower than the owner's, in thousandths,
-/// as the worker contract states.
-const MAX_CLOCK_DRIFT_MILLI: u64 = 20;
+/// Least speed of a worker's clock relative to the owner's, in thousandths, as the
+/// worker contract states.
+const MIN_CLOCK_SPEED_MILLI: u64 = 980;
 /// Slack for the estimate of a worker's clock, which lags by the time that the
 /// worker's answer was in transit.
 const CLOCK_ESTIMATE_SLACK_MS: u64 = 250;
@@ -14,6 +15,9 @@
 pub struct LeaseTimes {
     /// Length of a lease.
     pub lease_ms: u64,
+    /// Longest lease that a worker grants. A call that reaches another incarnation
+    /// than the one by whose clock its lease was computed may grant this much.
+    pub longest_ms: u64,
     /// Longest time for which a former owner may go on renewing leases after
     /// its successor has gained the ownership.
     pub former_renewal_ms: u64,
@@ -27,15 +31,34 @@
 
     /// When a lease that is granted by a call sent at `sent_at` has expired.
     pub(crate) fn expires_at(self, sent_at: TimeMs) -> TimeMs {
-        let drift_ms = self.lease_ms * MAX_CLOCK_DRIFT_MILLI / (1_000 - MAX_CLOCK_DRIFT_MILLI);
-        sent_at.plus(self.lease_ms + drift_ms + CLOCK_ESTIMATE_SLACK_MS)
+        sent_at.plus(local_ms(self.lease_ms) + CLOCK_ESTIMATE_SLACK_MS)
+    }
+
+    /// When a lease has expired that had `remaining_ms` left on the worker's clock
+    /// when the worker answered, which was at `now` at the latest.
+    pub(crate) fn remaining_expires_at(self, now: TimeMs, remaining_ms: u64) -> TimeMs {
+        now.plus(local_ms(remaining_ms.min(self.longest_ms)) + CLOCK_ESTIMATE_SLACK_MS)
+    }
+
+    /// When any lease has expired that a worker granted at `granted_at` at the latest.
+    pub(crate) fn longest_expires_at(self, granted_at: TimeMs) -> TimeMs {
+        self.remaining_expires_at(granted_at, self.longest_ms)
     }
 }
 
+/// Longest time that passes here while a worker's clock advances by `worker_ms`.
+fn local_ms(worker_ms: u64) -> u64 {
+    (worker_ms * 1_000).div_ceil(MIN_CLOCK_SPEED_MILLI)
+}
+
 /// What an owner knows of the leases on one worker.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LeaseTracker {
+    /// When the leases of the incarnation have expired that is known to run the tasks.
     expires_at: TimeMs,
+    /// When the leases have expired that calls of former owners without an answer may
+    /// have granted on another incarnation.
+    former_unknown_expires_at: TimeMs,
     /// Whether former owners may also have granted leases.
     has_former_leases: bool,
     unreachable_record: UnreachableRecord,
@@ -60,14 +83,22 @@
 impl LeaseTracker {
     /// Leases on a worker to which this owner has granted none.
     pub(crate) fn inherited() -> Self {
-        let expires_at = TimeMs::default();
-        Self { expires_at, has_former_leases: true, unreachable_record: UnreachableRecord::Absent }
+        Self {
+            expires_at: TimeMs::default(),
+            former_unknown_expires_at: TimeMs::default(),
+            has_former_leases: true,
+            unreachable_record: UnreachableRecord::Absent,
+        }
     }
 
     /// Leases on a worker that a former owner has recorded as unreachable.
-    pub(crate) fn of_unreachable_worker(now: TimeMs, remaining_ms: u64) -> Self {
-        let unreachable_record = UnreachableRecord::Written { at: now };
-        Self { expires_at: now.plus(remaining_ms), has_former_leases: false, unreachable_record }
+    pub(crate) fn of_unreachable_worker(now: TimeMs, unreachable: Unreachable) -> Self {
+        Self {
+            expires_at: now.plus(unreachable.remaining_ms),
+            former_unknown_expires_at: now.plus(unreachable.unknown_remaining_ms),
+            has_former_leases: false,
+            unreachable_record: UnreachableRecord::Written { at: now },
+        }
     }
 
     /// Records that a call may have granted leases that expire at `expires_at`.
@@ -81,16 +112,33 @@
         self.has_former_leases = false;
     }
 
-    /// When all leases on the worker have expired, given that those of former
-    /// owners have at `former_expires_at`.
-    pub(crate) fn expires_at(&self, former_expires_at: TimeMs) -> TimeMs {
-        if self.has_former_leases {
-            self.expires_at.max(former_expires_at)
-        } else {
-            self.expires_at
+    /// When the known leases on the worker have expired, given that former owners
+    /// renew none after `former_until`.
+    pub(crate) fn expires_at(&self, times: LeaseTimes, former_until: TimeMs) -> TimeMs {
+        match self.has_former_leases {
+            true => self.expires_at.max(times.expires_at(former_until)),
+            false => self.expires_at,
+        }
+    }
+
+    /// When the leases have expired that former owners may have granted on another
+    /// incarnation of the worker than they knew.
+    pub(crate) fn former_unknown_expires_at(
+        &self,
+        times: LeaseTimes,
+        former_until: TimeMs,
+    ) -> TimeMs {
+        match self.has_former_leases {
+            true => self.former_unknown_expires_at.max(times.longest_expires_at(former_until)),
+            false => self.former_unknown_expires_at,
         }
     }
 
+    /// Whether the worker has granted leases that last longer than owners intend.
+    pub(crate) fn is_too_long(&self, times: LeaseTimes, now: TimeMs) -> bool {
+        self.expires_at > times.expires_at(now)
+    }
+
     /// State of the stored record that the worker is unreachable.
     pub(crate) fn unreachable_record(&self) -> UnreachableRecord {
         self.unreachable_record
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -26,6 +26,7 @@
 pub mod vm;
 pub mod vm_handover;
 
+mod attempt_lease;
 mod batch;
 mod ended;
 mod explain;
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -129,23 +129,31 @@
 
 /// The record of an unreachable worker, which tells a successor how long to
 /// wait for the worker's leases.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Unreachable {
-    /// Time until all leases on the worker have expired, as of the record.
+    /// Time until all known leases on the worker have expired, as of the record.
     pub remaining_ms: u64,
+    /// Time until the leases of starts without an answer have expired, which may be
+    /// longer.
+    pub unknown_remaining_ms: u64,
 }
 
 impl Unreachable {
     /// Encodes the record.
     pub fn encode(self, worker: &str) -> Vec<u8> {
-        raw::Silence { worker: worker.to_owned(), remaining_ms: self.remaining_ms }.encode_to_vec()
+        raw::Silence {
+            worker: worker.to_owned(),
+            remaining_ms: self.remaining_ms,
+            unknown_remaining_ms: self.unknown_remaining_ms,
+        }
+        .encode_to_vec()
     }
 
     /// Decodes a record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
         let raw = raw::Silence::decode(bytes)
             .map_err(|error| decode_error("silence", error.to_string()))?;
-        Ok(Self { remaining_ms: raw.remaining_ms })
+        Ok(Self { remaining_ms: raw.remaining_ms, unknown_remaining_ms: raw.unknown_remaining_ms })
     }
 }
 
--- a/lib/src/workload/placements.rs
+++ b/lib/src/workload/placements.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::time::TimeMs;
+use crate::workload::attempt_lease::AttemptLease;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::event::PlacementReleaseReason;
@@ -18,6 +19,11 @@
 use crate::workload::order::WorkerOrder;
 
 impl Dispatcher {
+    /// The placement of a task of an open job, if it has one.
+    pub(crate) fn placement(&self, task: TaskKey) -> Option<&Placement> {
+        self.jobs.get(task.step.job)?.task(task).placement()
+    }
+
     pub(crate) fn reserve_resources(&mut self, task: TaskKey, id: WorkerId) {
         let Some(job) = self.jobs.get(task.step.job) else { return };
         let spec = job.step_spec(task.step.step);
@@ -79,6 +85,8 @@
         let ready_at = job.step(task.step).ready_at.unwrap_or(now);
         let payload_bytes = job.payload.len();
         job.task_mut(task).attempt = attempt;
+        let incarnation_unix_ms =
+            self.workers.get(worker).and_then(|worker| worker.started_unix_ms);
         let placement = Placement {
             worker,
             state: AttemptState::Planned,
@@ -86,6 +94,8 @@
             percent: 0,
             progressed_at: now,
             stop: None,
+            lease: AttemptLease::planned(incarnation_unix_ms),
+            is_lease_recorded: false,
         };
         job.step_mut(task.step).set_phase(task.index, Phase::Placed(placement));
         self.reserve_resources(task, worker);
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -228,12 +228,25 @@
     /// The task waits for a placement.
     #[default]
     Waiting,
-    /// The task is placed on the worker with this name, and may run there.
-    Placed(String),
+    /// The task is placed on a worker, and may run there.
+    Placed(RecordedPlacement),
     /// The task is done and does not run again.
     Done,
 }
 
+/// Placement of a task, as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordedPlacement {
+    /// Name of the worker.
+    pub worker: String,
+    /// Start of the incarnation of the worker by whose clock the lease was computed, in
+    /// milliseconds since 1970; `None` if it is not known, or if the lease lasts longer
+    /// than owners intend.
+    pub incarnation_unix_ms: Option<u64>,
+    /// Whether the worker has answered that this incarnation runs the task.
+    pub is_lease_known: bool,
+}
+
 impl JobSpec {
     /// Encodes the submission record.
     pub fn encode(&self) -> Vec<u8> {
@@ -366,10 +379,16 @@
 
     /// Encodes the progress record.
     pub fn encode(&self) -> Vec<u8> {
-        let mut workers: Vec<String> = Vec::new();
+        let mut workers: Vec<(&str, u64)> = Vec::new();
         let steps = self.steps.iter().map(|step| encode_step(step, &mut workers)).collect();
-        let outcome = raw_outcome(self.outcome);
-        raw::Progress { outcome: outcome.into(), workers, steps, epoch: self.epoch }.encode_to_vec()
+        raw::Progress {
+            outcome: raw_outcome(self.outcome).into(),
+            workers: workers.iter().map(|(name, _)| (*name).to_owned()).collect(),
+            worker_incarnations_unix_ms: workers.iter().map(|(_, started)| *started).collect(),
+            steps,
+            epoch: self.epoch,
+        }
+        .encode_to_vec()
     }
 
     /// The progress without saved checkpoints. Tasks that a successor starts again
@@ -389,7 +408,7 @@
     }
 }
 
-fn encode_step(step: &StepProgress, workers: &mut Vec<String>) -> raw::StepProgress {
+fn encode_step<'a>(step: &'a StepProgress, workers: &mut Vec<(&'a str, u64)>) -> raw::StepProgress {
     let mut encoded = raw::StepProgress {
         occurrence: step.occurrence,
         step: step.step,
@@ -398,7 +417,13 @@
     for (index, task) in (0..).zip(&step.tasks) {
         let (phase, worker) = match &task.phase {
             RecordedPhase::Waiting => (raw::TaskPhase::Waiting, 0),
-            RecordedPhase::Placed(name) => (raw::TaskPhase::Placed, worker_number(name, workers)),
+            RecordedPhase::Placed(placement) => {
+                let phase = match placement.is_lease_known {
+                    true => raw::TaskPhase::Running,
+                    false => raw::TaskPhase::Placed,
+                };
+                (phase, worker_number(placement, workers))
+            }
             RecordedPhase::Done => (raw::TaskPhase::Done, 0),
         };
         encoded.phases.push(phase.into());
@@ -412,10 +437,12 @@
     encoded
 }
 
-/// Index plus one of a worker in the list. Appends the worker if it is missing.
-fn worker_number(name: &str, workers: &mut Vec<String>) -> u32 {
-    let index = workers.iter().position(|worker| worker == name).unwrap_or_else(|| {
-        workers.push(name.to_owned());
+/// Index plus one of an incarnation of a worker in the list. Appends it if it is
+/// missing.
+fn worker_number<'a>(placement: &'a RecordedPlacement, workers: &mut Vec<(&'a str, u64)>) -> u32 {
+    let entry = (placement.worker.as_str(), placement.incarnation_unix_ms.unwrap_or(0));
+    let index = workers.iter().position(|worker| *worker == entry).unwrap_or_else(|| {
+        workers.push(entry);
         workers.len() - 1
     });
     u32::try_from(index + 1).unwrap_or(0)
@@ -427,12 +454,15 @@
     fn try_from(raw: &raw::Progress) -> Result<Self, Findings> {
         let outcome = outcome_of(raw.outcome());
         let steps: Result<Vec<StepProgress>, Findings> =
-            raw.steps.iter().map(|step| decode_step(step, &raw.workers)).collect();
+            raw.steps.iter().map(|step| decode_step(step, raw)).collect();
         Ok(Self { outcome, steps: steps?, epoch: raw.epoch })
     }
 }
 
-fn decode_step(raw: &raw::StepProgress, workers: &[String]) -> Result<StepProgress, Findings> {
+fn decode_step(
+    raw: &raw::StepProgress,
+    progress: &raw::Progress,
+) -> Result<StepProgress, Findings> {
     let count = raw.phases.len();
     if [&raw.attempts, &raw.failures, &raw.workers].iter().any(|list| list.len() != count) {
         return Err(decode_error("steps", "lists of one step differ in length"));
@@ -442,12 +472,13 @@
         let phase = match phase {
             raw::TaskPhase::Waiting => RecordedPhase::Waiting,
             raw::TaskPhase::Done => RecordedPhase::Done,
-            raw::TaskPhase::Placed => {
-                let number = raw.workers[index] as usize;
-                let worker = number.checked_sub(1).and_then(|index| workers.get(index));
-                let worker =
-                    worker.ok_or_else(|| decode_error("steps.workers", "names no worker"))?;
-                RecordedPhase::Placed(worker.clone())
+            raw::TaskPhase::Placed | raw::TaskPhase::Running => {
+                let is_lease_known = phase == raw::TaskPhase::Running;
+                RecordedPhase::Placed(decode_placement(
+                    raw.workers[index],
+                    is_lease_known,
+                    progress,
+                )?)
             }
         };
         let (attempt, failures) = (raw.attempts[index], raw.failures[index]);
@@ -460,3 +491,16 @@
     }
     Ok(StepProgress { occurrence: raw.occurrence, step: raw.step, tasks })
 }
+
+fn decode_placement(
+    worker_number: u32,
+    is_lease_known: bool,
+    progress: &raw::Progress,
+) -> Result<RecordedPlacement, Findings> {
+    let no_worker = || decode_error("steps.workers", "names no worker");
+    let index = (worker_number as usize).checked_sub(1).ok_or_else(no_worker)?;
+    let worker = progress.workers.get(index).ok_or_else(no_worker)?.clone();
+    let incarnation = progress.worker_incarnations_unix_ms.get(index).copied();
+    let incarnation_unix_ms = incarnation.filter(|unix_ms| *unix_ms != 0);
+    Ok(RecordedPlacement { worker, incarnation_unix_ms, is_lease_known })
+}
--- a/lib/src/workload/unreachable.rs
+++ b/lib/src/workload/unreachable.rs
@@ -8,11 +8,13 @@
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::PlacementReleaseReason;
 use crate::workload::job::AttemptState;
+use crate::workload::key::TaskKey;
 use crate::workload::key::WorkerId;
 use crate::workload::lease::LeaseTracker;
 use crate::workload::lease::UnreachableRecord;
 use crate::workload::owner_record::Unreachable;
 use crate::workload::record::RecordKey;
+use crate::workload::report::LeaseGrant;
 use crate::workload::vm::VmEntry;
 use crate::workload::vm::VmList;
 use crate::workload::vm::VmState;
@@ -37,19 +39,19 @@
     pub fn restore_unreachable(&mut self, now: TimeMs, name: &str, unreachable: Unreachable) {
         let id = self.worker_id(name);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.leases = LeaseTracker::of_unreachable_worker(now, unreachable.remaining_ms);
+            worker.leases = LeaseTracker::of_unreachable_worker(now, unreachable);
         }
     }
 
     /// Handles a call that a worker did not answer. If `renewed_at` is set, the
     /// call was sent at that time and may have renewed the worker's leases.
-    pub fn worker_unreachable(&mut self, id: WorkerId, renewed_at: Option<TimeMs>) {
+    pub fn worker_unreachable(&mut self, now: TimeMs, id: WorkerId, renewed_at: Option<TimeMs>) {
         let times = self.lease_times;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.reachability = Reachability::Unreachable;
-        if let Some(renewed_at) = renewed_at {
-            worker.leases.granted(times.expires_at(renewed_at));
-        }
+        let Some(renewed_at) = renewed_at else { return };
+        worker.leases.granted(times.expires_at(renewed_at));
+        self.lease_granted(now, id, LeaseGrant::Unknown);
     }
 
     /// True if leases on a worker may be renewed. While the store holds that
@@ -60,25 +62,28 @@
         record == Some(UnreachableRecord::Absent)
     }
 
-    /// Releases the placements on workers whose leases have all expired.
+    /// Releases the placements on unreachable workers whose leases have expired.
     pub fn expire_leases(&mut self, now: TimeMs) {
-        let former_expires_at = self.lease_times.expires_at(self.former_owners.may_renew_until());
-        let is_expired = |worker: &Worker| {
+        let former_until = self.former_owners.may_renew_until();
+        let may_be_expired = |worker: &Worker| {
             worker.reachability != Reachability::Reachable
                 && !worker.tasks.is_empty()
-                && now >= worker.leases.expires_at(former_expires_at)
+                && now >= worker.leases.expires_at(self.lease_times, former_until)
         };
-        let expired: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| is_expired(worker))
-            .map(|(id, _)| id)
-            .collect();
-        for id in expired {
-            self.release_ordered(id, PlacementReleaseReason::LeaseExpired);
+        let candidates = self.workers.iter().filter(|(_, worker)| may_be_expired(worker));
+        let tasks = candidates.flat_map(|(_, worker)| worker.tasks.iter().copied());
+        let expired: Vec<TaskKey> = tasks.filter(|key| self.is_lease_expired(now, *key)).collect();
+        for key in expired {
+            self.release_placement(key, PlacementReleaseReason::LeaseExpired);
         }
     }
 
+    fn is_lease_expired(&self, now: TimeMs, key: TaskKey) -> bool {
+        self.placement(key).is_some_and(|placement| {
+            placement.state != AttemptState::Planned && now >= self.lease_expires_at(placement)
+        })
+    }
+
     /// Releases the placements on workers that do not answer and that two VM
     /// lists in a row do not show: their VMs were moved, maintained or
     /// restarted, which ended all their tasks. Without the list, a new owner
@@ -122,9 +127,9 @@
         records: &mut BTreeMap<RecordKey, Vec<u8>>,
         dropped: &mut Vec<WorkerId>,
     ) {
-        let former_expires_at = self.lease_times.expires_at(self.former_owners.may_renew_until());
         let first_batch_at = *self.first_batch_at.get_or_insert(now);
         let has_polled_all = now.since(first_batch_at) >= UNREACHABLE_AFTER_MS;
+        let mut due = Vec::new();
         for (id, worker) in self.workers.iter_mut() {
             // A worker without a registry entry is never called and stays
             // `Unknown`.
@@ -142,11 +147,8 @@
             let is_written =
                 matches!(worker.leases.unreachable_record(), UnreachableRecord::Written { .. });
             if is_unreachable && is_due {
-                let key = RecordKey::Unreachable(worker.name.clone());
-                let remaining_ms = worker.leases.expires_at(former_expires_at).since(now);
-                records.insert(key, Unreachable { remaining_ms }.encode(&worker.name));
                 worker.leases.set_unreachable_record(UnreachableRecord::Written { at: now });
-                self.activity_changes.insert(id);
+                due.push(id);
             } else if is_written
                 && (worker.reachability == Reachability::Reachable || worker.tasks.is_empty())
             {
@@ -155,6 +157,24 @@
                 dropped.push(id);
             }
         }
+        for id in due {
+            let name = self.worker_name(id);
+            let value = self.unreachable_record(now, id).encode(name);
+            records.insert(RecordKey::Unreachable(name.to_owned()), value);
+            self.activity_changes.insert(id);
+        }
+    }
+
+    fn unreachable_record(&self, now: TimeMs, id: WorkerId) -> Unreachable {
+        let former_until = self.former_owners.may_renew_until();
+        let Some(worker) = self.workers.get(id) else { return Unreachable::default() };
+        let known = worker.leases.expires_at(self.lease_times, former_until);
+        let placements = worker.tasks.iter().filter_map(|key| self.placement(*key));
+        let latest = placements.map(|placement| self.lease_expires_at(placement)).max();
+        Unreachable {
+            remaining_ms: known.since(now),
+            unknown_remaining_ms: latest.unwrap_or(known).since(now),
+        }
     }
 
     /// Handles that records of unreachable workers were dropped from the store.
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -36,6 +36,9 @@
     pub(crate) last_release_batch: Option<u64>,
     pub(crate) reachability: Reachability,
     pub(crate) leases: LeaseTracker,
+    /// Whether leases on the worker last longer than owners intend, as of the last
+    /// call.
+    pub(crate) has_long_leases: bool,
     /// Start time of the incarnation that sent the last report.
     pub(crate) started_unix_ms: Option<u64>,
     /// When the owner learned of the last restart of the worker.
@@ -104,6 +107,7 @@
             last_release_batch: None,
             reachability: Reachability::Unknown,
             leases,
+            has_long_leases: false,
             started_unix_ms: None,
             restarted_at: None,
             last_end_number: 0,
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use crate::time::TimeMs;
+use crate::workload::attempt_lease::AttemptLease;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::event::PlacementReleaseReason;
@@ -48,6 +49,9 @@
         if !self.is_recovered {
             return;
         }
+        // The worker now refuses calls of former owners.
+        let longest_expires_at = self.lease_times.longest_expires_at(now);
+        let unknown_until = self.former_unknown_expires_at(id).min(longest_expires_at);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let restart = match (worker.started_unix_ms, report.started_unix_ms) {
             (Some(former), Some(present)) => (former != present).then_some((former, present)),
@@ -71,7 +75,7 @@
             self.to_acknowledge.remove(&id);
             self.drop_fences(id);
         }
-        self.lease_granted(id, report.lease);
+        self.lease_granted(now, id, report.lease);
         let mut reported = BTreeSet::new();
         for ended in &report.ended {
             reported.insert((ended.task, ended.attempt));
@@ -79,7 +83,7 @@
         }
         for running in &report.running {
             reported.insert((running.task, running.attempt));
-            self.handle_running(now, id, report.sent_at, running);
+            self.handle_running(now, id, report, unknown_until, running);
         }
         let unreported = match restart {
             Some(_) => Unreported::Ended,
@@ -90,17 +94,6 @@
         self.adjust_pace(now, id, report);
     }
 
-    /// Handles what is known of the leases that a call to a worker has granted.
-    fn lease_granted(&mut self, id: WorkerId, grant: LeaseGrant) {
-        match grant {
-            LeaseGrant::Remaining { ms } if self.lease_times.is_too_long(ms) => {
-                let event = DispatcherEvent::LeaseTooLong { worker: id, remaining_ms: ms };
-                self.events.push(event);
-            }
-            LeaseGrant::Remaining { .. } | LeaseGrant::None | LeaseGrant::Unknown => {}
-        }
-    }
-
     fn handle_end(&mut self, now: TimeMs, id: WorkerId, ended: &EndedTask) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if ended.number <= worker.last_end_number {
@@ -220,13 +213,15 @@
         &mut self,
         now: TimeMs,
         id: WorkerId,
-        sent_at: TimeMs,
+        report: &WorkerReport,
+        unknown_until: TimeMs,
         running: &RunningTask,
     ) {
         let Some(key) = self.task_placed_on(id, running.task, running.attempt) else {
             self.order_stop(id, running.task, running.attempt, StopReason::NotAssigned);
             return;
         };
+        self.attempt_reported(now, key, report.started_unix_ms, unknown_until);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let closing = job.closing_reason();
         let state = job.task_mut(key);
@@ -241,7 +236,7 @@
         placement.state = match placement.state {
             AttemptState::Unknown { fenced_at: None, .. }
             | AttemptState::Ordered
-            | AttemptState::Planned => AttemptState::Running { confirmed_at: sent_at },
+            | AttemptState::Planned => AttemptState::Running { confirmed_at: report.sent_at },
             // The attempt is stopping, or was started by a delayed order before
             // the stop arrived.
             AttemptState::Unknown { fenced_at: Some(_), .. } | AttemptState::Running { .. } => {
@@ -334,7 +329,7 @@
         attempt: u32,
         StartReply { answer, lease }: StartReply,
     ) {
-        self.lease_granted(id, lease);
+        self.lease_granted(now, id, lease);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let state = job.task_mut(key);
         if state.attempt != attempt {
@@ -347,9 +342,13 @@
         match answer {
             StartAnswer::Started => {
                 placement.state = AttemptState::Running { confirmed_at: now };
+                if matches!(lease, LeaseGrant::Remaining { .. }) {
+                    placement.lease = AttemptLease::Known;
+                }
                 if let Some(reason) = placement.stop {
                     self.stop(key, reason);
                 }
+                self.record_known_lease(now, key);
             }
             StartAnswer::Unknown => {
                 placement.state = AttemptState::Unknown { since: now, fenced_at: None };
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -10,6 +10,7 @@
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordedPhase;
+use cowslipport_lib::workload::record::RecordedPlacement;
 use cowslipport_lib::workload::record::StepProgress;
 use cowslipport_lib::workload::record::TaskProgress;
 use cowslipport_lib::workload::spec::JobSpec;
@@ -380,7 +381,11 @@
         occurrence,
         step: 1,
         tasks: vec![TaskProgress {
-            phase: RecordedPhase::Placed(format!("i-{:09}", occurrence % 1_000)),
+            phase: RecordedPhase::Placed(RecordedPlacement {
+                worker: format!("i-{:09}", occurrence % 1_000),
+                incarnation_unix_ms: Some(1_700_000_000_000),
+                is_lease_known: true,
+            }),
             attempt: 100,
             failures: 100,
             checkpoint: None,
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -26,6 +26,7 @@
 use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordedPhase;
+use cowslipport_lib::workload::record::RecordedPlacement;
 use cowslipport_lib::workload::record::StepProgress;
 use cowslipport_lib::workload::record::TaskProgress;
 use cowslipport_lib::workload::spec::JobSpec;
@@ -173,7 +174,11 @@
 
 fn progress(outcome: Option<JobOutcome>) -> Progress {
     let task = TaskProgress {
-        phase: RecordedPhase::Placed("w".to_owned()),
+        phase: RecordedPhase::Placed(RecordedPlacement {
+            worker: "w".to_owned(),
+            incarnation_unix_ms: Some(7),
+            is_lease_known: true,
+        }),
         attempt: 1,
         failures: 0,
         checkpoint: Some("saved".to_owned()),
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -6,7 +6,6 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
-use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::record::RecordKey;
@@ -21,6 +20,7 @@
 use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::Fleet;
 use crate::workload_fake::LEASE_MS;
+use crate::workload_fake::LEASE_TIMES;
 use crate::workload_fake::SHORT_WORK;
 use crate::workload_fake::STATUS_KEPT_MS;
 use crate::workload_fake::Work;
@@ -56,7 +56,7 @@
 /// of a worker as unassigned nor acknowledge their ends.
 #[test]
 fn reports_before_recovery_are_ignored() {
-    let times = LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: FORMER_RENEWS_MS };
+    let times = LEASE_TIMES;
     let incarnation = NodeIncarnation { node: "n".to_owned(), incarnation: 1 };
     let mut owner = Dispatcher::new(1, incarnation, TimeMs(0), times, STATUS_KEPT_MS);
     let worker = owner.worker_id("w0");
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -15,7 +15,6 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::event::DispatcherEvent;
 use cowslipport_lib::workload::key::JobKey;
-use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order_rate_limiter::OrderRateLimiter;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::owner_record::VmOrders;
@@ -34,8 +33,7 @@
 use cowslipport_lib::workload::vm::VmState;
 use cowslipport_lib::workload::vm_handover::VmHandover;
 
-use crate::workload_fake::FORMER_RENEWS_MS;
-use crate::workload_fake::LEASE_MS;
+use crate::workload_fake::LEASE_TIMES;
 use crate::workload_fake::ORGANISATION;
 use crate::workload_fake::STATUS_KEPT_MS;
 use crate::workload_fake::cores;
@@ -61,7 +59,7 @@
         let mut catalog = Catalog::default();
         catalog.apply(CatalogSpec { version: 1, pools: pool_specs(), ..CatalogSpec::default() });
         let incarnation = NodeIncarnation { node: "n".to_owned(), incarnation: 1 };
-        let times = LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: FORMER_RENEWS_MS };
+        let times = LEASE_TIMES;
         let mut owner = Dispatcher::new(1, incarnation, TimeMs(0), times, STATUS_KEPT_MS);
         owner.recovered();
         let mut pools = Self {
--- a/lib/tests/test_workload_random.rs
+++ b/lib/tests/test_workload_random.rs
@@ -94,7 +94,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 37"]
 fn invariants_hold_under_random_faults() {
     for seed in 0..seeds() {
         check_seed(seed);
--- a/lib/tests/test_workload_restarts.rs
+++ b/lib/tests/test_workload_restarts.rs
@@ -56,7 +56,6 @@
 /// A start with a lease on the clock of the former incarnation is answered, and the
 /// worker is cut off: the task started elsewhere while it still ran.
 #[test]
-#[ignore = "known red: issue 37"]
 fn task_with_a_lease_by_a_former_clock_does_not_run_twice() {
     let mut fleet = Fleet::new(2, cores(4));
     start_on_restarted_worker(&mut fleet, step(1, cores(1)), LONG_WORK);
@@ -66,7 +65,6 @@
 /// The same, after the owner has learned of the restart and renewed the leases by the
 /// clock of the new incarnation, which does not shorten them.
 #[test]
-#[ignore = "known red: issue 37"]
 fn renewed_leases_of_a_restarted_worker_are_as_long_as_before() {
     let mut fleet = Fleet::new(2, cores(4));
     start_on_restarted_worker(&mut fleet, step(1, cores(1)), LONG_WORK);
@@ -78,7 +76,6 @@
 /// A lease holds for all tasks of a worker: a task that the owner starts later, with
 /// the right lease, runs as long as the others.
 #[test]
-#[ignore = "known red: issue 37"]
 fn later_task_of_a_restarted_worker_does_not_run_twice() {
     let mut fleet = Fleet::new(2, cores(4));
     start_on_restarted_worker(&mut fleet, step(1, cores(1)), LONG_WORK);
@@ -97,7 +94,6 @@
 
 /// The answer to the start is lost, so that the owner cannot learn of the lease.
 #[test]
-#[ignore = "known red: issue 37"]
 fn unanswered_start_at_a_restarted_worker_does_not_run_twice() {
     let mut fleet = Fleet::new(2, cores(4));
     fleet.mute_worker = Some("w0".to_owned());
@@ -108,7 +104,6 @@
 /// The owner is lost after the start. Its successor hears the worker once, or not at
 /// all, before the worker is cut off.
 #[test]
-#[ignore = "known red: issue 37"]
 fn successor_waits_for_leases_by_a_former_clock() {
     for heard_ms in [0, 40, 1_000] {
         for is_answered in [true, false] {
@@ -127,7 +122,6 @@
 /// The owner is lost after it has learned of the restart, and has started a task with
 /// the right lease. Its successor must learn that the leases are longer.
 #[test]
-#[ignore = "known red: issue 37"]
 fn successor_waits_for_leases_that_its_predecessor_knew() {
     let mut fleet = Fleet::new(2, cores(4));
     start_on_restarted_worker(&mut fleet, step(1, cores(1)), LONG_WORK);
@@ -147,7 +141,6 @@
 /// The worker completes the task while it is cut off, and reports it later. The end
 /// was acknowledged although the task had been started again meanwhile.
 #[test]
-#[ignore = "known red: issue 37"]
 fn task_that_ends_during_a_long_lease_starts_once() {
     let mut fleet = Fleet::new(2, cores(4));
     let work = Work { work_ms: 7_000, fails: false };
@@ -164,7 +157,6 @@
 
 /// A start that the new incarnation refuses renews its leases all the same.
 #[test]
-#[ignore = "known red: issue 37"]
 fn refused_start_by_a_former_clock_counts_as_a_lease() {
     let mut fleet = Fleet::new(2, cores(4));
     start_on_restarted_worker(&mut fleet, step(1, cores(1)), LONG_WORK);
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -18,6 +18,7 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
+use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order::Batch;
 use cowslipport_lib::workload::order::StartOrder;
 use cowslipport_lib::workload::record::Progress;
@@ -40,6 +41,11 @@
 /// Longest lease that a worker grants, as the worker contract states.
 pub(crate) const LEASE_MAX_MS: u64 = 10_000;
 pub(crate) const FORMER_RENEWS_MS: u64 = 8_000;
+pub(crate) const LEASE_TIMES: LeaseTimes = LeaseTimes {
+    lease_ms: LEASE_MS,
+    longest_ms: LEASE_MAX_MS,
+    former_renewal_ms: FORMER_RENEWS_MS,
+};
 /// The store refuses larger records.
 pub(crate) const MAX_RECORD_BYTES: usize = 262_144;
 pub(crate) const STATUS_KEPT_MS: u64 = 120_000;
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -4,7 +4,6 @@
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::key::WorkerId;
-use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order::Acknowledgement;
 use cowslipport_lib::workload::order::Batch;
 use cowslipport_lib::workload::order::Order;
@@ -19,10 +18,10 @@
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerEntry;
 
-use super::FORMER_RENEWS_MS;
 use super::FakeWorker;
 use super::Fleet;
 use super::LEASE_MS;
+use super::LEASE_TIMES;
 use super::MAX_RECORD_BYTES;
 use super::POOL;
 use super::STATUS_KEPT_MS;
@@ -48,7 +47,7 @@
         let now = self.time();
         let incarnation =
             NodeIncarnation { node: format!("n{}", self.epoch), incarnation: self.epoch };
-        let times = LeaseTimes { lease_ms: LEASE_MS, former_renewal_ms: FORMER_RENEWS_MS };
+        let times = LEASE_TIMES;
         let mut owner =
             Dispatcher::new(self.epoch, incarnation, now.minus(read_ms), times, STATUS_KEPT_MS);
         // The clock of the fleet also serves as the time of day.
@@ -193,7 +192,7 @@
             return;
         }
         if !worker.is_up || !worker.is_reachable {
-            owner.worker_unreachable(id, None);
+            owner.worker_unreachable(now, id, None);
             return;
         }
         if epoch < worker.highest_epoch {
