node: starts and polls name the incarnation of the worker that they are for

Cause: the owner computes the end of a lease when it queues a start. The client compared it with the worker's clock only for the first start on a new connection. A poll of a worker that keeps no connection open followed the first answer of a new incarnation with the acknowledgement and the lease of the former one. The header that names the expected instance is the same for both.

Change: a lease and the terms of a poll name the incarnation, by the start time that it reports. The client notes which incarnation has answered on its connection and sends neither to another one; a start is then answered `other_incarnation`. A connection to a former incarnation may stay open, so a mismatch leads to a poll that means the same to every incarnation.

Ruled out on the way: refusing without that poll.

--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -19,6 +19,8 @@
 use crate::node::calls::CallRequest;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Topic;
+use crate::node::platform::WorkerLease;
+use crate::node::settings::LEASE_MS;
 
 /// Capacity of the core's mailbox. Calls beyond it are refused at once.
 pub(crate) const CORE_MAILBOX_CAPACITY: usize = 2_048;
@@ -96,6 +98,8 @@
 /// Reading of a worker's clock, with the time on the local clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerClockReading {
+    /// Start of the incarnation in milliseconds since 1970, if it is known.
+    pub(crate) incarnation_unix_ms: Option<u64>,
     pub(crate) worker_ms: u64,
     pub(crate) at: TimeMs,
 }
@@ -105,9 +109,13 @@
 const MIN_CLOCK_SPEED_PERCENT: u64 = 98;
 
 impl WorkerClockReading {
-    /// Lower bound of the worker's clock at `now`.
-    pub(crate) fn lower_bound(self, now: TimeMs) -> u64 {
-        self.worker_ms + now.since(self.at) * MIN_CLOCK_SPEED_PERCENT / 100
+    /// A lease that is granted at `now`.
+    pub(crate) fn new_lease(self, now: TimeMs) -> WorkerLease {
+        let lower_bound = self.worker_ms + now.since(self.at) * MIN_CLOCK_SPEED_PERCENT / 100;
+        WorkerLease {
+            incarnation_unix_ms: self.incarnation_unix_ms,
+            until_worker_ms: lower_bound + LEASE_MS,
+        }
     }
 }
 
--- a/daemon/src/node/order_task.rs
+++ b/daemon/src/node/order_task.rs
@@ -15,6 +15,7 @@
 use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::Worker;
 use crate::node::platform::WorkerError;
+use crate::node::platform::WorkerLease;
 
 /// Capacity of the queue of orders for one worker.
 pub(crate) const ORDER_QUEUE_CAPACITY: usize = 512;
@@ -22,13 +23,13 @@
 /// soon expire.
 const START_AGE_MAX_MS: u64 = 1_500;
 
-/// An order with its creation time and the end of its lease.
+/// An order with its creation time and its lease.
 #[derive(Clone, Debug)]
 pub(crate) struct QueuedOrder {
     pub(crate) order: Order,
     pub(crate) created_at: TimeMs,
-    /// End of the lease on the worker's clock.
-    pub(crate) lease_until_worker_ms: u64,
+    /// Lease of a start. Other orders grant none.
+    pub(crate) lease: WorkerLease,
 }
 
 /// Sends orders to one worker.
@@ -64,7 +65,7 @@
                 let is_old = self.clock.now().since(queued.created_at) > START_AGE_MAX_MS;
                 let reply = match is_old || !self.ownership.is_confirmed() {
                     true => StartReply::without_lease(StartAnswer::TooLate),
-                    false => self.client.start(epoch, queued.lease_until_worker_ms, &start).await,
+                    false => self.client.start(epoch, queued.lease, &start).await,
                 };
                 let (task, attempt) = (start.key, start.attempt);
                 Some(OwnerMessage::StartAnswered { worker, task, attempt, reply })
--- a/daemon/src/node/platform.rs
+++ b/daemon/src/node/platform.rs
@@ -254,6 +254,9 @@
 pub struct PollRequest {
     /// Epoch of the owner.
     pub epoch: u64,
+    /// Start of the incarnation that the acknowledgement and the lease are for, in
+    /// milliseconds since 1970, if it is known. Another incarnation gets neither.
+    pub incarnation_unix_ms: Option<u64>,
     /// The worker may forget ended tasks up to this number.
     pub acknowledged: u64,
     /// New end of the leases on the worker's clock; `None` renews no lease.
@@ -262,6 +265,15 @@
     pub wait_ms: u64,
 }
 
+/// End of a lease. Each incarnation of a worker has a clock of its own.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkerLease {
+    /// Start of the incarnation in milliseconds since 1970, if it is known.
+    pub incarnation_unix_ms: Option<u64>,
+    /// End of the lease on the clock of this incarnation.
+    pub until_worker_ms: u64,
+}
+
 /// Answer of a worker to a [`PollRequest`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PollAnswer {
@@ -286,11 +298,12 @@
         request: &PollRequest,
     ) -> impl Future<Output = Result<PollAnswer, WorkerError>>;
 
-    /// Starts an attempt of a task with a lease.
+    /// Starts an attempt of a task with a lease. If the worker is known to run as
+    /// another incarnation than the lease is for, sends nothing.
     fn start(
         &mut self,
         epoch: u64,
-        lease_until_worker_ms: u64,
+        lease: WorkerLease,
         start: &StartOrder,
     ) -> impl Future<Output = StartReply>;
 
--- a/daemon/src/node/poll_task.rs
+++ b/daemon/src/node/poll_task.rs
@@ -20,7 +20,6 @@
 use crate::node::platform::PollRequest;
 use crate::node::platform::Worker;
 use crate::node::platform::WorkerError;
-use crate::node::settings::LEASE_MS;
 use crate::node::settings::POLL_WAIT_MS;
 
 /// Longest delay of the next poll until the store has the ended tasks of the
@@ -86,6 +85,7 @@
             let lease = self.new_lease_end(sent_at);
             let request = PollRequest {
                 epoch: self.owner.epoch,
+                incarnation_unix_ms: self.state.started_unix_ms,
                 acknowledged: self.state.acknowledged,
                 lease_until_worker_ms: lease,
                 wait_ms: if self.state.is_reachable { POLL_WAIT_MS } else { 0 },
@@ -116,7 +116,11 @@
         // The worker read its clock when it answered, which may be long after
         // the poll was sent. To pair the reading with the time of sending would
         // make leases too long.
-        let clock = WorkerClockReading { worker_ms: answer.worker_clock_ms, at: self.clock.now() };
+        let clock = WorkerClockReading {
+            incarnation_unix_ms: answer.started_unix_ms,
+            worker_ms: answer.worker_clock_ms,
+            at: self.clock.now(),
+        };
         self.state.worker_clock = Some(clock);
         if answer.started_unix_ms != self.state.started_unix_ms {
             self.state.started_unix_ms = answer.started_unix_ms;
@@ -155,7 +159,7 @@
         if !self.state.is_reachable || !self.state.renews_leases || !self.state.is_active {
             return None;
         }
-        Some(self.state.worker_clock?.lower_bound(now) + LEASE_MS)
+        Some(self.state.worker_clock?.new_lease(now).until_worker_ms)
     }
 
     /// Handles the queued messages. While there is no need to poll, waits for
--- a/daemon/src/node/worker_connections.rs
+++ b/daemon/src/node/worker_connections.rs
@@ -23,10 +23,10 @@
 use crate::node::order_task::QueuedOrder;
 use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::Platform;
+use crate::node::platform::WorkerLease;
 use crate::node::poll_task::PollMessage;
 use crate::node::poll_task::PollState;
 use crate::node::poll_task::PollTask;
-use crate::node::settings::LEASE_MS;
 
 /// Capacity of the mailbox of a poll task, which reads it about once a second.
 const POLL_MAILBOX_CAPACITY: usize = 64;
@@ -169,14 +169,11 @@
     /// Queues an order. Returns false if the order cannot be sent.
     pub(crate) fn send(&mut self, now: TimeMs, id: WorkerId, order: Order) -> bool {
         let Some(connection) = self.connections.get_mut(&id) else { return false };
-        let lease_until_worker_ms = match (&order, connection.worker_clock) {
-            (Order::Start(_), Some(clock)) => clock.lower_bound(now) + LEASE_MS,
+        let lease = match (&order, connection.worker_clock) {
+            (Order::Start(_), Some(clock)) => clock.new_lease(now),
             (Order::Start(_), None) => return false,
-            (Order::Stop { .. } | Order::Pace { .. }, _) => 0,
+            (Order::Stop { .. } | Order::Pace { .. }, _) => WorkerLease::default(),
         };
-        connection
-            .orders
-            .try_send(QueuedOrder { order, created_at: now, lease_until_worker_ms })
-            .is_ok()
+        connection.orders.try_send(QueuedOrder { order, created_at: now, lease }).is_ok()
     }
 }
--- a/lib/src/workload/report.rs
+++ b/lib/src/workload/report.rs
@@ -169,6 +169,9 @@
     Invalid,
     /// Another worker listens at the address.
     OtherWorker,
+    /// The worker has restarted since the lease of the attempt was computed. The owner
+    /// did not send the start.
+    OtherIncarnation,
     /// No answer was received: the attempt may have started, or may start
     /// later.
     Unknown,
@@ -187,6 +190,7 @@
             Self::Unhealthy => "unhealthy",
             Self::Invalid => "invalid",
             Self::OtherWorker => "other_worker",
+            Self::OtherIncarnation => "other_incarnation",
             Self::Unknown => "unknown",
         }
     }
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -366,6 +366,7 @@
             | StartAnswer::NoRoom
             | StartAnswer::NotAllowed
             | StartAnswer::Unhealthy
+            | StartAnswer::OtherIncarnation
             | StartAnswer::Invalid => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.record_refusal(now);
