workload: tasks start by the registry entry of the present incarnation only

The entry's start time was decoded and read by nothing.

Change: a worker whose registry entry and last report name different start times gets no new tasks. A worker whose entry shows a restart is polled until its report shows it, too; an idle worker is not polled otherwise. Waiting tasks count such workers as `restarted` in the log.

Measured: `restarted_worker_gets_no_tasks_by_its_former_entry` and `idle_worker_is_polled_after_a_restart` fail without the comparison.

--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -66,7 +66,8 @@
                     "occurrence" => occurrence, "step" => step, "tasks" => tasks,
                     "waited_ms" => waited_ms,
                     "over_limit" => blockers.over_limit, "leaving" => blockers.leaving,
-                    "unreached" => blockers.unreached, "cordoned" => blockers.cordoned,
+                    "unreached" => blockers.unreached, "restarted" => blockers.restarted,
+                    "cordoned" => blockers.cordoned,
                     "avoided" => blockers.avoided, "unsuited" => blockers.unsuited,
                     "spread" => blockers.spread, "without_ticket" => blockers.without_ticket,
                     "full" => blockers.full, "kept" => blockers.kept);
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -48,7 +48,8 @@
 /// Whether a worker has to be polled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WorkerActivity {
-    /// Tasks are placed on the worker.
+    /// Tasks are placed on the worker, or its registry entry shows a restart that its
+    /// last report does not show.
     Running,
     /// The worker has a registry entry and no tasks.
     Idle,
@@ -281,6 +282,7 @@
             capacity: entry.capacity,
             labels: entry.labels.clone(),
             is_draining: entry.is_draining,
+            started_unix_ms: entry.started_unix_ms,
         };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.listing = Some(listing);
@@ -322,6 +324,7 @@
     pub fn activity(&self, id: WorkerId) -> WorkerActivity {
         match self.workers.get(id) {
             Some(worker) if !worker.tasks.is_empty() => WorkerActivity::Running,
+            Some(worker) if !worker.is_listing_current() => WorkerActivity::Running,
             Some(worker) if worker.listing.is_some() => WorkerActivity::Idle,
             Some(_) | None => WorkerActivity::Departed,
         }
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -119,6 +119,8 @@
     pub leaving: u32,
     /// Workers that are not known to be reachable.
     pub unreached: u32,
+    /// Workers whose registry entry is of another incarnation than their last report.
+    pub restarted: u32,
     /// Workers that are kept empty for maintenance or a move.
     pub cordoned: u32,
     /// Workers that have recently failed or refused tasks.
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -132,6 +132,8 @@
             &mut blockers.leaving
         } else if worker.reachability != Reachability::Reachable {
             &mut blockers.unreached
+        } else if !worker.is_listing_current() {
+            &mut blockers.restarted
         } else if worker.is_cordoned {
             &mut blockers.cordoned
         } else if !worker.is_schedulable(now) {
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -83,6 +83,8 @@
     pub(crate) capacity: Resources,
     pub(crate) labels: BTreeSet<String>,
     pub(crate) is_draining: bool,
+    /// Start time of the incarnation that the entry is of, if it is known.
+    pub(crate) started_unix_ms: Option<u64>,
 }
 
 /// Whether a worker answers calls.
@@ -128,11 +130,22 @@
     pub(crate) fn is_schedulable(&self, now: TimeMs) -> bool {
         let accepts_tasks = self.listing.as_ref().is_some_and(|listing| !listing.is_draining);
         accepts_tasks
+            && self.is_listing_current()
             && self.reachability != Reachability::Unreachable
             && !self.is_cordoned
             && now >= self.avoided_until
     }
 
+    /// False if the registry entry and the last report are of different incarnations.
+    /// A worker may restart with other labels and another capacity.
+    pub(crate) fn is_listing_current(&self) -> bool {
+        let listed = self.listing.as_ref().and_then(|listing| listing.started_unix_ms);
+        match (listed, self.started_unix_ms) {
+            (Some(listed), Some(reported)) => listed == reported,
+            (None, _) | (_, None) => true,
+        }
+    }
+
     /// True if the worker did not answer the last call.
     pub(crate) fn is_unreachable(&self) -> bool {
         self.reachability == Reachability::Unreachable
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -72,6 +72,7 @@
             });
             worker.last_end_number = 0;
             worker.restarted_at = Some(now);
+            self.activity_changes.insert(id);
             self.to_acknowledge.remove(&id);
             self.drop_fences(id);
         }
--- a/lib/tests/test_workload_restarts.rs
+++ b/lib/tests/test_workload_restarts.rs
@@ -4,6 +4,7 @@
 
 mod workload_fake;
 
+use cowslipport_lib::workload::dispatcher::WorkerActivity;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::spec::StepSpec;
@@ -11,6 +12,7 @@
 use crate::workload_fake::Fleet;
 use crate::workload_fake::LEASE_MAX_MS;
 use crate::workload_fake::LEASE_MS;
+use crate::workload_fake::SHORT_WORK;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
 use crate::workload_fake::job;
@@ -35,6 +37,7 @@
     fleet.advance(FORMER_RUN_MS);
     set_draining(fleet, "w1", true);
     fleet.unpolled_worker = Some("w0".to_owned());
+    fleet.worker("w0").cannot_register = true;
     fleet.restart_worker_unnoticed("w0");
     let key = fleet.submit(1, job(vec![spec]), work);
     fleet.advance(100);
@@ -43,6 +46,14 @@
     key
 }
 
+/// Lets the owner learn of the restart of `w0`, by its report and its registry entry.
+fn learn_of_restart(fleet: &mut Fleet) {
+    fleet.unpolled_worker = None;
+    fleet.worker("w0").cannot_register = false;
+    fleet.list_workers();
+    fleet.advance(100);
+}
+
 /// Cuts `w0` off, and checks that the task runs elsewhere once its lease has expired,
 /// and not before.
 fn check_cut_off_worker(fleet: &mut Fleet) {
@@ -79,8 +90,7 @@
 fn later_task_of_a_restarted_worker_does_not_run_twice() {
     let mut fleet = Fleet::new(2, cores(4));
     start_on_restarted_worker(&mut fleet, step(1, cores(1)), LONG_WORK);
-    fleet.unpolled_worker = None;
-    fleet.advance(100);
+    learn_of_restart(&mut fleet);
     set_draining(&mut fleet, "w1", true);
     fleet.submit(2, job(vec![step(1, cores(1))]), LONG_WORK);
     fleet.advance(100);
@@ -125,11 +135,12 @@
 fn successor_waits_for_leases_that_its_predecessor_knew() {
     let mut fleet = Fleet::new(2, cores(4));
     start_on_restarted_worker(&mut fleet, step(1, cores(1)), LONG_WORK);
-    fleet.unpolled_worker = None;
-    fleet.advance(500);
+    learn_of_restart(&mut fleet);
     set_draining(&mut fleet, "w1", true);
     fleet.submit(2, job(vec![step(1, cores(1))]), LONG_WORK);
-    fleet.advance(500);
+    // By now, leases that are not longer than intended would be recorded as known.
+    fleet.advance(3_000);
+    assert_eq!(fleet.worker("w0").running.len(), 2);
     set_draining(&mut fleet, "w1", false);
     fleet.worker("w0").is_reachable = false;
     fleet.replace_owner(true);
@@ -210,3 +221,46 @@
     assert_eq!(fleet.worker("w1").running.len(), 1);
     fleet.assert_no_violations();
 }
+
+/// A worker restarts with other labels and less capacity, and its registry entry is
+/// still that of its former incarnation: tasks must not start there by that entry.
+#[test]
+fn restarted_worker_gets_no_tasks_by_its_former_entry() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.advance(100);
+    fleet.restart_worker("w0");
+    fleet.worker("w0").cannot_register = true;
+    fleet.worker("w0").labels.clear();
+    fleet.worker("w0").capacity = cores(2);
+    let required = StepSpec { required_label: Some("kind".to_owned()), ..step(1, cores(1)) };
+    fleet.submit(1, job(vec![required]), SHORT_WORK);
+    let any = fleet.submit(2, job(vec![step(3, cores(1))]), SHORT_WORK);
+    fleet.advance(1_000);
+    assert_eq!(fleet.starts, 0);
+    fleet.worker("w0").cannot_register = false;
+    fleet.advance(4_000);
+    assert_eq!(fleet.outcome(any), Some(JobOutcome::Completed), "its own entry counts");
+    assert_eq!(fleet.starts, 3);
+    fleet.assert_no_violations();
+}
+
+/// The registry shows the restart of an idle worker, which is not polled: it must be
+/// polled, or it would get no task any more.
+#[test]
+fn idle_worker_is_polled_after_a_restart() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.advance(100);
+    let activity = |fleet: &mut Fleet| {
+        let owner = fleet.owner.as_mut().expect("an owner");
+        let worker = owner.worker_id("w0");
+        owner.activity(worker)
+    };
+    assert_eq!(activity(&mut fleet), WorkerActivity::Idle);
+    fleet.unpolled_worker = Some("w0".to_owned());
+    fleet.restart_worker("w0");
+    fleet.list_workers();
+    assert_eq!(activity(&mut fleet), WorkerActivity::Running);
+    fleet.unpolled_worker = None;
+    fleet.advance(20);
+    assert_eq!(activity(&mut fleet), WorkerActivity::Idle);
+}
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -49,6 +49,8 @@
 /// The store refuses larger records.
 pub(crate) const MAX_RECORD_BYTES: usize = 262_144;
 pub(crate) const STATUS_KEPT_MS: u64 = 120_000;
+/// Interval at which workers write their registry entries.
+const HEARTBEAT_MS: u64 = 1_500;
 /// Time from a stop order until the task has stopped.
 pub(crate) const STOP_MS: u64 = 400;
 pub(crate) const POOL: &str = "pool";
@@ -192,6 +194,7 @@
             is_up: true,
             is_unlisted: false,
             is_draining: false,
+            cannot_register: false,
             fails_every_task: false,
             is_stalled: false,
         };
@@ -254,6 +257,9 @@
         while self.now < until {
             self.now += 20;
             self.advance_workers();
+            if self.now.is_multiple_of(HEARTBEAT_MS) {
+                self.list_workers();
+            }
             self.advance_owner();
         }
     }
@@ -352,6 +358,9 @@
                 request,
             },
         );
+        if !worker.has_label(spec.required_label.as_deref()) {
+            self.violations.push(format!("{now}: {name} lacks the label that {task} requires"));
+        }
         self.starts += 1;
         self.last_starts.insert(task, now);
         self.tickets.push((name.to_owned(), start.ticket.clone()));
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -82,8 +82,9 @@
     /// Applies the registry entries of all listed workers to the owner.
     pub(crate) fn list_workers(&mut self) {
         let Some(owner) = &mut self.owner else { return };
-        let has_entry = |worker: &&FakeWorker| worker.is_up && !worker.is_unlisted;
-        for worker in self.workers.values().filter(has_entry) {
+        let writes_entry =
+            |worker: &&FakeWorker| worker.is_up && !worker.is_unlisted && !worker.cannot_register;
+        for worker in self.workers.values().filter(writes_entry) {
             let entry = WorkerEntry {
                 name: worker.name.clone(),
                 pool: POOL.to_owned(),
--- a/lib/tests/workload_fake/worker.rs
+++ b/lib/tests/workload_fake/worker.rs
@@ -49,6 +49,8 @@
     /// The worker has no registry entry and is not polled.
     pub(crate) is_unlisted: bool,
     pub(crate) is_draining: bool,
+    /// The worker cannot write its registry entry, which stays as it is.
+    pub(crate) cannot_register: bool,
     /// All tasks of the worker fail after a short time.
     pub(crate) fails_every_task: bool,
     /// Tasks of the worker make no progress.
@@ -69,6 +71,10 @@
         LeaseGrant::Remaining { ms }
     }
 
+    pub(crate) fn has_label(&self, required: Option<&str>) -> bool {
+        required.is_none_or(|label| self.labels.contains(label))
+    }
+
     /// Resources of the running tasks.
     pub(crate) fn used(&self) -> Resources {
         let requests = self.running.values().map(|run| run.request);
