workload: nothing starts while the store holds that the worker is unreachable

What callers would see: a task that runs twice (TWICE). A placement and the record that its worker is unreachable go into one batch, the worker answers again before the batch is stored, and the start is ordered although the record stands. If the owner is lost before it drops the record, its successor counts the leases by it, and releases the task while it runs.

Change: a start needs what a renewal needs, that the store holds no such record. Workers with one get no new tasks.

Measured: `nothing_starts_while_the_store_holds_that_the_worker_is_unreachable` fails without the two conditions (two runs at once).

--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -138,11 +138,10 @@
             return;
         }
         let worker = placement.worker;
-        let is_reachable = self
-            .workers
-            .get(worker)
-            .is_some_and(|worker| worker.reachability == Reachability::Reachable);
-        if is_closing || placement.stop.is_some() || !may_order || !is_reachable {
+        let may_start = self.workers.get(worker).is_some_and(|worker| {
+            worker.reachability == Reachability::Reachable && worker.leases.may_be_renewed()
+        });
+        if is_closing || placement.stop.is_some() || !may_order || !may_start {
             self.release_placement(key, PlacementReleaseReason::NotSent);
             return;
         }
--- a/lib/src/workload/lease.rs
+++ b/lib/src/workload/lease.rs
@@ -139,6 +139,12 @@
         self.expires_at > times.expires_at(now)
     }
 
+    /// Whether an owner may grant leases. While the store holds that the worker is
+    /// unreachable it may not, because a successor would assume that they expire.
+    pub(crate) fn may_be_renewed(&self) -> bool {
+        self.unreachable_record == UnreachableRecord::Absent
+    }
+
     /// State of the stored record that the worker is unreachable.
     pub(crate) fn unreachable_record(&self) -> UnreachableRecord {
         self.unreachable_record
--- a/lib/src/workload/unreachable.rs
+++ b/lib/src/workload/unreachable.rs
@@ -54,12 +54,9 @@
         self.lease_granted(now, id, LeaseGrant::Unknown);
     }
 
-    /// True if leases on a worker may be renewed. While the store holds that
-    /// the worker is unreachable they may not, because a successor would assume
-    /// that its leases expire.
+    /// True if leases on a worker may be renewed.
     pub fn may_renew_leases(&self, id: WorkerId) -> bool {
-        let record = self.workers.get(id).map(|worker| worker.leases.unreachable_record());
-        record == Some(UnreachableRecord::Absent)
+        self.workers.get(id).is_some_and(|worker| worker.leases.may_be_renewed())
     }
 
     /// Releases the placements on unreachable workers whose leases have expired.
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -131,6 +131,7 @@
         let accepts_tasks = self.listing.as_ref().is_some_and(|listing| !listing.is_draining);
         accepts_tasks
             && self.is_listing_current()
+            && self.leases.may_be_renewed()
             && self.reachability != Reachability::Unreachable
             && !self.is_cordoned
             && now >= self.avoided_until
--- /dev/null
+++ b/lib/tests/test_workload_evidence.rs
@@ -0,0 +1,42 @@
+//! What the owner may conclude from answers, records and lists that do not tell all.
+
+mod workload_fake;
+
+use crate::workload_fake::Fleet;
+use crate::workload_fake::Work;
+use crate::workload_fake::cores;
+use crate::workload_fake::job;
+use crate::workload_fake::step;
+
+const LONG_WORK: Work = Work { work_ms: 60_000, fails: false };
+
+/// Sets whether a worker gets no new tasks.
+fn set_draining(fleet: &mut Fleet, name: &str, is_draining: bool) {
+    fleet.worker(name).is_draining = is_draining;
+    fleet.list_workers();
+}
+
+/// A placement and the record that its worker is unreachable are stored at once, and the
+/// worker answers again before they are. A successor would count the leases by the
+/// record, so the start must wait until the record is dropped.
+#[test]
+fn nothing_starts_while_the_store_holds_that_the_worker_is_unreachable() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    set_draining(&mut fleet, "w1", true);
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.store_is_up = false;
+    fleet.advance(40);
+    fleet.worker("w0").is_reachable = false;
+    fleet.advance(3_000);
+    fleet.store_is_up = true;
+    fleet.advance(20);
+    fleet.worker("w0").is_reachable = true;
+    fleet.advance(20);
+    fleet.replace_owner(false);
+    fleet.worker("w0").is_reachable = false;
+    set_draining(&mut fleet, "w1", false);
+    fleet.advance(20_000);
+    assert_eq!(fleet.worker("w1").running.len(), 1);
+    fleet.assert_no_violations();
+}
