workload: a worker that runs unassigned attempts gets no new tasks

Change: the room of a worker is known only once no attempt is listed there that is not placed there; until then nothing new starts on it.

Measured: `worker_that_runs_unassigned_tasks_gets_no_new_ones` fails without the condition (four tasks run twice on the worker).

--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -36,6 +36,9 @@
     pub(crate) last_release_batch: Option<u64>,
     pub(crate) reachability: Reachability,
     pub(crate) leases: LeaseTracker,
+    /// Whether the last report lists running attempts that are not placed on the worker.
+    /// They take room until they have stopped.
+    pub(crate) runs_unassigned: bool,
     /// Whether leases on the worker last longer than owners intend, as of the last
     /// call.
     pub(crate) has_long_leases: bool,
@@ -109,6 +112,7 @@
             last_release_batch: None,
             reachability: Reachability::Unknown,
             leases,
+            runs_unassigned: false,
             has_long_leases: false,
             started_unix_ms: None,
             restarted_at: None,
@@ -132,6 +136,7 @@
         accepts_tasks
             && self.is_listing_current()
             && self.leases.may_be_renewed()
+            && !self.runs_unassigned
             && self.reachability != Reachability::Unreachable
             && !self.is_cordoned
             && now >= self.avoided_until
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -82,10 +82,15 @@
             reported.insert((ended.task, ended.attempt));
             self.handle_end(now, id, ended);
         }
+        let mut runs_unassigned = false;
         for running in &report.running {
             reported.insert((running.task, running.attempt));
+            runs_unassigned |= self.task_placed_on(id, running.task, running.attempt).is_none();
             self.handle_running(now, id, report, unknown_until, running);
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.runs_unassigned = runs_unassigned;
+        }
         let unreported = match restart {
             Some(_) => Unreported::Ended,
             None => Unreported::Doubtful,
--- a/lib/tests/test_workload_evidence.rs
+++ b/lib/tests/test_workload_evidence.rs
@@ -40,3 +40,22 @@
     assert_eq!(fleet.worker("w1").running.len(), 1);
     fleet.assert_no_violations();
 }
+
+/// A worker was unreachable, its tasks were released, and it still runs them when it is
+/// back. Until they have stopped, new tasks would exceed its capacity.
+#[test]
+fn worker_that_runs_unassigned_tasks_gets_no_new_ones() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.submit(1, job(vec![step(4, cores(1))]), LONG_WORK);
+    fleet.advance(500);
+    assert_eq!(fleet.running(), 4);
+    fleet.worker("w0").is_reachable = false;
+    // The worker keeps longer leases than its contract allows.
+    let until = fleet.now + 60_000;
+    fleet.worker("w0").lease_until = until;
+    fleet.advance(6_000);
+    fleet.worker("w0").is_reachable = true;
+    fleet.advance(2_000);
+    assert_eq!(fleet.running(), 4);
+    fleet.assert_no_violations();
+}
