workload: a list that leaves ends out proves nothing of what it does not list

A worker lists 500 ends at a time. When more wait for their acknowledgement, because the store is down, a task whose end is not listed yet is neither running nor ended in the report, and was taken for one that does not run.

Change: the client says whether ends may be left out, and such a report changes nothing for attempts that it does not list. The acknowledgement of its ends brings the others.

--- a/daemon/src/node/platform.rs
+++ b/daemon/src/node/platform.rs
@@ -288,6 +288,8 @@
     pub running: Vec<RunningTask>,
     /// Ended tasks that the owner has not acknowledged.
     pub ended: Vec<EndedTask>,
+    /// Whether the worker may have left ended tasks out.
+    pub has_more_ends: bool,
 }
 
 /// Client of one worker.
--- a/daemon/src/node/poll_task.rs
+++ b/daemon/src/node/poll_task.rs
@@ -135,6 +135,7 @@
             lease: answer.lease,
             running: answer.running,
             ended: answer.ended,
+            has_more_ends: answer.has_more_ends,
         };
         OwnerMessage::Reported { worker: self.worker, clock, report }
     }
--- a/lib/src/workload/report.rs
+++ b/lib/src/workload/report.rs
@@ -45,6 +45,9 @@
     pub running: Vec<RunningTask>,
     /// Tasks that have ended and whose ends are not acknowledged.
     pub ended: Vec<EndedTask>,
+    /// Whether more ends than these wait for their acknowledgement. A report that leaves
+    /// ends out proves nothing of the attempts that it does not list.
+    pub has_more_ends: bool,
 }
 
 /// A task that runs on a worker.
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -95,7 +95,9 @@
             Some(_) => Unreported::Ended,
             None => Unreported::Doubtful,
         };
-        self.check_unreported(id, report.sent_at, &reported, unreported);
+        if !report.has_more_ends {
+            self.check_unreported(id, report.sent_at, &reported, unreported);
+        }
         self.stop_stalled(now, id);
         self.adjust_pace(now, id, report);
     }
--- a/lib/tests/test_workload_evidence.rs
+++ b/lib/tests/test_workload_evidence.rs
@@ -2,6 +2,9 @@
 
 mod workload_fake;
 
+use cowslipport_lib::resources::Resources;
+use cowslipport_lib::workload::record::JobOutcome;
+
 use crate::workload_fake::Fleet;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
@@ -59,3 +62,27 @@
     assert_eq!(fleet.running(), 4);
     fleet.assert_no_violations();
 }
+
+/// More ends wait on a worker than one report lists, because the store is down. Tasks
+/// whose ends are not listed yet must not start again (review 6).
+#[test]
+fn tasks_whose_ends_are_not_listed_yet_do_not_start_again() {
+    let mut fleet = Fleet::new(1, cores(64));
+    let request = Resources { cpu_milli: 50, memory_bytes: 1_000_000, accelerators: 0 };
+    let work = Work { work_ms: 700, fails: false };
+    let keys: Vec<_> =
+        (1..=4).map(|key| fleet.submit(key, job(vec![step(300, request)]), work)).collect();
+    while fleet.starts < 1_200 {
+        fleet.advance(20);
+        assert!(fleet.now < 10_000, "{} of 1,200 tasks have started", fleet.starts);
+    }
+    fleet.store_is_up = false;
+    fleet.advance(4_000);
+    fleet.store_is_up = true;
+    fleet.advance(6_000);
+    for key in keys {
+        assert_eq!(fleet.outcome(key), Some(JobOutcome::Completed), "{key}");
+    }
+    assert_eq!(fleet.starts, 1_200);
+    fleet.assert_no_violations();
+}
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -73,6 +73,7 @@
             end: TaskEnd::Done,
             checkpoint: None,
         }],
+        has_more_ends: false,
     };
     owner.worker_reported(TimeMs(20), worker, &report);
     let batch = owner.take_batch(TimeMs(30));
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -109,6 +109,7 @@
             lease: LeaseGrant::None,
             running: Vec::new(),
             ended: Vec::new(),
+            has_more_ends: false,
         };
         self.owner.worker_reported(TimeMs(self.now), id, &report);
     }
--- a/lib/tests/workload_fake/worker.rs
+++ b/lib/tests/workload_fake/worker.rs
@@ -15,6 +15,9 @@
 use super::LEASE_MAX_MS;
 use super::STOP_MS;
 
+/// Ends that one report lists at most, as the worker contract states.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// A running attempt of a task.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -114,7 +117,8 @@
             started_unix_ms: Some(self.started_at),
             lease,
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            has_more_ends: self.ended.len() > MAX_LISTED_ENDS,
         }
     }
 }
