--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -131,6 +131,7 @@
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let is_closing = job.is_closing();
         let (task, payload) = (job.task_name(key), Rc::clone(&job.payload));
+        let is_long_running = job.step_spec(key.step.step).long_running;
         let state = job.task_mut(key);
         let (attempt, checkpoint) = (state.attempt, state.checkpoint.clone());
         let Some(placement) = state.placement_mut() else { return };
@@ -157,7 +158,7 @@
         placement.since = now;
         placement.progressed_at = now;
         let ticket = self.tickets.get(now, key.step, worker).map(str::to_owned);
-        let start = StartOrder { key, task, attempt, payload, checkpoint, ticket };
+        let start = StartOrder { key, task, attempt, payload, checkpoint, is_long_running, ticket };
         self.orders.push(WorkerOrder { worker, order: Order::Start(start) });
     }
 }
--- a/lib/src/workload/order.rs
+++ b/lib/src/workload/order.rs
@@ -47,6 +47,8 @@
     pub payload: Rc<str>,
     /// Saved progress from which the task resumes.
     pub checkpoint: Option<String>,
+    /// Whether the task belongs to a long-running step.
+    pub is_long_running: bool,
     /// Ticket of the advice service that lets the worker run the step, where
     /// the queue needs one.
     pub ticket: Option<String>,
