node: numbers of incarnations rise with each start

What callers would see: a task that runs twice (TWICE). A node appends a record when it starts, without an epoch, and a call without an answer may be carried out seconds later. If the record of an incarnation is stored after that of the next one, a successor takes the present incarnation for ended: it counts 4.33 s for leases that the former owner goes on renewing without the store for 8 s.

Change: the number of an incarnation begins with the time of day of its start, and a record ends only incarnations with a lower number. After a clock that was set back, an owner counts as running for longer, which is the safe side.

Measured: `late_record_of_a_node_ends_no_later_incarnation` fails with the comparison for inequality (two runs at once).

--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -58,7 +58,7 @@
 pub struct NodeSettings {
     /// Name of the node, unique among the nodes.
     pub name: String,
-    /// Random number that identifies this run of the process.
+    /// Random number that tells this run of the process from others.
     pub incarnation: u64,
     /// CPU capacity of the node in thousandths of a core.
     pub processor_milli: u64,
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::record::RecordKey;
 use slog::Logger;
 use slog::o;
@@ -85,7 +86,9 @@
     P: Platform,
 {
     /// Starts a node.
-    pub fn start(platform: P, settings: NodeSettings, logger: &Logger) -> Self {
+    pub fn start(platform: P, mut settings: NodeSettings, logger: &Logger) -> Self {
+        settings.incarnation =
+            NodeIncarnation::number(platform.unix_now_ms(), settings.incarnation);
         let clock = Clock::start();
         let (core, mailbox) = mpsc::channel(CORE_MAILBOX_CAPACITY);
         let (submissions, submission_mailbox) = mpsc::channel(submissions::QUEUE_CAPACITY);
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -161,7 +161,7 @@
     pub epoch: u64,
     #[prost(string, tag = "2")]
     pub node: ::prost::alloc::string::String,
-    /// Incarnation of the process: a random number chosen when it starts.
+    /// Number of the incarnation of the process, which rises with each start.
     #[prost(uint64, tag = "3")]
     pub life: u64,
     /// The owner has stopped renewing leases.
--- a/lib/src/workload/former_owners.rs
+++ b/lib/src/workload/former_owners.rs
@@ -46,10 +46,11 @@
         ends.fold(self.others_ended_at, TimeMs::max)
     }
 
-    /// Handles the start of a node, which ends its former incarnations.
+    /// Handles the record of an incarnation of a node, which ends the former ones. The
+    /// record may be stored late, when a later incarnation runs.
     fn node_started(&mut self, now: TimeMs, present: &NodeIncarnation) {
         let has_ended = |former: &PossibleOwner| {
-            former.owner.node == present.node && former.owner.incarnation != present.incarnation
+            former.owner.node == present.node && former.owner.incarnation < present.incarnation
         };
         let count = self.possible_owners.len();
         self.possible_owners.retain(|former| !has_ended(former));
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -14,10 +14,23 @@
 pub struct NodeIncarnation {
     /// Name of the node.
     pub node: String,
-    /// Chosen at random when the process starts.
+    /// Number of the incarnation, see [`Self::number`].
     pub incarnation: u64,
 }
 
+/// Random bits of the number of an incarnation; the time takes the others until the
+/// year 2109.
+const RANDOM_BITS: u32 = 22;
+
+impl NodeIncarnation {
+    /// Number of an incarnation that starts at a time of day. Numbers rise with each
+    /// start of a node, so that a record that is stored late is known to be old. Random
+    /// bits tell starts within a millisecond apart.
+    pub fn number(started_unix_ms: u64, random: u64) -> u64 {
+        (started_unix_ms << RANDOM_BITS) | (random & ((1 << RANDOM_BITS) - 1))
+    }
+}
+
 /// Prints the names that logs show.
 impl fmt::Debug for NodeIncarnation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -107,7 +120,7 @@
 /// The record that a node writes when it starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeRecord {
-    /// Chosen at random when the process starts.
+    /// Number of the incarnation.
     pub incarnation: u64,
     /// Processor capacity of the node, in thousandths of a core.
     pub processor_milli: u64,
--- a/lib/tests/test_workload_evidence.rs
+++ b/lib/tests/test_workload_evidence.rs
@@ -3,9 +3,12 @@
 mod workload_fake;
 
 use cowslipport_lib::resources::Resources;
+use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::record::JobOutcome;
 
+use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::Fleet;
+use crate::workload_fake::LEASE_MS;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
 use crate::workload_fake::job;
@@ -86,3 +89,37 @@
     assert_eq!(fleet.starts, 1_200);
     fleet.assert_no_violations();
 }
+
+/// The record of an incarnation of a node is stored late, when the next one is the owner
+/// and renews leases without the store. Its successor must not take the owner for ended.
+#[test]
+fn late_record_of_a_node_ends_no_later_incarnation() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    set_draining(&mut fleet, "w1", true);
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(200);
+    let lost_at = fleet.now;
+    let former = NodeIncarnation { node: format!("n{}", fleet.epoch), incarnation: 0 };
+    fleet.replace_owner(false);
+    fleet.worker("w0").is_reachable = false;
+    set_draining(&mut fleet, "w1", false);
+    let now = fleet.time();
+    fleet.owner.as_mut().expect("an owner").node_started(now, &former);
+    while fleet.now < lost_at + FORMER_RENEWS_MS - 100 {
+        let renewed_until = fleet.now + LEASE_MS;
+        fleet.worker("w0").lease_until = renewed_until;
+        fleet.advance(100);
+    }
+    fleet.advance(20_000);
+    assert_eq!(fleet.worker("w1").running.len(), 1);
+    fleet.assert_no_violations();
+}
+
+/// The time of day of a start orders the incarnations of a node.
+#[test]
+fn numbers_of_incarnations_rise_with_their_starts() {
+    let earlier = NodeIncarnation::number(1_796_597_833_333, u64::MAX);
+    assert!(earlier < NodeIncarnation::number(1_796_597_833_334, 0));
+    assert_ne!(earlier, NodeIncarnation::number(1_796_597_833_333, 1));
+}
