node: VM orders that have become too old are not sent

What operators would see: while the VM service is slow, VMs go down for maintenance or move seconds after the owner has given the orders up, and the tasks that have been placed on them since are lost.

Cause: an order may wait in the queue of its task (64 orders, up to a second for each that gets no answer), and for an append before that. The sender checked the ownership, but not the age. An order of a withdrawn wave counts as ineffective after 4 s and a move as timed out after 5 s; the cordon of the worker is lifted then. For the same reason the orders of two owners for one VM were kept apart from the time of recording, not of sending.

Change: an order carries the time of its planning, as a start does that of its creation. One that was planned more than 1 s before its turn is not sent and is answered as refused, which is true: the planner lifts the cordon and plans anew. The age counts from the planning, not from the queueing, since that is where the timeouts of the planners begin. The owner stores the names of its VMs for that second longer. Inherited names are kept as long as before, since a former owner sends nothing after its ownership.

The existing test of VmHandover passes a delay of 0 and is otherwise unchanged.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -16,7 +16,6 @@
 use cowslipport_lib::workload::report::StartAnswer;
 use cowslipport_lib::workload::start_budget::StartBudget;
 use cowslipport_lib::workload::vm::VmList;
-use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm_handover::VmHandover;
 use slog::Logger;
 use slog::info;
@@ -41,6 +40,8 @@
 use crate::node::settings::NodeSettings;
 use crate::node::settings::OPERATOR_AGE_MAX_MS;
 use crate::node::settings::WORKERS_AGE_MAX_MS;
+use crate::node::vm_task::QueuedVmOrder;
+use crate::node::vm_task::VM_ORDER_AGE_MAX_MS;
 use crate::node::worker_connections::WorkerConnections;
 
 /// Interval of the checks for expired leases, each of which looks at all
@@ -87,7 +88,7 @@
     pub(crate) is_listing_vms: bool,
     pub(crate) vm_handover: VmHandover,
     /// Orders that are sent once the store has the names of their VMs.
-    pub(crate) vm_orders: Vec<VmOrder>,
+    pub(crate) vm_orders: Vec<QueuedVmOrder>,
     pub(crate) vm_order_limiter: OrderRateLimiter,
     /// Names of the workers in the registry.
     pub(crate) listed_workers: BTreeSet<String>,
@@ -120,7 +121,7 @@
 pub(crate) struct InFlight {
     batch: Batch,
     wave_status: Vec<KeyedRecord>,
-    vm_orders: Vec<VmOrder>,
+    vm_orders: Vec<QueuedVmOrder>,
 }
 
 impl<P> Owner<P>
@@ -171,7 +172,7 @@
             vms_planned_at: None,
             pool_autoscaler: PoolAutoscaler::default(),
             is_listing_vms: false,
-            vm_handover: VmHandover::new(settings.vm_handover_ms),
+            vm_handover: VmHandover::new(settings.vm_handover_ms, VM_ORDER_AGE_MAX_MS),
             vm_orders: Vec::new(),
             vm_order_limiter: OrderRateLimiter::new(gained_at, settings.vm_orders_per_second),
             listed_workers: BTreeSet::new(),
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -13,6 +13,7 @@
 use crate::node::owner::Owner;
 use crate::node::owner::OwnerView;
 use crate::node::platform::Platform;
+use crate::node::vm_task::QueuedVmOrder;
 use crate::node::vm_task::ReadList;
 
 /// Interval between reads of the list of VMs.
@@ -81,7 +82,9 @@
             ));
         }
         self.vm_order_limiter.consume(orders.len());
-        self.vm_orders.extend(orders);
+        let planned_at = view.now;
+        let queued = orders.into_iter().map(|order| QueuedVmOrder { order, planned_at });
+        self.vm_orders.extend(queued);
     }
 
     pub(crate) fn handle_vm_list(&mut self, view: &mut OwnerView<'_>, vms: VmList) {
@@ -93,26 +96,32 @@
 
     /// Returns the VMs that have an order now or had one lately, if there are
     /// orders. A successor sends no orders for these VMs for a while.
-    pub(crate) fn recent_vm_orders(&mut self, now: TimeMs, orders: &[VmOrder]) -> Option<VmOrders> {
+    pub(crate) fn recent_vm_orders(
+        &mut self,
+        now: TimeMs,
+        orders: &[QueuedVmOrder],
+    ) -> Option<VmOrders> {
         if orders.is_empty() {
             return None;
         }
-        let vms = self.vm_handover.record_orders(now, orders.iter().map(|order| order.vm.clone()));
+        let names = orders.iter().map(|queued| queued.order.vm.clone());
+        let vms = self.vm_handover.record_orders(now, names);
         Some(VmOrders { vms })
     }
 
     /// Sends orders, once the store has the names of their VMs.
-    pub(crate) fn send_vm_orders(&mut self, view: &OwnerView<'_>, orders: Vec<VmOrder>) {
-        for order in orders {
+    pub(crate) fn send_vm_orders(&mut self, view: &OwnerView<'_>, orders: Vec<QueuedVmOrder>) {
+        for queued in orders {
+            let order = &queued.order;
             if !view.is_confirmed {
-                self.handle_vm_answer(view.now, &order, VmOrderAnswer::Refused);
+                self.handle_vm_answer(view.now, order, VmOrderAnswer::Refused);
                 continue;
             }
             info!(self.logger, "sending VM order"; "vm" => &order.vm,
                 "action" => format!("{:?}", order.action));
-            if !self.mailboxes.vms.send_order(order.clone()) {
+            if !self.mailboxes.vms.send_order(queued.clone()) {
                 warn!(self.logger, "VM order dropped"; "reason" => "queue is full");
-                self.handle_vm_answer(view.now, &order, VmOrderAnswer::Refused);
+                self.handle_vm_answer(view.now, order, VmOrderAnswer::Refused);
             }
         }
     }
--- a/daemon/src/node/vm_task.rs
+++ b/daemon/src/node/vm_task.rs
@@ -2,6 +2,7 @@
 //! send orders. They are separate because a list that was delayed by orders
 //! would be too old for decisions.
 
+use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
 use slog::Logger;
@@ -24,22 +25,34 @@
 const ORDER_QUEUE_CAPACITY: usize = 64;
 /// Capacity of the queue of reads: the owner requests one read at a time.
 const READ_QUEUE_CAPACITY: usize = 1;
+/// An order that was planned longer ago is not sent. From 4 s after its planning
+/// on, an order without an effect in the list of VMs may count as ineffective,
+/// and tasks are placed on its VM again. The rest of that time is left for the
+/// call and for the list.
+pub(crate) const VM_ORDER_AGE_MAX_MS: u64 = 1_000;
 
 /// A request to read the list of VMs.
 pub(crate) struct ReadList;
 
+/// An order with the time at which it was planned.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedVmOrder {
+    pub(crate) order: VmOrder,
+    pub(crate) planned_at: TimeMs,
+}
+
 /// Mailboxes of the tasks.
 pub(crate) struct VmMailboxes {
     pub(crate) reads: mpsc::Sender<ReadList>,
-    orders: Vec<mpsc::Sender<VmOrder>>,
+    orders: Vec<mpsc::Sender<QueuedVmOrder>>,
 }
 
 impl VmMailboxes {
     /// Queues an order. Returns false if the queue is full. All orders for a VM
     /// go through the same task, so that they arrive in sequence.
-    pub(crate) fn send_order(&self, order: VmOrder) -> bool {
-        let hash: usize = order.vm.bytes().map(usize::from).sum();
-        self.orders[hash % self.orders.len()].try_send(order).is_ok()
+    pub(crate) fn send_order(&self, queued: QueuedVmOrder) -> bool {
+        let hash: usize = queued.order.vm.bytes().map(usize::from).sum();
+        self.orders[hash % self.orders.len()].try_send(queued).is_ok()
     }
 }
 
@@ -70,6 +83,7 @@
             let task = VmOrderTask {
                 service: self.platform.vm_service(),
                 holder: self.holder.to_owned(),
+                clock: self.clock,
                 ownership: self.ownership.clone(),
                 mailbox,
                 owner: self.owner.clone(),
@@ -110,8 +124,9 @@
 struct VmOrderTask<V> {
     service: V,
     holder: String,
+    clock: Clock,
     ownership: OwnershipCheck,
-    mailbox: mpsc::Receiver<VmOrder>,
+    mailbox: mpsc::Receiver<QueuedVmOrder>,
     owner: OwnerMailbox,
     logger: Logger,
 }
@@ -121,20 +136,23 @@
     V: VmService,
 {
     async fn run(mut self) {
-        while let Some(order) = self.mailbox.recv().await {
-            let answer = self.send(&order).await;
+        while let Some(queued) = self.mailbox.recv().await {
+            let answer = self.send(&queued).await;
+            let order = queued.order;
             if !self.owner.send(OwnerMessage::VmOrderAnswered { order, answer }).await {
                 return;
             }
         }
     }
 
-    /// Sends an order, unless another node may have become the owner while it
-    /// was queued.
-    async fn send(&mut self, order: &VmOrder) -> VmOrderAnswer {
-        if !self.ownership.is_confirmed() {
-            warn!(self.logger, "VM order dropped"; "vm" => &order.vm,
-                "reason" => "the ownership is not confirmed");
+    /// Sends an order, unless it has become too old while it was queued, or
+    /// another node may have become the owner.
+    async fn send(&mut self, queued: &QueuedVmOrder) -> VmOrderAnswer {
+        let order = &queued.order;
+        let is_old = self.clock.now().since(queued.planned_at) > VM_ORDER_AGE_MAX_MS;
+        if is_old || !self.ownership.is_confirmed() {
+            let reason = if is_old { "too old" } else { "the ownership is not confirmed" };
+            warn!(self.logger, "VM order dropped"; "vm" => &order.vm, "reason" => reason);
             return VmOrderAnswer::Refused;
         }
         self.service.order(&self.holder, self.owner.epoch, order).await
--- a/lib/src/workload/vm_handover.rs
+++ b/lib/src/workload/vm_handover.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug)]
 pub struct VmHandover {
     separation_ms: u64,
+    delay_max_ms: u64,
     /// VMs that former owners ordered, and when this owner learned of it.
     /// Former owners may have given orders until this owner fenced them.
     inherited: BTreeMap<String, TimeMs>,
@@ -22,9 +23,10 @@
 
 impl VmHandover {
     /// The state of an owner that has ordered nothing. Orders of two owners for
-    /// one VM are at least `separation_ms` apart.
-    pub fn new(separation_ms: u64) -> Self {
-        Self { separation_ms, inherited: BTreeMap::new(), own: BTreeMap::new() }
+    /// one VM are at least `separation_ms` apart. An order is sent at most
+    /// `delay_max_ms` after it is recorded.
+    pub fn new(separation_ms: u64, delay_max_ms: u64) -> Self {
+        Self { separation_ms, delay_max_ms, inherited: BTreeMap::new(), own: BTreeMap::new() }
     }
 
     /// Minimum time between the orders of two owners for one VM.
@@ -58,7 +60,8 @@
 
     fn remove_expired(&mut self, now: TimeMs) {
         let separation_ms = self.separation_ms;
+        let own_ms = separation_ms + self.delay_max_ms;
         self.inherited.retain(|_, at| now.since(*at) < separation_ms);
-        self.own.retain(|_, at| now.since(*at) < separation_ms);
+        self.own.retain(|_, at| now.since(*at) < own_ms);
     }
 }
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -379,7 +379,7 @@
 #[test]
 fn successor_does_not_order_recently_ordered_vms() {
     let names = |vms: &[&str]| vms.iter().map(|vm| (*vm).to_owned()).collect::<Vec<String>>();
-    let mut first = VmHandover::new(3_000);
+    let mut first = VmHandover::new(3_000, 0);
     assert!(first.reserved_vms(TimeMs(0)).is_empty());
     first.record_orders(TimeMs(0), names(&["a"]));
     let stored = first.record_orders(TimeMs(2_000), names(&["b"]));
@@ -390,7 +390,7 @@
         "the order for a has expired"
     );
     assert!(first.reserved_vms(TimeMs(3_500)).is_empty(), "an owner may order its own VMs again");
-    let mut second = VmHandover::new(3_000);
+    let mut second = VmHandover::new(3_000, 0);
     second.inherit(TimeMs(100), names(&["b", "c"]));
     assert_eq!(second.reserved_vms(TimeMs(3_000)).len(), 2);
     // A third owner learns of the orders of both.
@@ -400,6 +400,20 @@
     assert_eq!(VmOrders::decode(&record.encode()), Ok(record));
 }
 
+/// An order may be sent some time after the store has the name of its VM. A successor
+/// must not order the VM too soon after the sending.
+#[test]
+fn successor_counts_the_delay_of_orders() {
+    let mut first = VmHandover::new(3_000, 1_000);
+    first.record_orders(TimeMs(0), ["a".to_owned()]);
+    assert_eq!(first.record_orders(TimeMs(3_999), ["b".to_owned()]), ["a", "b"]);
+    assert_eq!(first.record_orders(TimeMs(4_000), ["c".to_owned()]), ["b", "c"]);
+    let mut second = VmHandover::new(3_000, 1_000);
+    second.inherit(TimeMs(0), vec!["a".to_owned()]);
+    assert_eq!(second.reserved_vms(TimeMs(2_999)).len(), 1);
+    assert!(second.reserved_vms(TimeMs(3_000)).is_empty(), "no order of the first is sent later");
+}
+
 /// A data centre is out of service during a demand peak. Its VMs are of no use
 /// to any pool, and idle ones cost less on standby.
 #[test]
