node: leases are not renewed after their time by an owner that wakes up

What callers would see: a task runs twice. An owner that has not reached the store for almost 8 s and is then paused renews a lease when it wakes up. On a worker that the successor cannot reach, the lease ends later than the successor counts.

Cause: the poll tasks renewed leases by the last message of the core. After a pause, a poll task whose answer is there sends its next poll before the core has run.

Change: the core publishes until when leases may be renewed beside the end of the confirmation, in one watch, and the poll task compares with the time at which it sends. The core no longer tells all poll tasks when renewals end and begin again, so the view of the owner, its copy of the flag, Ownership::unconfirmed_ms and Dispatcher::worker_ids are gone. What is left in the message is whether the leases of this worker may be renewed.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -34,6 +34,7 @@
 use crate::node::messages::TopicUpdate;
 use crate::node::owner::Owner;
 use crate::node::owner::OwnerView;
+use crate::node::ownership_check::OwnershipTimes;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::OperatorChange;
 use crate::node::platform::Platform;
@@ -86,8 +87,8 @@
     /// Waves by number, each with an estimate of when it was requested.
     pub(crate) waves: BTreeMap<u64, (TimeMs, WaveSpec)>,
     pub(crate) ownership: Ownership,
-    /// Time until which the ownership is confirmed, for the tasks of the owner.
-    pub(crate) confirmed_until: watch::Sender<TimeMs>,
+    /// How long the ownership lasts, for the tasks of the owner.
+    pub(crate) ownership_times: watch::Sender<OwnershipTimes>,
     pub(crate) candidacy: Candidacy,
     pub(crate) owner: Option<Owner<P>>,
     /// Whether the node leaves the group because the store confirms an ownership
@@ -110,7 +111,7 @@
             data_centres_out: BTreeSet::new(),
             waves: BTreeMap::new(),
             ownership: Ownership::new(settings.membership_ttl_ms()),
-            confirmed_until: watch::channel(TimeMs::default()).0,
+            ownership_times: watch::channel(OwnershipTimes::default()).0,
             candidacy: Candidacy::new(&settings.name, settings.processor_milli, now),
             owner: None,
             must_leave_group: false,
@@ -118,6 +119,13 @@
             release_done: None,
         }
     }
+
+    fn publish_ownership_times(&self) {
+        self.ownership_times.send_replace(OwnershipTimes {
+            confirmed_until: self.ownership.confirmed_until(),
+            renewable_until: self.ownership.renewable_until(RENEW_WITHOUT_STORE_MS),
+        });
+    }
 }
 
 impl<P> Core<P>
@@ -204,7 +212,6 @@
             catalog: &mut state.catalog,
             operator_confirmed_at: state.confirmed_at.configuration,
             is_confirmed: state.ownership.is_confirmed(now),
-            renews_leases: state.ownership.unconfirmed_ms(now) < RENEW_WITHOUT_STORE_MS,
         };
         change(owner, &mut view);
     }
@@ -272,7 +279,7 @@
     fn give_up_ownership(&mut self) {
         self.state.must_leave_group |= self.state.ownership.epoch().is_some();
         self.state.ownership.give_up();
-        self.state.confirmed_until.send_replace(self.state.ownership.confirmed_until());
+        self.state.publish_ownership_times();
         if self.state.owner.take().is_some() {
             metrics::gauge!("cowslipport_is_owner").set(0.0);
             self.job_pause.send_replace(FOLLOWER_PAUSE);
@@ -281,7 +288,7 @@
 
     fn handle_join_answer(&mut self, sent_at: TimeMs, answer: JoinAnswer) {
         let change = self.state.ownership.join_answered(sent_at, answer);
-        self.state.confirmed_until.send_replace(self.state.ownership.confirmed_until());
+        self.state.publish_ownership_times();
         match change {
             Some(OwnershipChange::Gained { epoch }) if !self.state.is_shutting_down => {
                 info!(self.logger, "ownership gained"; "epoch" => epoch);
@@ -292,7 +299,7 @@
                     &self.settings,
                     self.clock,
                     self.sender.clone(),
-                    self.state.confirmed_until.subscribe(),
+                    self.state.ownership_times.subscribe(),
                     epoch,
                     &self.logger,
                 );
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -34,6 +34,7 @@
 use crate::node::owner_tasks::Mailboxes;
 use crate::node::owner_writer::OwnerRecords;
 use crate::node::ownership_check::OwnershipCheck;
+use crate::node::ownership_check::OwnershipTimes;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
 use crate::node::platform::RecordCodec;
@@ -57,8 +58,6 @@
     pub(crate) operator_confirmed_at: Option<TimeMs>,
     /// Whether no other node can have become the owner.
     pub(crate) is_confirmed: bool,
-    /// Whether the owner renews leases.
-    pub(crate) renews_leases: bool,
 }
 
 /// The state and the tasks of the owner.
@@ -94,8 +93,6 @@
     pub(crate) listed_workers: BTreeSet<String>,
     /// Workers whose poll tasks have not been told of their present activity.
     pub(crate) untold_workers: BTreeSet<WorkerId>,
-    /// Whether the poll tasks renew leases, as they were last told.
-    pub(crate) renews_leases: bool,
     leases_checked_at: TimeMs,
     pub(crate) wave_status: Vec<KeyedRecord>,
     pub(crate) is_fenced: bool,
@@ -134,11 +131,11 @@
         settings: &NodeSettings,
         clock: Clock,
         core: mpsc::Sender<CoreMessage>,
-        confirmed_until: watch::Receiver<TimeMs>,
+        ownership_times: watch::Receiver<OwnershipTimes>,
         epoch: u64,
         logger: &Logger,
     ) -> Self {
-        let ownership = OwnershipCheck::new(clock, confirmed_until);
+        let ownership = OwnershipCheck::new(clock, ownership_times);
         let mailbox = OwnerMailbox { epoch, core };
         let logger = logger.new(slog::o!("epoch" => epoch));
         let gained_at = clock.now();
@@ -177,7 +174,6 @@
             vm_order_limiter: OrderRateLimiter::new(gained_at, settings.vm_orders_per_second),
             listed_workers: BTreeSet::new(),
             untold_workers: BTreeSet::new(),
-            renews_leases: false,
             leases_checked_at: gained_at,
             wave_status: Vec::new(),
             is_fenced: false,
@@ -330,7 +326,7 @@
         }
         self.plan_vm_orders(view);
         self.store_changes(view.now);
-        self.update_connections(view);
+        self.update_connections();
         self.send_orders(view);
         self.dispatcher.explain(view.now, view.now_unix_ms, view.catalog);
         core_log::log(&self.logger, view.catalog, &mut self.dispatcher);
--- a/daemon/src/node/owner_workers.rs
+++ b/daemon/src/node/owner_workers.rs
@@ -73,12 +73,9 @@
     /// Tells the poll tasks whether tasks may run on their workers, and ends
     /// the connections to departed workers. Only workers that have changed are
     /// looked at, since the owner reconciles hundreds of times a second.
-    pub(crate) fn update_connections(&mut self, view: &OwnerView<'_>) {
+    pub(crate) fn update_connections(&mut self) {
         let mut changed = std::mem::take(&mut self.untold_workers);
         changed.extend(self.dispatcher.take_activity_changes());
-        if std::mem::replace(&mut self.renews_leases, view.renews_leases) != view.renews_leases {
-            changed = self.dispatcher.worker_ids();
-        }
         for id in changed {
             let is_active = match self.dispatcher.activity(id) {
                 WorkerActivity::Running => true,
@@ -88,7 +85,7 @@
                     continue;
                 }
             };
-            let renews_leases = view.renews_leases && self.dispatcher.may_renew_leases(id);
+            let renews_leases = self.dispatcher.may_renew_leases(id);
             if !self.connections.set_activity(id, is_active, renews_leases) {
                 self.untold_workers.insert(id);
             }
--- a/daemon/src/node/poll_task.rs
+++ b/daemon/src/node/poll_task.rs
@@ -16,6 +16,7 @@
 use crate::node::messages::OwnerMailbox;
 use crate::node::messages::OwnerMessage;
 use crate::node::messages::WorkerClockReading;
+use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::PollAnswer;
 use crate::node::platform::PollRequest;
 use crate::node::platform::Worker;
@@ -35,7 +36,8 @@
 /// A message for a poll task.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum PollMessage {
-    /// Whether tasks may run there, and whether their leases are renewed.
+    /// Whether tasks may run there, and whether their leases are renewed while
+    /// the owner may renew any.
     Activity { is_active: bool, renews_leases: bool },
     /// The store has ended tasks of the worker.
     Acknowledged(Acknowledgement),
@@ -46,6 +48,7 @@
     pub(crate) worker: WorkerId,
     pub(crate) client: W,
     pub(crate) clock: Clock,
+    pub(crate) ownership: OwnershipCheck,
     pub(crate) mailbox: mpsc::Receiver<PollMessage>,
     pub(crate) owner: OwnerMailbox,
     pub(crate) state: PollState,
@@ -155,11 +158,15 @@
 
     /// Returns the end of the leases that the next poll grants. A worker that
     /// did not answer the last poll gets no new lease, so that its tasks end
-    /// when their leases expire.
+    /// when their leases expire. The ownership is checked here, right before the
+    /// poll: after a pause of the process, a message of the core may come too late.
     fn new_lease_end(&self, now: TimeMs) -> Option<u64> {
         if !self.state.is_reachable || !self.state.renews_leases || !self.state.is_active {
             return None;
         }
+        if !self.ownership.may_renew_leases() {
+            return None;
+        }
         Some(self.state.worker_clock?.new_lease(now).until_worker_ms)
     }
 
--- a/daemon/src/node/worker_connections.rs
+++ b/daemon/src/node/worker_connections.rs
@@ -80,6 +80,7 @@
             worker: id,
             client: self.platform.worker(name, address),
             clock: self.clock,
+            ownership: self.ownership.clone(),
             mailbox: poll_mailbox,
             owner: self.owner.clone(),
             state: PollState::default(),
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -336,11 +336,6 @@
         std::mem::take(&mut self.activity_changes)
     }
 
-    /// All workers that were ever known.
-    pub fn worker_ids(&self) -> BTreeSet<WorkerId> {
-        self.workers.iter().map(|(id, _)| id).collect()
-    }
-
     /// Name of a task of an open job.
     pub fn task_name(&self, key: TaskKey) -> Option<TaskName> {
         Some(self.jobs.get(key.step.job)?.task_name(key))
--- a/lib/src/workload/ownership.rs
+++ b/lib/src/workload/ownership.rs
@@ -128,8 +128,13 @@
         }
     }
 
-    /// Time since the last call that the store answered was sent.
-    pub fn unconfirmed_ms(&self, now: TimeMs) -> u64 {
-        now.since(self.confirmed_at)
+    /// Time until which this process may renew leases if the store answers no
+    /// further call, which is `without_store_ms` after the last one that it
+    /// answered was sent; zero if this process is not the owner.
+    pub fn renewable_until(&self, without_store_ms: u64) -> TimeMs {
+        match self.epoch {
+            Some(_) => self.confirmed_at.plus(without_store_ms),
+            None => TimeMs::default(),
+        }
     }
 }
