workload: stored phases of tasks have no new value

Change: known leases are a list of their own, which older nodes skip. A phase that is not known is a finding, as are lists that differ in length.

Measured: `record_with_an_unknown_phase_is_refused` failed before: two tasks decoded as one.

--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -132,6 +132,10 @@
     pub workers: ::prost::alloc::vec::Vec<u32>,
     #[prost(message, repeated, tag = "7")]
     pub checkpoints: ::prost::alloc::vec::Vec<Checkpoint>,
+    /// Indexes of the tasks whose workers have answered that they run them with the
+    /// intended lease.
+    #[prost(uint32, repeated, tag = "8")]
+    pub known_leases: ::prost::alloc::vec::Vec<u32>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Checkpoint {
@@ -247,9 +251,6 @@
     Waiting = 0,
     Placed = 1,
     Done = 2,
-    /// Placed, and the worker has answered that it runs the task with the intended
-    /// lease.
-    Running = 3,
 }
 impl TaskPhase {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -261,7 +262,6 @@
             Self::Waiting => "TASK_PHASE_WAITING",
             Self::Placed => "TASK_PHASE_PLACED",
             Self::Done => "TASK_PHASE_DONE",
-            Self::Running => "TASK_PHASE_RUNNING",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -270,7 +270,6 @@
             "TASK_PHASE_WAITING" => Some(Self::Waiting),
             "TASK_PHASE_PLACED" => Some(Self::Placed),
             "TASK_PHASE_DONE" => Some(Self::Done),
-            "TASK_PHASE_RUNNING" => Some(Self::Running),
             _ => None,
         }
     }
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -240,10 +240,10 @@
     /// Name of the worker.
     pub worker: String,
     /// Start of the incarnation of the worker by whose clock the lease was computed, in
-    /// milliseconds since 1970; `None` if it is not known, or if the lease lasts longer
-    /// than owners intend.
+    /// milliseconds since 1970; `None` if it is not known, if the lease is, or if the
+    /// lease lasts longer than owners intend.
     pub incarnation_unix_ms: Option<u64>,
-    /// Whether the worker has answered that this incarnation runs the task.
+    /// Whether the worker has answered that it runs the task with the intended lease.
     pub is_lease_known: bool,
 }
 
@@ -418,11 +418,8 @@
         let (phase, worker) = match &task.phase {
             RecordedPhase::Waiting => (raw::TaskPhase::Waiting, 0),
             RecordedPhase::Placed(placement) => {
-                let phase = match placement.is_lease_known {
-                    true => raw::TaskPhase::Running,
-                    false => raw::TaskPhase::Placed,
-                };
-                (phase, worker_number(placement, workers))
+                encoded.known_leases.extend(placement.is_lease_known.then_some(index));
+                (raw::TaskPhase::Placed, worker_number(placement, workers))
             }
             RecordedPhase::Done => (raw::TaskPhase::Done, 0),
         };
@@ -467,23 +464,28 @@
     if [&raw.attempts, &raw.failures, &raw.workers].iter().any(|list| list.len() != count) {
         return Err(decode_error("steps", "lists of one step differ in length"));
     }
+    if raw.phases().count() != count {
+        return Err(decode_error("steps.phases", "unknown phase of a task"));
+    }
     let mut tasks = Vec::with_capacity(count);
     for (index, phase) in raw.phases().enumerate() {
         let phase = match phase {
             raw::TaskPhase::Waiting => RecordedPhase::Waiting,
             raw::TaskPhase::Done => RecordedPhase::Done,
-            raw::TaskPhase::Placed | raw::TaskPhase::Running => {
-                let is_lease_known = phase == raw::TaskPhase::Running;
-                RecordedPhase::Placed(decode_placement(
-                    raw.workers[index],
-                    is_lease_known,
-                    progress,
-                )?)
+            raw::TaskPhase::Placed => {
+                RecordedPhase::Placed(decode_placement(raw.workers[index], progress)?)
             }
         };
         let (attempt, failures) = (raw.attempts[index], raw.failures[index]);
         tasks.push(TaskProgress { phase, attempt, failures, checkpoint: None });
     }
+    for index in &raw.known_leases {
+        if let Some(TaskProgress { phase: RecordedPhase::Placed(placement), .. }) =
+            tasks.get_mut(*index as usize)
+        {
+            placement.is_lease_known = true;
+        }
+    }
     for checkpoint in &raw.checkpoints {
         if let Some(task) = tasks.get_mut(checkpoint.task as usize) {
             task.checkpoint = Some(checkpoint.value.clone());
@@ -494,7 +496,6 @@
 
 fn decode_placement(
     worker_number: u32,
-    is_lease_known: bool,
     progress: &raw::Progress,
 ) -> Result<RecordedPlacement, Findings> {
     let no_worker = || decode_error("steps.workers", "names no worker");
@@ -502,5 +503,5 @@
     let worker = progress.workers.get(index).ok_or_else(no_worker)?.clone();
     let incarnation = progress.worker_incarnations_unix_ms.get(index).copied();
     let incarnation_unix_ms = incarnation.filter(|unix_ms| *unix_ms != 0);
-    Ok(RecordedPlacement { worker, incarnation_unix_ms, is_lease_known })
+    Ok(RecordedPlacement { worker, incarnation_unix_ms, is_lease_known: false })
 }
--- a/lib/tests/test_workload_evidence.rs
+++ b/lib/tests/test_workload_evidence.rs
@@ -5,6 +5,11 @@
 use cowslipport_lib::resources::Resources;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::record::JobOutcome;
+use cowslipport_lib::workload::record::Progress;
+use cowslipport_lib::workload::record::RecordedPhase;
+use cowslipport_lib::workload::record::RecordedPlacement;
+use cowslipport_lib::workload::record::StepProgress;
+use cowslipport_lib::workload::record::TaskProgress;
 
 use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::Fleet;
@@ -123,3 +128,26 @@
     assert!(earlier < NodeIncarnation::number(1_796_597_833_334, 0));
     assert_ne!(earlier, NodeIncarnation::number(1_796_597_833_333, 1));
 }
+
+/// A record with a phase that this version does not know must not be read as one with
+/// fewer tasks, which gives them the workers and attempts of others.
+#[test]
+fn record_with_an_unknown_phase_is_refused() {
+    let placed = |worker: &str, attempt| TaskProgress {
+        phase: RecordedPhase::Placed(RecordedPlacement {
+            worker: worker.to_owned(),
+            incarnation_unix_ms: None,
+            is_lease_known: false,
+        }),
+        attempt,
+        failures: 0,
+        checkpoint: None,
+    };
+    let tasks = vec![placed("w0", 5), placed("w1", 7)];
+    let steps = vec![StepProgress { occurrence: 0, step: 0, tasks }];
+    let mut bytes = Progress { outcome: None, steps, epoch: 1 }.encode();
+    let phases = bytes.windows(3).position(|window| window == [2, 1, 1]).expect("two phases");
+    assert!(Progress::decode(&bytes).is_ok());
+    bytes[phases + 1] = 9;
+    assert!(Progress::decode(&bytes).is_err());
+}
