workload: leases that nothing in a report shows count, too

What callers would see: a task that runs twice on a worker that has restarted and is then cut off (TWICE). Found by the reviewer of the fix, each by a failing trial:

- A start without an answer renews the leases of the new incarnation also if its task has ended before the first report or was refused.
Only running attempts were looked at.
- Such a start may be carried out after the first report.
The leases of the worker then count 3 s longer.
- What is left of a lease may be as long as intended and end later than the owner counts, if the former incarnation ran for a moment and the start was slow.
Each answer now counts from its arrival.
- A lease that the store holds as known may become longer.
The job is recorded again.

Known leases are stored without the incarnation.

The fake owner no longer renews leases with the first poll of an incarnation, as the client does not; this had hidden the first two.

--- a/lib/src/workload/attempt_lease.rs
+++ b/lib/src/workload/attempt_lease.rs
@@ -10,6 +10,8 @@
 use crate::workload::event::DispatcherEvent;
 use crate::workload::job::AttemptState;
 use crate::workload::job::Placement;
+use crate::workload::job::Task;
+use crate::workload::key::JobId;
 use crate::workload::key::TaskKey;
 use crate::workload::key::WorkerId;
 use crate::workload::record::RecordedPlacement;
@@ -19,6 +21,14 @@
 /// Most tasks end earlier, which saves a record of each.
 const RECORD_LEASE_AFTER_MS: u64 = 2_000;
 
+/// Time between two records of one job that only tell that leases are known. The record
+/// of a job holds all its tasks, and their workers answer one after the other.
+const RECORD_INTERVAL_MS: u64 = 1_000;
+
+/// A start without an answer may be carried out this much later by an incarnation that
+/// has already reported: it has waited for the worker to be back, for example.
+const LATE_START_MS: u64 = 3_000;
+
 /// What the owner knows of the lease of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptLease {
@@ -65,23 +75,26 @@
         let times = self.lease_times;
         let Some(worker) = self.workers.get_mut(id) else { return };
         match grant {
-            LeaseGrant::Remaining { ms } if times.is_too_long(ms) => {
+            LeaseGrant::Remaining { ms } => {
                 worker.leases.granted(times.remaining_expires_at(now, ms));
-                self.events.push(DispatcherEvent::LeaseTooLong { worker: id, remaining_ms: ms });
+                if times.is_too_long(ms) {
+                    let event = DispatcherEvent::LeaseTooLong { worker: id, remaining_ms: ms };
+                    self.events.push(event);
+                }
             }
             LeaseGrant::Unknown => self.lease_unknown(now, id),
-            LeaseGrant::Remaining { .. } | LeaseGrant::None => {}
+            LeaseGrant::None => {}
         }
         self.note_long_leases(now, id);
     }
 
-    /// Handles a call that may have renewed leases and got no answer. Another
-    /// incarnation may have carried it out until `now`.
+    /// Handles a call that may have renewed leases and got no answer until `now`, when
+    /// its connection is closed. It is taken that nobody carries it out later.
     fn lease_unknown(&mut self, now: TimeMs, id: WorkerId) {
         let times = self.lease_times;
         let longest_expires_at = times.longest_expires_at(now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        // The worker has restarted, and the call may have been computed before.
+        // The present incarnation is known to have carried out calls for the former one.
         if worker.leases.is_too_long(times, now) {
             worker.leases.granted(longest_expires_at);
         }
@@ -94,52 +107,92 @@
         }
     }
 
-    /// Notes whether the leases on a worker last longer than owners intend.
-    pub(crate) fn note_long_leases(&mut self, now: TimeMs, id: WorkerId) {
+    /// Notes whether the leases on a worker last longer than owners intend. If they have
+    /// become longer, the store must no longer hold that they are known.
+    fn note_long_leases(&mut self, now: TimeMs, id: WorkerId) {
         let times = self.lease_times;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.has_long_leases = worker.leases.is_too_long(times, now);
+        let is_too_long = worker.leases.is_too_long(times, now);
+        if std::mem::replace(&mut worker.has_long_leases, is_too_long) || !is_too_long {
+            return;
+        }
+        for key in worker.tasks.clone() {
+            if self.placement(key).is_some_and(|placement| placement.is_lease_recorded) {
+                self.mark_dirty(key.step.job);
+            }
+        }
     }
 
-    /// Handles that the incarnation `present_unix_ms` of a worker runs an attempt.
-    /// `unknown_until` is when unknown leases of former owners have expired.
-    pub(crate) fn attempt_reported(
+    /// Handles that the incarnation `present_unix_ms` of a worker answers. It may have
+    /// carried out starts that were meant for another one, also if it does not run these
+    /// tasks: a start that it refuses renews the leases, too. `unknown_until` is when
+    /// unknown leases of former owners have expired.
+    pub(crate) fn incarnation_reported(
         &mut self,
         now: TimeMs,
-        key: TaskKey,
+        id: WorkerId,
         present_unix_ms: Option<u64>,
         unknown_until: TimeMs,
     ) {
-        let Some(job) = self.jobs.get_mut(key.step.job) else { return };
-        let Some(placement) = job.task_mut(key).placement_mut() else { return };
-        let worker = placement.worker;
-        if let AttemptLease::Unknown { incarnation_unix_ms, expires_at } = placement.lease {
-            placement.lease = AttemptLease::Known;
-            let is_present =
-                incarnation_unix_ms.is_some() && incarnation_unix_ms == present_unix_ms;
-            if !is_present && let Some(worker) = self.workers.get_mut(worker) {
-                worker.leases.granted(expires_at.max(unknown_until));
+        let Some(worker) = self.workers.get(id) else { return };
+        let placements = worker.tasks.iter().filter_map(|key| self.placement(*key));
+        let leases = placements.filter(|it| it.state != AttemptState::Planned).map(|it| it.lease);
+        let unknown = leases.filter_map(|lease| match lease {
+            AttemptLease::Unknown { incarnation_unix_ms, expires_at } => {
+                let is_present =
+                    incarnation_unix_ms.is_some() && incarnation_unix_ms == present_unix_ms;
+                (!is_present).then(|| expires_at.max(unknown_until).plus(LATE_START_MS))
             }
+            AttemptLease::Known => None,
+        });
+        let longest = unknown.max();
+        if let Some(worker) = self.workers.get_mut(id)
+            && let Some(longest) = longest
+        {
+            worker.leases.granted(longest);
         }
-        self.note_long_leases(now, worker);
+        self.note_long_leases(now, id);
+    }
+
+    /// Handles that a worker has reported an attempt as running.
+    pub(crate) fn attempt_reported(&mut self, now: TimeMs, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(key.step.job) else { return };
+        let Some(placement) = job.task_mut(key).placement_mut() else { return };
+        placement.lease = AttemptLease::Known;
         self.record_known_lease(now, key);
     }
 
     /// Has the lease of an attempt recorded as known, if the attempt runs for long: a
     /// successor that cannot reach the worker then need not wait for the longest lease.
     pub(crate) fn record_known_lease(&mut self, now: TimeMs, key: TaskKey) {
-        let Some(job) = self.jobs.get_mut(key.step.job) else { return };
+        let Some(job) = self.jobs.get(key.step.job) else { return };
         let is_long_running = job.step_spec(key.step.step).long_running;
-        let Some(placement) = job.task_mut(key).placement_mut() else { return };
+        let was_recorded_lately = job
+            .leases_recorded_at
+            .is_some_and(|recorded_at| now.since(recorded_at) < RECORD_INTERVAL_MS);
+        let Some(placement) = job.task(key).placement() else { return };
         let is_due = is_long_running || now.since(placement.since) >= RECORD_LEASE_AFTER_MS;
-        let worker = self.workers.get(placement.worker);
-        let has_long_leases = worker.is_some_and(|worker| worker.has_long_leases);
-        let is_known = placement.lease == AttemptLease::Known;
-        if !is_due || !is_known || placement.is_lease_recorded || has_long_leases {
+        if !is_due || was_recorded_lately || placement.is_lease_recorded {
             return;
         }
-        placement.is_lease_recorded = true;
-        self.mark_dirty(key.step.job);
+        if self.recorded_placement(placement).is_lease_known {
+            if let Some(job) = self.jobs.get_mut(key.step.job) {
+                job.leases_recorded_at = Some(now);
+            }
+            self.mark_dirty(key.step.job);
+        }
+    }
+
+    /// Notes what the record that is written of a job tells of its leases.
+    pub(crate) fn note_recorded_leases(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let tasks = job.occurrences.iter_mut().flatten().flat_map(|step| &mut step.tasks);
+        for placement in tasks.filter_map(Task::placement_mut) {
+            let worker = self.workers.get(placement.worker);
+            let has_long_leases = worker.is_some_and(|worker| worker.has_long_leases);
+            placement.is_lease_recorded =
+                placement.lease == AttemptLease::Known && !has_long_leases;
+        }
     }
 
     /// When the unknown leases that former owners may have granted on a worker have
@@ -171,7 +224,7 @@
         let has_long_leases = worker.is_some_and(|worker| worker.has_long_leases);
         let (incarnation_unix_ms, is_lease_known) = match placement.lease {
             AttemptLease::Known | AttemptLease::Unknown { .. } if has_long_leases => (None, false),
-            AttemptLease::Known => (worker.and_then(|worker| worker.started_unix_ms), true),
+            AttemptLease::Known => (None, true),
             AttemptLease::Unknown { incarnation_unix_ms, .. } => (incarnation_unix_ms, false),
         };
         let worker = self.worker_name(placement.worker).to_owned();
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -50,6 +50,7 @@
             job.recorded_status = status;
             job.is_dirty = false;
         }
+        self.note_recorded_leases(id);
         records
     }
 
@@ -148,7 +149,7 @@
         }
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.leases.granted(self.lease_times.expires_at(now));
-            // The reply tells more. It may be lost with the connections to the worker.
+            // The reply replaces this. None comes if the connections to the worker end.
             placement.lease = AttemptLease::Unknown {
                 incarnation_unix_ms: worker.started_unix_ms,
                 expires_at: self.lease_times.longest_expires_at(now),
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -40,6 +40,8 @@
     pub(crate) occurrences: Vec<Vec<Step>>,
     /// The state differs from the last stored record.
     pub(crate) is_dirty: bool,
+    /// When the job was last recorded only because leases are known.
+    pub(crate) leases_recorded_at: Option<TimeMs>,
     /// The last status record.
     pub(crate) recorded_status: JobStatus,
 }
@@ -228,6 +230,7 @@
             outcome: None,
             occurrences: vec![steps; spec.occurrences() as usize],
             is_dirty: false,
+            leases_recorded_at: None,
             recorded_status: JobStatus::default(),
             spec: Rc::new(spec),
         }
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -77,6 +77,7 @@
             self.drop_fences(id);
         }
         self.lease_granted(now, id, report.lease);
+        self.incarnation_reported(now, id, report.started_unix_ms, unknown_until);
         let mut reported = BTreeSet::new();
         for ended in &report.ended {
             reported.insert((ended.task, ended.attempt));
@@ -86,7 +87,7 @@
         for running in &report.running {
             reported.insert((running.task, running.attempt));
             runs_unassigned |= self.task_placed_on(id, running.task, running.attempt).is_none();
-            self.handle_running(now, id, report, unknown_until, running);
+            self.handle_running(now, id, report.sent_at, running);
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs_unassigned = runs_unassigned;
@@ -221,15 +222,14 @@
         &mut self,
         now: TimeMs,
         id: WorkerId,
-        report: &WorkerReport,
-        unknown_until: TimeMs,
+        sent_at: TimeMs,
         running: &RunningTask,
     ) {
         let Some(key) = self.task_placed_on(id, running.task, running.attempt) else {
             self.order_stop(id, running.task, running.attempt, StopReason::NotAssigned);
             return;
         };
-        self.attempt_reported(now, key, report.started_unix_ms, unknown_until);
+        self.attempt_reported(now, key);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let closing = job.closing_reason();
         let state = job.task_mut(key);
@@ -244,7 +244,7 @@
         placement.state = match placement.state {
             AttemptState::Unknown { fenced_at: None, .. }
             | AttemptState::Ordered
-            | AttemptState::Planned => AttemptState::Running { confirmed_at: report.sent_at },
+            | AttemptState::Planned => AttemptState::Running { confirmed_at: sent_at },
             // The attempt is stopping, or was started by a delayed order before
             // the stop arrived.
             AttemptState::Unknown { fenced_at: Some(_), .. } | AttemptState::Running { .. } => {
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -51,6 +51,8 @@
 pub(crate) const STATUS_KEPT_MS: u64 = 120_000;
 /// Interval at which workers write their registry entries.
 const HEARTBEAT_MS: u64 = 1_500;
+/// Time for which a slow start is under way.
+pub(crate) const SLOW_START_MS: u64 = 1_400;
 /// Time from a stop order until the task has stopped.
 pub(crate) const STOP_MS: u64 = 400;
 pub(crate) const POOL: &str = "pool";
@@ -102,6 +104,10 @@
     pub(crate) delayed_starts: Vec<(u64, String, u64, u64, StartOrder)>,
     /// Starts to this worker are delayed and not answered.
     pub(crate) delayed_worker: Option<String>,
+    /// Starts to this worker are delayed and answered.
+    pub(crate) slow_worker: Option<String>,
+    /// Tasks whose starts are delayed and answered.
+    pub(crate) slow_starts: BTreeSet<TaskName>,
     /// Starts reach this worker, and their answers are lost.
     pub(crate) mute_worker: Option<String>,
     /// The poll of this worker waits for its answer, while orders are answered.
@@ -161,6 +167,8 @@
             clock_origins: BTreeMap::new(),
             delayed_starts: Vec::new(),
             delayed_worker: None,
+            slow_worker: None,
+            slow_starts: BTreeSet::new(),
             mute_worker: None,
             unpolled_worker: None,
             limit: ResourceLimit::default(),
@@ -271,7 +279,13 @@
         self.delayed_starts = delayed;
         let due: Vec<(u64, String, u64, u64, StartOrder)> = due;
         for (_, worker, epoch, lease_until, start) in due {
-            self.start(&worker, epoch, lease_until, &start);
+            let reply = self.start(&worker, epoch, lease_until, &start);
+            if self.slow_starts.remove(&start.task)
+                && let Some(owner) = &mut self.owner
+            {
+                let id = owner.worker_id(&worker);
+                owner.start_answered(TimeMs(now), id, start.key, start.attempt, reply);
+            }
         }
         for worker in self.workers.values_mut().filter(|worker| worker.is_up) {
             let is_lease_expired = now >= worker.lease_until;
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -24,6 +24,7 @@
 use super::LEASE_TIMES;
 use super::MAX_RECORD_BYTES;
 use super::POOL;
+use super::SLOW_START_MS;
 use super::STATUS_KEPT_MS;
 
 impl Fleet {
@@ -200,10 +201,9 @@
             return;
         }
         worker.highest_epoch = epoch;
-        // The owner computes the lease by the clock of the last report, which may be
-        // that of a former incarnation.
+        // The first poll of an incarnation renews nothing.
         let origin = self.clock_origins.insert(name.to_owned(), worker.started_at);
-        let lease = match origin.filter(|_| renews) {
+        let lease = match origin.filter(|origin| renews && *origin == worker.started_at) {
             Some(origin) => worker.renew(now_ms, now_ms - origin + LEASE_MS),
             None => LeaseGrant::None,
         };
@@ -236,6 +236,13 @@
             Order::Start(start) => {
                 let origin = self.clock_origins.get(name);
                 let lease_until = origin.map_or(0, |origin| self.now - origin + LEASE_MS);
+                if self.slow_worker.as_deref() == Some(name) {
+                    let due_at = self.now + SLOW_START_MS;
+                    let arrival = (due_at, name.to_owned(), self.epoch, lease_until, start.clone());
+                    self.delayed_starts.push(arrival);
+                    self.slow_starts.insert(start.task);
+                    return;
+                }
                 let unanswered =
                     StartReply { answer: StartAnswer::Unknown, lease: LeaseGrant::Unknown };
                 let reply = if self.delayed_worker.as_deref() == Some(name) {
