--- a/daemon/src/node/owner_workers.rs
+++ b/daemon/src/node/owner_workers.rs
@@ -78,7 +78,7 @@
         changed.extend(self.dispatcher.take_activity_changes());
         for id in changed {
             let is_active = match self.dispatcher.activity(id) {
-                WorkerActivity::Running => true,
+                WorkerActivity::Polled => true,
                 WorkerActivity::Idle => false,
                 WorkerActivity::Departed => {
                     self.connections.disconnect(id);
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -50,7 +50,7 @@
 pub enum WorkerActivity {
     /// Tasks are placed on the worker, or its registry entry shows a restart that its
     /// last report does not show.
-    Running,
+    Polled,
     /// The worker has a registry entry and no tasks.
     Idle,
     /// The worker has neither tasks nor a registry entry.
@@ -323,8 +323,8 @@
     /// Whether a worker has to be polled.
     pub fn activity(&self, id: WorkerId) -> WorkerActivity {
         match self.workers.get(id) {
-            Some(worker) if !worker.tasks.is_empty() => WorkerActivity::Running,
-            Some(worker) if !worker.is_listing_current() => WorkerActivity::Running,
+            Some(worker) if !worker.tasks.is_empty() => WorkerActivity::Polled,
+            Some(worker) if !worker.is_listing_current() => WorkerActivity::Polled,
             Some(worker) if worker.listing.is_some() => WorkerActivity::Idle,
             Some(_) | None => WorkerActivity::Departed,
         }
--- a/lib/tests/test_workload_restarts.rs
+++ b/lib/tests/test_workload_restarts.rs
@@ -397,7 +397,7 @@
     fleet.unpolled_worker = Some("w0".to_owned());
     fleet.restart_worker("w0");
     fleet.list_workers();
-    assert_eq!(activity(&mut fleet), WorkerActivity::Running);
+    assert_eq!(activity(&mut fleet), WorkerActivity::Polled);
     fleet.unpolled_worker = None;
     fleet.advance(20);
     assert_eq!(activity(&mut fleet), WorkerActivity::Idle);
