--- a/lib/tests/test_workload_late_calls.rs
+++ b/lib/tests/test_workload_late_calls.rs
@@ -60,6 +60,28 @@
     check_late_start(true);
 }
 
+/// A start without an answer is carried out by the new incarnation of a worker that the
+/// owner cannot reach, 3 s after it was given up, and runs for the longest lease from then
+/// on.
+#[test]
+#[ignore = "known red: issue 38"]
+fn late_start_on_an_unreachable_worker_does_not_run_twice() {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(20_000);
+    set_draining(&mut fleet, "w1", true);
+    fleet.unpolled_worker = Some("w0".to_owned());
+    fleet.worker("w0").cannot_register = true;
+    fleet.restart_worker_unnoticed("w0");
+    fleet.delayed_worker = Some("w0".to_owned());
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(40);
+    fleet.unpolled_worker = None;
+    fleet.worker("w0").is_reachable = false;
+    set_draining(&mut fleet, "w1", false);
+    fleet.advance(15_000);
+    fleet.assert_no_violations();
+}
+
 /// A poll that was sent to a former incarnation acknowledges ends of the next one that no
 /// owner has seen, and the task started again.
 #[test]
