--- a/lib/tests/test_workload_evidence.rs
+++ b/lib/tests/test_workload_evidence.rs
@@ -20,6 +20,14 @@
 use crate::workload_fake::step;
 
 const LONG_WORK: Work = Work { work_ms: 60_000, fails: false };
+/// Time for which the clock of a former incarnation is ahead of the present one.
+const FORMER_RUN_MS: u64 = 20_000;
+/// A task that may run elsewhere must have started within this time: the longest lease,
+/// 2% for the speed of the worker's clock and the slack for its estimate.
+const LONGEST_WAIT_MS: u64 = 10_500;
+/// A start without an answer may renew the leases of a worker that has restarted this
+/// much later.
+const LATE_START_MS: u64 = 3_000;
 
 /// Sets whether a worker gets no new tasks.
 fn set_draining(fleet: &mut Fleet, name: &str, is_draining: bool) {
@@ -151,3 +159,72 @@
     bytes[phases + 1] = 9;
     assert!(Progress::decode(&bytes).is_err());
 }
+
+/// Has a task started on `w0` while the answers to starts are lost, or are not. The owner
+/// does not know that the worker has restarted.
+fn start_on_restarted_worker(fleet: &mut Fleet, is_answered: bool) {
+    fleet.mute_worker = (!is_answered).then(|| "w0".to_owned());
+    fleet.advance(FORMER_RUN_MS);
+    set_draining(fleet, "w1", true);
+    fleet.unpolled_worker = Some("w0".to_owned());
+    fleet.restart_worker_unnoticed("w0");
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(100);
+    assert_eq!(fleet.worker("w0").running.len(), 1);
+    set_draining(fleet, "w1", false);
+}
+
+/// Cuts `w0` off. Its task must run elsewhere within `wait_ms`, but not too early.
+fn check_cut_off_worker(fleet: &mut Fleet, wait_ms: u64) {
+    fleet.worker("w0").is_reachable = false;
+    fleet.unpolled_worker = None;
+    fleet.advance(wait_ms + 1_000);
+    fleet.assert_no_violations();
+    assert_eq!(fleet.worker("w1").running.len(), 1, "the task runs elsewhere");
+}
+
+/// A poll that was meant for a former incarnation is carried out and answered. The leases
+/// of all tasks are longer from then on than the owner intended.
+#[test]
+fn answered_poll_by_a_former_clock_counts_as_a_lease() {
+    let mut fleet = Fleet::new(2, cores(4));
+    set_draining(&mut fleet, "w1", true);
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(1_000);
+    set_draining(&mut fleet, "w1", false);
+    let (now, now_ms) = (fleet.time(), fleet.now);
+    let worker = fleet.worker("w0");
+    let lease = worker.renew(now_ms, worker.clock_ms(now_ms) + FORMER_RUN_MS);
+    let report = worker.report(now, lease);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    let id = owner.worker_id("w0");
+    owner.worker_reported(now, id, &report);
+    check_cut_off_worker(&mut fleet, LONGEST_WAIT_MS);
+}
+
+/// A start and a later poll are carried out by another incarnation than the owner knows,
+/// and neither is answered. The task runs for the longest lease from the poll on.
+#[test]
+fn unanswered_poll_counts_as_a_lease() {
+    let mut fleet = Fleet::new(2, cores(4));
+    start_on_restarted_worker(&mut fleet, false);
+    fleet.advance(2_000);
+    let (now, now_ms) = (fleet.time(), fleet.now);
+    fleet.worker("w0").renew(now_ms, FORMER_RUN_MS + LEASE_MS);
+    let owner = fleet.owner.as_mut().expect("an owner");
+    let id = owner.worker_id("w0");
+    owner.worker_unreachable(now, id, Some(now));
+    check_cut_off_worker(&mut fleet, LONGEST_WAIT_MS);
+}
+
+/// A worker that has answered a new owner refuses calls of former ones, so that its tasks
+/// need not wait for leases that a lost owner might still renew elsewhere.
+#[test]
+fn successor_that_heard_a_worker_waits_for_no_former_owner() {
+    let mut fleet = Fleet::new(2, cores(4));
+    start_on_restarted_worker(&mut fleet, false);
+    fleet.unpolled_worker = None;
+    fleet.replace_owner(false);
+    fleet.advance(40);
+    check_cut_off_worker(&mut fleet, LONGEST_WAIT_MS + LATE_START_MS);
+}
