workload: members of a gang start from one checkpoint

The owner kept one checkpoint for each task: for the lost member that of its last report, for the others the newer one of their ends. Workers start a gang only if all members carry the same value, and that of any member is valid for all.

The checkpoints of a step are now either one for each task, or one for the whole gang. For a gang the value that holds the most work is kept, whatever the order of the reports: a later attempt resumed from the kept value of the one before; within an attempt a stop saves all work, an end comes after the work, and of two running members the one with the higher percentage has saved more. Values are strings that nothing decodes.

`finish_gang` moves to `placements`, beside `break_gang`. The fake fleet starts and breaks gangs as the worker contract states, and counts members with different checkpoints as a violation.

--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -133,8 +133,9 @@
         let is_closing = job.is_closing();
         let (task, payload) = (job.task_name(key), Rc::clone(&job.payload));
         let is_long_running = job.step_spec(key.step.step).long_running;
+        let checkpoint = job.step(key.step).checkpoints.get(key.index).cloned();
         let state = job.task_mut(key);
-        let (attempt, checkpoint) = (state.attempt, state.checkpoint.clone());
+        let attempt = state.attempt;
         let Some(placement) = state.placement_mut() else { return };
         if placement.state != AttemptState::Planned {
             return;
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -6,6 +6,8 @@
 use crate::ids::PoolId;
 use crate::time::TimeMs;
 use crate::workload::attempt_lease::AttemptLease;
+use crate::workload::checkpoint::CheckpointSource;
+use crate::workload::checkpoint::Checkpoints;
 use crate::workload::key::JobId;
 use crate::workload::key::JobKey;
 use crate::workload::key::StepKey;
@@ -50,6 +52,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Step {
     pub(crate) tasks: Vec<Task>,
+    pub(crate) checkpoints: Checkpoints,
     done: u32,
     waiting: u32,
     /// When the owner first saw that the tasks may start.
@@ -62,7 +65,6 @@
     /// Number of the last start.
     pub(crate) attempt: u32,
     pub(crate) failures: u32,
-    pub(crate) checkpoint: Option<String>,
     /// Workers on which attempts have failed. The next attempt runs on another
     /// worker where possible, so that a worker that fails every task does not
     /// use up the attempts of a healthy job.
@@ -148,6 +150,7 @@
         let count = spec.task_count as usize;
         Self {
             tasks: vec![Task::default(); count],
+            checkpoints: Checkpoints::new(spec),
             done: 0,
             waiting: spec.task_count,
             ready_at: None,
@@ -261,6 +264,18 @@
         &mut self.step_mut(task.step).tasks[task.index as usize]
     }
 
+    /// Applies the checkpoint of the last attempt of a task, if there is one.
+    pub(crate) fn save_checkpoint(
+        &mut self,
+        task: TaskKey,
+        source: CheckpointSource,
+        checkpoint: &Option<String>,
+    ) {
+        let attempt = self.task(task).attempt;
+        let step = self.step_mut(task.step);
+        step.checkpoints.save(task.index, attempt, source, checkpoint);
+    }
+
     pub(crate) fn task_name(&self, task: TaskKey) -> TaskName {
         let StepKey { occurrence, step, .. } = task.step;
         TaskName { job: self.key, occurrence, step, index: task.index }
--- a/lib/src/workload/job_record.rs
+++ b/lib/src/workload/job_record.rs
@@ -2,6 +2,7 @@
 
 use crate::time::TimeMs;
 use crate::workload::attempt_lease::AttemptLease;
+use crate::workload::checkpoint::CheckpointSource;
 use crate::workload::job::AttemptState;
 use crate::workload::job::Job;
 use crate::workload::job::Phase;
@@ -25,8 +26,10 @@
             if state.tasks.iter().all(is_never_placed) {
                 continue;
             }
-            let tasks = state.tasks.iter().map(|task| record_of(task, &recorded)).collect();
-            steps.push(StepProgress { occurrence, step, tasks });
+            let tasks = (0..)
+                .zip(&state.tasks)
+                .map(|(index, task)| record_of(task, state.checkpoints.get(index), &recorded));
+            steps.push(StepProgress { occurrence, step, tasks: tasks.collect() });
         }
     }
     Progress { outcome: job.outcome, steps, epoch }
@@ -36,7 +39,7 @@
     task.is_waiting() && task.attempt == 0
 }
 
-fn record_of<F>(task: &Task, recorded: F) -> TaskProgress
+fn record_of<F>(task: &Task, checkpoint: Option<&String>, recorded: F) -> TaskProgress
 where
     F: Fn(&Placement) -> RecordedPlacement,
 {
@@ -50,7 +53,7 @@
         attempt: task.attempt,
         failures: task.failures,
         // A task that is done does not start again.
-        checkpoint: task.checkpoint.clone().filter(|_| !task.is_done()),
+        checkpoint: checkpoint.filter(|_| !task.is_done()).cloned(),
     }
 }
 
@@ -66,10 +69,11 @@
         let Some(step) = steps.and_then(|steps| steps.get_mut(recorded.step as usize)) else {
             continue;
         };
-        for (task, recorded) in step.tasks.iter_mut().zip(&recorded.tasks) {
+        for (index, (task, recorded)) in (0..).zip(step.tasks.iter_mut().zip(&recorded.tasks)) {
             task.attempt = recorded.attempt;
             task.failures = recorded.failures;
-            task.checkpoint.clone_from(&recorded.checkpoint);
+            let source = CheckpointSource::Record;
+            step.checkpoints.save(index, recorded.attempt, source, &recorded.checkpoint);
             task.phase = match &recorded.phase {
                 RecordedPhase::Waiting => Phase::Waiting,
                 RecordedPhase::Done => Phase::Done,
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -28,6 +28,7 @@
 
 mod attempt_lease;
 mod batch;
+mod checkpoint;
 mod ended;
 mod explain;
 mod job;
--- a/lib/src/workload/placements.rs
+++ b/lib/src/workload/placements.rs
@@ -170,4 +170,21 @@
             self.stop(member, StopReason::GangBroken);
         }
     }
+
+    /// Marks all members of a gang as done: the end of one stands for all.
+    pub(crate) fn finish_gang(&mut self, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(key.step.job) else { return };
+        let step = job.step_mut(key.step);
+        let mut placed = Vec::new();
+        for index in 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX) {
+            match step.tasks[index as usize].phase {
+                Phase::Placed(_) => placed.push(TaskKey { step: key.step, index }),
+                Phase::Waiting => step.set_phase(index, Phase::Done),
+                Phase::Done => {}
+            }
+        }
+        for member in placed {
+            self.clear_placement(member, Phase::Done);
+        }
+    }
 }
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -5,6 +5,7 @@
 
 use crate::time::TimeMs;
 use crate::workload::attempt_lease::AttemptLease;
+use crate::workload::checkpoint::CheckpointSource;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::event::PlacementReleaseReason;
@@ -149,10 +150,8 @@
         let spec = job.step_spec(key.step.step);
         let (long_running, gang) = (spec.long_running, spec.gang);
         let max_attempts = job.rules.max_attempts;
+        job.save_checkpoint(key, CheckpointSource::of_end(ended.end), &ended.checkpoint);
         let state = job.task_mut(key);
-        if ended.checkpoint.is_some() {
-            state.checkpoint.clone_from(&ended.checkpoint);
-        }
         match ended.end {
             TaskEnd::Done if !long_running => {
                 self.clear_placement(key, Phase::Done);
@@ -187,23 +186,6 @@
         }
     }
 
-    /// Marks all members of a gang as done: the end of one stands for all.
-    fn finish_gang(&mut self, key: TaskKey) {
-        let Some(job) = self.jobs.get_mut(key.step.job) else { return };
-        let step = job.step_mut(key.step);
-        let mut placed = Vec::new();
-        for index in 0..u32::try_from(step.tasks.len()).unwrap_or(u32::MAX) {
-            match step.tasks[index as usize].phase {
-                Phase::Placed(_) => placed.push(TaskKey { step: key.step, index }),
-                Phase::Waiting => step.set_phase(index, Phase::Done),
-                Phase::Done => {}
-            }
-        }
-        for member in placed {
-            self.clear_placement(member, Phase::Done);
-        }
-    }
-
     fn attempt_succeeded(&mut self, id: WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.record_success();
@@ -232,11 +214,9 @@
         self.attempt_reported(now, key);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let closing = job.closing_reason();
-        let state = job.task_mut(key);
-        if running.checkpoint.is_some() {
-            state.checkpoint.clone_from(&running.checkpoint);
-        }
-        let Some(placement) = state.placement_mut() else { return };
+        let source = CheckpointSource::Running { percent: running.percent };
+        job.save_checkpoint(key, source, &running.checkpoint);
+        let Some(placement) = job.task_mut(key).placement_mut() else { return };
         if running.percent > placement.percent {
             placement.progressed_at = now;
         }
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -31,9 +31,11 @@
 use cowslipport_lib::workload::spec::QueueRules;
 use cowslipport_lib::workload::spec::StepSpec;
 
+pub(crate) use self::gang::checkpoint_at;
 pub(crate) use self::worker::FakeWorker;
 pub(crate) use self::worker::Run;
 
+mod gang;
 mod owner;
 mod worker;
 
@@ -265,6 +267,7 @@
         while self.now < until {
             self.now += 20;
             self.advance_workers();
+            self.advance_gangs();
             if self.now.is_multiple_of(HEARTBEAT_MS) {
                 self.list_workers();
             }
@@ -304,7 +307,10 @@
                 } else {
                     continue;
                 };
-                let run = worker.running.remove(&task).expect("the task runs");
+                let mut run = worker.running.remove(&task).expect("the task runs");
+                if let Some(since) = run.works_since.filter(|_| end == TaskEnd::Stopped) {
+                    run.checkpoint = Some(checkpoint_at(now - since));
+                }
                 if end == TaskEnd::Done {
                     self.done.insert(task, now);
                 }
@@ -326,7 +332,6 @@
         let refuse = StartReply::without_lease;
         let work = self.work[&task.job];
         let spec = &self.jobs[&task.job].steps[task.step as usize];
-        let (request, long_running) = (spec.effective_request(), spec.long_running);
         let elsewhere = self
             .workers
             .values()
@@ -352,26 +357,14 @@
         if elsewhere {
             self.violations.push(format!("{now}: {task} runs twice at the same time"));
         }
-        if !long_running && self.acknowledged_done.contains(&task) {
+        if !spec.long_running && self.acknowledged_done.contains(&task) {
             self.violations.push(format!("{now}: {task} starts after its end was acknowledged"));
         }
         let worker = self.workers.get_mut(name).expect("the worker exists");
         if worker.running.contains_key(&task) {
             self.violations.push(format!("{now}: {task} runs twice on {name}"));
         }
-        let fails = work.fails || worker.fails_every_task;
-        let work_ms = if worker.fails_every_task { 40 } else { work.work_ms };
-        worker.running.insert(
-            task,
-            Run {
-                attempt: start.attempt,
-                until: (!worker.is_stalled && (!long_running || fails)).then_some(now + work_ms),
-                fails,
-                stops_at: None,
-                checkpoint: start.checkpoint.clone(),
-                request,
-            },
-        );
+        worker.begin(now, start, spec, work);
         if !worker.has_label(spec.required_label.as_deref()) {
             self.violations.push(format!("{now}: {name} lacks the label that {task} requires"));
         }
--- a/lib/tests/workload_fake/worker.rs
+++ b/lib/tests/workload_fake/worker.rs
@@ -6,14 +6,17 @@
 use cowslipport_lib::resources::Resources;
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::key::TaskName;
+use cowslipport_lib::workload::order::StartOrder;
 use cowslipport_lib::workload::report::EndedTask;
 use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::report::RunningTask;
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerReport;
+use cowslipport_lib::workload::spec::StepSpec;
 
 use super::LEASE_MAX_MS;
 use super::STOP_MS;
+use super::Work;
 
 /// Ends that one report lists at most, as the worker contract states.
 const MAX_LISTED_ENDS: usize = 500;
@@ -22,10 +25,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub(crate) attempt: u32,
+    pub(crate) started_at: u64,
+    /// When the gang of the task began to work, less the work that it resumed from.
+    pub(crate) works_since: Option<u64>,
     pub(crate) until: Option<u64>,
     pub(crate) fails: bool,
     pub(crate) stops_at: Option<u64>,
     pub(crate) checkpoint: Option<String>,
+    pub(crate) percent: u32,
     pub(crate) request: Resources,
 }
 
@@ -74,6 +81,13 @@
         LeaseGrant::Remaining { ms }
     }
 
+    /// When a task that begins to work now ends by itself; none if it does not.
+    pub(crate) fn works_until(&self, now: u64, work: Work, long_running: bool) -> Option<u64> {
+        let fails = work.fails || self.fails_every_task;
+        let work_ms = if self.fails_every_task { 40 } else { work.work_ms };
+        (!self.is_stalled && (!long_running || fails)).then_some(now + work_ms)
+    }
+
     pub(crate) fn has_label(&self, required: Option<&str>) -> bool {
         required.is_none_or(|label| self.labels.contains(label))
     }
@@ -84,6 +98,23 @@
         requests.fold(Resources::ZERO, Resources::saturating_add)
     }
 
+    /// Runs a task. A gang begins to work when all its members run.
+    pub(crate) fn begin(&mut self, now: u64, start: &StartOrder, spec: &StepSpec, work: Work) {
+        let until = self.works_until(now, work, spec.long_running);
+        let run = Run {
+            attempt: start.attempt,
+            started_at: now,
+            works_since: None,
+            until: until.filter(|_| !spec.gang),
+            fails: work.fails || self.fails_every_task,
+            stops_at: None,
+            checkpoint: start.checkpoint.clone(),
+            percent: if spec.gang { 0 } else { 100 },
+            request: spec.effective_request(),
+        };
+        self.running.insert(start.task, run);
+    }
+
     pub(crate) fn end(&mut self, task: TaskName, run: &Run, end: TaskEnd) {
         self.fenced.insert(task, run.attempt);
         self.ended.push(EndedTask {
@@ -109,7 +140,7 @@
             task: *task,
             attempt: run.attempt,
             checkpoint: run.checkpoint.clone(),
-            percent: if self.is_stalled { 0 } else { 100 },
+            percent: if self.is_stalled { 0 } else { run.percent },
             reading: 0,
         });
         WorkerReport {
