workload: steps ask for other workers while none with a ticket can take a task

Cause: a step counted as served while any of its tickets was valid, whether the worker of the ticket could take a task or not. Tickets also outlived the incarnation of their worker, and a refused ticket was used until it expired.

Change: a placement round notes the steps for which it found no worker. These ask at once for workers that have room and have neither a usable ticket nor been denied one. Steps whose tickets are for workers that could not take a task even when empty also ask for workers without room. Tickets and denials hold for one incarnation, and a refused ticket is discarded.

--- a/lib/src/workload/advice.rs
+++ b/lib/src/workload/advice.rs
@@ -3,14 +3,18 @@
 //!
 //! The service is slow and serves one call at a time. Each step therefore
 //! requests tickets for a few workers as soon as it may start, and uses its
-//! tickets for all of its tasks.
+//! tickets for all of its tasks. It requests more only while no worker with a
+//! ticket can take its next task.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::ids::PoolId;
+use crate::resources::Resources;
 use crate::time::TimeMs;
 use crate::workload::catalog::Catalog;
 use crate::workload::dispatcher::Dispatcher;
+use crate::workload::job::Job;
 use crate::workload::key::JobId;
 use crate::workload::key::JobKey;
 use crate::workload::key::StepKey;
@@ -23,7 +27,8 @@
 /// Part of its validity, in percent, for which a ticket is used: a start must
 /// reach the worker before its ticket expires.
 const TICKET_USE_PERCENT: u64 = 80;
-/// Delay before a step without a valid ticket sends the next request.
+/// Delay of the next request of a step after a call that failed, or whose tickets
+/// arrived too late to be used.
 const RETRY_DELAY_MS: u64 = 1_000;
 
 /// A call of the advice service for the tickets of one step.
@@ -48,40 +53,121 @@
     pub valid_ms: u64,
 }
 
-/// Tickets of all steps that need them, and the steps with a call in flight.
+/// Answers of the advice service for all steps that need them, and the calls in
+/// flight.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tickets {
     steps: BTreeMap<StepKey, StepTickets>,
-    in_flight: BTreeSet<StepKey>,
+    /// Steps with a call in flight, and the workers that it names.
+    in_flight: BTreeMap<StepKey, Vec<WorkerIncarnation>>,
+    /// Steps for which the last placement round found no worker.
+    unplaced: BTreeSet<StepKey>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct StepTickets {
-    granted: BTreeMap<WorkerId, Ticket>,
-    /// Workers named in earlier requests. They are not named again until no
-    /// others are left: the service answers the same for them.
-    requested: BTreeSet<WorkerId>,
+    answers: BTreeMap<WorkerId, WorkerAnswer>,
     /// Earliest time of the next request.
     retry_at: TimeMs,
 }
 
+/// A worker, and the start of its incarnation if that is known. Answers of the
+/// service hold for one incarnation.
+type WorkerIncarnation = (WorkerId, Option<u64>);
+
+/// What the service answered for one worker.
+#[derive(Clone, Debug)]
+struct WorkerAnswer {
+    incarnation_unix_ms: Option<u64>,
+    permission: Permission,
+}
+
+#[derive(Clone, Debug)]
+enum Permission {
+    /// The worker may not run the step. The service does not change its decision.
+    Denied,
+    Granted(Ticket),
+}
+
 #[derive(Clone, Debug)]
 struct Ticket {
     value: String,
     usable_until: TimeMs,
 }
 
+/// A request that is due.
+#[derive(Debug)]
+struct DueRequest {
+    urgency: Urgency,
+    step: StepKey,
+    workers: Vec<WorkerId>,
+}
+
+/// A worker that a request may name.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    worker: WorkerId,
+    /// Tasks of the step that the worker has room for now.
+    slots_now: u32,
+    /// The service has granted a ticket, which has expired.
+    was_granted: bool,
+}
+
+/// Order of due requests, field by field; the lowest goes first. Under overload
+/// more requests are due than the service can answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Urgency {
+    /// No worker that the request names can take a task now.
+    has_no_room: bool,
+    /// Workers with tickets could take the tasks once they have room.
+    has_tickets: bool,
+}
+
 impl Tickets {
-    /// The valid ticket of a worker for a step.
-    pub(crate) fn get(&self, now: TimeMs, step: StepKey, worker: WorkerId) -> Option<&str> {
-        let ticket = self.steps.get(&step)?.granted.get(&worker)?;
-        (now < ticket.usable_until).then_some(ticket.value.as_str())
+    fn answer(
+        &self,
+        step: StepKey,
+        (worker, incarnation): WorkerIncarnation,
+    ) -> Option<&Permission> {
+        let answer = self.steps.get(&step)?.answers.get(&worker)?;
+        (answer.incarnation_unix_ms == incarnation).then_some(&answer.permission)
     }
 
     /// Discards the tickets of a job.
     pub(crate) fn forget(&mut self, job: JobId) {
         self.steps.retain(|step, _| step.job != job);
     }
+
+    /// Discards the ticket of a worker that has refused it.
+    pub(crate) fn refused(&mut self, step: StepKey, worker: WorkerId) {
+        if let Some(state) = self.steps.get_mut(&step) {
+            state.answers.remove(&worker);
+        }
+    }
+
+    /// Starts a placement round.
+    pub(crate) fn round_started(&mut self) {
+        self.unplaced.clear();
+    }
+
+    /// Notes that the placement round found no worker for a task of the step.
+    pub(crate) fn not_placed(&mut self, step: StepKey) {
+        self.unplaced.insert(step);
+    }
+
+    fn is_request_due(&self, now: TimeMs, step: StepKey) -> bool {
+        !self.in_flight.contains_key(&step)
+            && self.steps.get(&step).is_none_or(|state| now >= state.retry_at)
+    }
+}
+
+impl Permission {
+    fn usable_ticket(&self, now: TimeMs) -> Option<&str> {
+        match self {
+            Self::Granted(ticket) if now < ticket.usable_until => Some(&ticket.value),
+            Self::Granted(_) | Self::Denied => None,
+        }
+    }
 }
 
 impl Dispatcher {
@@ -91,69 +177,123 @@
         queue.and_then(|queue| catalog.queue(queue)).is_some_and(|queue| queue.needs_advice)
     }
 
-    /// The requests to send to the advice service now.
+    /// The usable ticket of a worker for a step.
+    pub(crate) fn ticket(&self, now: TimeMs, step: StepKey, worker: WorkerId) -> Option<&str> {
+        self.tickets.answer(step, self.incarnation(worker))?.usable_ticket(now)
+    }
+
+    fn incarnation(&self, id: WorkerId) -> WorkerIncarnation {
+        (id, self.workers.get(id).and_then(|worker| worker.started_unix_ms))
+    }
+
+    /// The requests to send to the advice service now, after a placement round.
     pub fn advice_requests(
         &mut self,
         now: TimeMs,
         now_unix_ms: u64,
         catalog: &Catalog,
     ) -> Vec<AdviceRequest> {
+        let available = MAX_CALLS_IN_FLIGHT.saturating_sub(self.tickets.in_flight.len());
+        if available == 0 {
+            return Vec::new();
+        }
+        let mut due = self.due_requests(now, now_unix_ms, catalog);
+        due.sort_by_key(|request| request.urgency);
+        due.truncate(available);
         let mut requests = Vec::new();
-        for step in self.steps_without_tickets(now, now_unix_ms, catalog) {
-            if self.tickets.in_flight.len() >= MAX_CALLS_IN_FLIGHT {
-                break;
-            }
+        for DueRequest { step, workers, .. } in due {
             let Some(job) = self.jobs.get(step.job) else { continue };
-            let (key, pool) = (job.key, job.pool);
-            let known = self.tickets.steps.get(&step);
-            let candidates = self.schedulable_workers(now, pool).into_iter();
-            let workers: Vec<WorkerId> = candidates
-                .filter(|id| known.is_none_or(|known| !known.requested.contains(id)))
-                .take(MAX_WORKERS_PER_CALL)
-                .collect();
-            let state = self.tickets.steps.entry(step).or_default();
-            if workers.is_empty() {
-                // All schedulable workers were named in earlier requests, and no
-                // ticket is valid any more.
-                state.requested.clear();
-                state.retry_at = now.plus(RETRY_DELAY_MS);
-                continue;
-            }
-            state.requested.extend(&workers);
-            self.tickets.in_flight.insert(step);
-            let workers = workers.iter().map(|id| self.worker_name(*id).to_owned()).collect();
-            requests.push(AdviceRequest { step, job: key, workers });
+            let names = workers.iter().map(|id| self.worker_name(*id).to_owned()).collect();
+            requests.push(AdviceRequest { step, job: job.key, workers: names });
+            let named = workers.into_iter().map(|id| self.incarnation(id)).collect();
+            self.tickets.in_flight.insert(step, named);
         }
         requests
     }
 
-    /// Startable steps without a valid ticket whose next request is due.
-    fn steps_without_tickets(
-        &self,
-        now: TimeMs,
-        now_unix_ms: u64,
-        catalog: &Catalog,
-    ) -> Vec<StepKey> {
-        let mut steps = Vec::new();
+    fn due_requests(&self, now: TimeMs, now_unix_ms: u64, catalog: &Catalog) -> Vec<DueRequest> {
+        let mut due = Vec::new();
+        let mut pools: BTreeMap<PoolId, Vec<WorkerId>> = BTreeMap::new();
         for (id, job) in self.jobs.iter() {
             if job.is_closing() || !self.needs_advice(catalog, id) {
                 continue;
             }
+            let schedulable =
+                pools.entry(job.pool).or_insert_with(|| self.schedulable_workers(now, job.pool));
             for (step, _) in job.startable_steps(id, now_unix_ms) {
-                if self.tickets.in_flight.contains(&step) {
-                    continue;
-                }
-                let known = self.tickets.steps.get(&step);
-                let is_served = known.is_some_and(|known| {
-                    now < known.retry_at
-                        || known.granted.values().any(|ticket| now < ticket.usable_until)
-                });
-                if !is_served {
-                    steps.push(step);
+                if self.tickets.is_request_due(now, step) {
+                    due.extend(self.due_request(now, job, step, schedulable));
                 }
             }
         }
-        steps
+        due
+    }
+
+    /// The request of a step with waiting tasks; none if it needs none, or if no
+    /// further worker could take a task. Workers that have room now are named
+    /// first. The others are named only if no worker with a ticket will do, so that
+    /// a step holds tickets when capacity becomes free.
+    fn due_request(
+        &self,
+        now: TimeMs,
+        job: &Job,
+        step: StepKey,
+        schedulable: &[WorkerId],
+    ) -> Option<DueRequest> {
+        let (spec, waiting) = (job.step_spec(step.step), job.step(step).waiting());
+        let tasks_by_worker = self.tasks_by_worker(step, spec);
+        let slots = |id: WorkerId, room: Resources| {
+            let tasks_here = tasks_by_worker.get(&id).copied().unwrap_or(0);
+            self.task_slots(id, spec, tasks_here, room, waiting)
+        };
+        let has_tickets = self.has_tickets(now, job, step, schedulable, slots);
+        if has_tickets && !self.tickets.unplaced.contains(&step) {
+            return None;
+        }
+        let mut candidates = Vec::new();
+        for &worker in schedulable {
+            let slots_now = slots(worker, self.free_capacity(worker));
+            let has_room_later = !has_tickets && slots(worker, self.capacity(worker)) > 0;
+            if slots_now == 0 && !has_room_later {
+                continue;
+            }
+            let was_granted = match self.tickets.answer(step, self.incarnation(worker)) {
+                Some(Permission::Denied) => continue,
+                Some(granted) if granted.usable_ticket(now).is_some() => continue,
+                Some(Permission::Granted(_)) => true,
+                None => false,
+            };
+            candidates.push(Candidate { worker, slots_now, was_granted });
+        }
+        candidates.sort_by_key(|candidate| (candidate.slots_now == 0, !candidate.was_granted));
+        let has_no_room = candidates.first()?.slots_now == 0;
+        let workers = workers_to_name(&candidates, waiting);
+        Some(DueRequest { urgency: Urgency { has_no_room, has_tickets }, step, workers })
+    }
+
+    /// True if the workers with usable tickets could take the next task of a step
+    /// once they have room, or all tasks of a gang.
+    fn has_tickets<F>(
+        &self,
+        now: TimeMs,
+        job: &Job,
+        step: StepKey,
+        schedulable: &[WorkerId],
+        slots: F,
+    ) -> bool
+    where
+        F: Fn(WorkerId, Resources) -> u32,
+    {
+        let Some(known) = self.tickets.steps.get(&step) else { return false };
+        let needed = if job.step_spec(step.step).gang { job.step(step).waiting() } else { 1 };
+        let mut found: u32 = 0;
+        for &id in known.answers.keys() {
+            let is_schedulable = schedulable.binary_search(&id).is_ok();
+            if is_schedulable && self.ticket(now, step, id).is_some() {
+                found = found.saturating_add(slots(id, self.capacity(id)));
+            }
+        }
+        found >= needed
     }
 
     /// Handles the answer to a request; none if the call failed.
@@ -163,25 +303,52 @@
         request: &AdviceRequest,
         answer: Option<&AdviceAnswer>,
     ) {
-        self.tickets.in_flight.remove(&request.step);
+        let step = request.step;
+        let Some(named) = self.tickets.in_flight.remove(&step) else { return };
         // The arena may have reused the key for another job since the request.
-        let job = self.jobs.get(request.step.job);
+        let job = self.jobs.get(step.job);
         if job.is_none_or(|job| job.key != request.job) {
             return;
         }
-        let Some(answer) = answer else {
-            if let Some(state) = self.tickets.steps.get_mut(&request.step) {
-                state.requested.clear();
-                state.retry_at = now.plus(RETRY_DELAY_MS);
+        let mut state = self.tickets.steps.remove(&step).unwrap_or_default();
+        match answer {
+            None => state.retry_at = now.plus(RETRY_DELAY_MS),
+            Some(answer) => {
+                let usable_until = answer.sent_at.plus(answer.valid_ms * TICKET_USE_PERCENT / 100);
+                if usable_until <= now {
+                    state.retry_at = now.plus(RETRY_DELAY_MS);
+                }
+                for (worker, incarnation_unix_ms) in named {
+                    let name = self.worker_name(worker);
+                    let granted = answer.granted.iter().find(|(granted, _)| granted == name);
+                    let permission = match granted {
+                        Some((_, value)) => {
+                            Permission::Granted(Ticket { value: value.clone(), usable_until })
+                        }
+                        None => Permission::Denied,
+                    };
+                    let answer = WorkerAnswer { incarnation_unix_ms, permission };
+                    state.answers.insert(worker, answer);
+                }
             }
-            return;
-        };
-        let usable_until = answer.sent_at.plus(answer.valid_ms * TICKET_USE_PERCENT / 100);
-        for (name, value) in &answer.granted {
-            let worker = self.worker_id(name);
-            let ticket = Ticket { value: value.clone(), usable_until };
-            let state = self.tickets.steps.entry(request.step).or_default();
-            state.granted.insert(worker, ticket);
         }
+        self.tickets.steps.insert(step, state);
+    }
+}
+
+/// The first candidates, as many as one call names. Those that are granted a ticket
+/// again are enough if they have room for all waiting tasks.
+fn workers_to_name(candidates: &[Candidate], waiting: u32) -> Vec<WorkerId> {
+    let mut workers = Vec::new();
+    let mut served: u32 = 0;
+    for candidate in candidates.iter().take(MAX_WORKERS_PER_CALL) {
+        if served >= waiting {
+            break;
+        }
+        if candidate.was_granted {
+            served = served.saturating_add(candidate.slots_now);
+        }
+        workers.push(candidate.worker);
     }
+    workers
 }
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -159,7 +159,7 @@
         placement.state = AttemptState::Ordered;
         placement.since = now;
         placement.progressed_at = now;
-        let ticket = self.tickets.get(now, key.step, worker).map(str::to_owned);
+        let ticket = self.ticket(now, key.step, worker).map(str::to_owned);
         let start = StartOrder { key, task, attempt, payload, checkpoint, is_long_running, ticket };
         self.orders.push(WorkerOrder { worker, order: Order::Start(start) });
     }
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -142,7 +142,7 @@
             &mut blockers.unsuited
         } else if spec.max_tasks_per_worker.is_some_and(|most| here >= most) {
             &mut blockers.spread
-        } else if needs_ticket && self.tickets.get(now, step, id).is_none() {
+        } else if needs_ticket && self.ticket(now, step, id).is_none() {
             &mut blockers.without_ticket
         } else if !spec.effective_request().fits_in(worker.free()) {
             &mut blockers.full
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -41,3 +41,4 @@
 mod worker;
 mod worker_choice;
 mod worker_reports;
+mod worker_room;
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -49,7 +49,7 @@
 impl PlacementRound {
     /// True if the job needs no advice or holds a ticket for this worker.
     fn allows(&self, dispatcher: &Dispatcher, step: StepKey, worker: WorkerId) -> bool {
-        !self.needs_advice || dispatcher.tickets.get(self.now, step, worker).is_some()
+        !self.needs_advice || dispatcher.ticket(self.now, step, worker).is_some()
     }
 
     fn is_too_large(&self, request: Resources) -> bool {
@@ -71,6 +71,7 @@
             return;
         }
         self.start_budget.refill(now);
+        self.tickets.round_started();
         let mut rounds: BTreeMap<PoolId, PlacementRound> = BTreeMap::new();
         // All pools share the link of the owner, so their jobs are in one order.
         for (_, pool, id) in self.waiting_jobs(now, now_unix_ms) {
@@ -156,8 +157,14 @@
                 continue;
             }
             // A step that no free worker could start must not keep one from
-            // others.
-            if spec.long_running && self.is_within_limit(catalog, id, spec.start_request()) {
+            // others, and no other worker could start it either.
+            if !self.is_within_limit(catalog, id, spec.start_request()) {
+                continue;
+            }
+            if round.needs_advice {
+                self.tickets.not_placed(step);
+            }
+            if spec.long_running {
                 self.reserve_worker(round, spec, step);
             }
         }
@@ -222,7 +229,11 @@
 
     /// Number of placed tasks of a step by worker; empty if the choice of
     /// workers doesn't depend on it.
-    fn tasks_by_worker(&self, step: StepKey, spec: &StepSpec) -> BTreeMap<WorkerId, u32> {
+    pub(crate) fn tasks_by_worker(
+        &self,
+        step: StepKey,
+        spec: &StepSpec,
+    ) -> BTreeMap<WorkerId, u32> {
         let mut tasks_by_worker = BTreeMap::new();
         let Some(job) = self.jobs.get(step.job) else { return tasks_by_worker };
         if spec.long_running || spec.max_tasks_per_worker.is_some() {
@@ -289,18 +300,10 @@
         workers.sort_by_key(|id| std::cmp::Reverse(self.free_capacity(*id).cpu_milli));
         let mut chosen = Vec::with_capacity(count);
         for id in workers {
-            if !self.has_required_label(id, spec) || !round.allows(self, step, id) {
-                continue;
-            }
-            let mut free = self.free_capacity(id);
-            let mut tasks_here = self.jobs.get(step.job)?.step(step).on_worker(id);
-            while chosen.len() < count
-                && spec.effective_request().fits_in(free)
-                && spec.max_tasks_per_worker.is_none_or(|max| tasks_here < max)
-            {
-                free = free.saturating_sub(spec.effective_request());
-                tasks_here += 1;
-                chosen.push(id);
+            if round.allows(self, step, id) {
+                let left = u32::try_from(count - chosen.len()).unwrap_or(u32::MAX);
+                let slots = self.task_slots(id, spec, 0, self.free_capacity(id), left);
+                chosen.extend((0..slots).map(|_| id));
             }
         }
         (chosen.len() == count).then_some(chosen)
@@ -314,10 +317,6 @@
         self.workers.get(id)?.listing.as_ref()?.rack.as_deref()
     }
 
-    fn free_capacity(&self, id: WorkerId) -> Resources {
-        self.workers.get(id).map_or(Resources::ZERO, |worker| worker.free())
-    }
-
     /// The best worker for a task among those with enough free capacity.
     fn choose_worker(
         &self,
@@ -366,13 +365,6 @@
         best_untried.or(best.filter(|_| may_repeat)).map(|(_, id)| id)
     }
 
-    /// True if the worker has the label that the step requires, if any.
-    pub(crate) fn has_required_label(&self, id: WorkerId, spec: &StepSpec) -> bool {
-        let Some(label) = &spec.required_label else { return true };
-        let listing = self.workers.get(id).and_then(|worker| worker.listing.as_ref());
-        listing.is_some_and(|listing| listing.labels.contains(label))
-    }
-
     /// Scores a worker for a task of a step. Long-running tasks of one step are
     /// spread over workers, but share them with those of other steps, so that
     /// only a few workers are hard to drain. Tasks that use spare CPU avoid
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -356,6 +356,9 @@
             | StartAnswer::Unhealthy
             | StartAnswer::OtherIncarnation
             | StartAnswer::Invalid => {
+                if answer == StartAnswer::NotAllowed {
+                    self.tickets.refused(key.step, id);
+                }
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.record_refusal(now);
                 }
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -118,6 +118,8 @@
     pub(crate) needs_advice: bool,
     /// Tickets that starts carried.
     pub(crate) tickets: Vec<(String, Option<String>)>,
+    /// Ticket with which workers refuse starts.
+    pub(crate) refused_ticket: Option<String>,
 }
 
 pub(crate) fn cores(cores: u64) -> Resources {
@@ -176,6 +178,7 @@
             limit: ResourceLimit::default(),
             needs_advice: false,
             tickets: Vec::new(),
+            refused_ticket: None,
         };
         for index in 0..count {
             let data_centre = if index % 2 == 0 { "a" } else { "b" };
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -255,6 +255,8 @@
                         start.clone(),
                     ));
                     unanswered
+                } else if self.refused_ticket.is_some() && start.ticket == self.refused_ticket {
+                    StartReply::without_lease(StartAnswer::NotAllowed)
                 } else if reachable {
                     let reply = self.start(name, self.epoch, lease_until, start);
                     let is_lost = self.mute_worker.as_deref() == Some(name);
