workload: jobs of a removed queue still need tickets

Cause: whether a job needs tickets was looked up in the configuration in force. Once its queue was removed, its waiting tasks were started without tickets, which workers refuse, again and again.

Result: jobs_of_a_removed_queue_still_need_tickets fails before and passes after, under the same owner and under the next one. The fake owner now reads submissions from their records.

--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -342,7 +342,7 @@
 
     fn request_advice(&mut self, view: &OwnerView<'_>) {
         let (now, now_unix_ms) = (view.now, view.now_unix_ms);
-        for request in self.dispatcher.advice_requests(now, now_unix_ms, view.catalog) {
+        for request in self.dispatcher.advice_requests(now, now_unix_ms) {
             if self.mailboxes.advice_requests.try_send(request.clone()).is_err() {
                 warn!(self.logger, "advice request dropped"; "reason" => "queue is full");
                 self.dispatcher.handle_advice_answer(now, &request, None);
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -34,6 +34,9 @@
     pub slack_milli: u64,
     #[prost(uint64, tag = "4")]
     pub target_latency_ms: u64,
+    /// Only workers with a ticket of the advice service may run a step.
+    #[prost(bool, tag = "5")]
+    pub needs_advice: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Schedule {
--- a/lib/src/workload/advice.rs
+++ b/lib/src/workload/advice.rs
@@ -12,7 +12,6 @@
 use crate::ids::PoolId;
 use crate::resources::Resources;
 use crate::time::TimeMs;
-use crate::workload::catalog::Catalog;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::job::Job;
 use crate::workload::key::JobId;
@@ -171,12 +170,6 @@
 }
 
 impl Dispatcher {
-    /// True if the steps of a job need tickets.
-    pub(crate) fn needs_advice(&self, catalog: &Catalog, id: JobId) -> bool {
-        let queue = self.jobs.get(id).and_then(|job| catalog.find_queue_id(&job.spec.queue));
-        queue.and_then(|queue| catalog.queue(queue)).is_some_and(|queue| queue.needs_advice)
-    }
-
     /// The usable ticket of a worker for a step.
     pub(crate) fn ticket(&self, now: TimeMs, step: StepKey, worker: WorkerId) -> Option<&str> {
         self.tickets.answer(step, self.incarnation(worker))?.usable_ticket(now)
@@ -187,17 +180,12 @@
     }
 
     /// The requests to send to the advice service now, after a placement round.
-    pub fn advice_requests(
-        &mut self,
-        now: TimeMs,
-        now_unix_ms: u64,
-        catalog: &Catalog,
-    ) -> Vec<AdviceRequest> {
+    pub fn advice_requests(&mut self, now: TimeMs, now_unix_ms: u64) -> Vec<AdviceRequest> {
         let available = MAX_CALLS_IN_FLIGHT.saturating_sub(self.tickets.in_flight.len());
         if available == 0 {
             return Vec::new();
         }
-        let mut due = self.due_requests(now, now_unix_ms, catalog);
+        let mut due = self.due_requests(now, now_unix_ms);
         due.sort_by_key(|request| request.urgency);
         due.truncate(available);
         let mut requests = Vec::new();
@@ -211,11 +199,11 @@
         requests
     }
 
-    fn due_requests(&self, now: TimeMs, now_unix_ms: u64, catalog: &Catalog) -> Vec<DueRequest> {
+    fn due_requests(&self, now: TimeMs, now_unix_ms: u64) -> Vec<DueRequest> {
         let mut due = Vec::new();
         let mut pools: BTreeMap<PoolId, Vec<WorkerId>> = BTreeMap::new();
         for (id, job) in self.jobs.iter() {
-            if job.is_closing() || !self.needs_advice(catalog, id) {
+            if job.is_closing() || !job.rules.needs_advice {
                 continue;
             }
             let schedulable =
--- a/lib/src/workload/catalog.rs
+++ b/lib/src/workload/catalog.rs
@@ -45,8 +45,6 @@
     pub rules: QueueRules,
     /// Callers need no key.
     pub is_public: bool,
-    /// Only workers with a ticket of the advice service may run a step.
-    pub needs_advice: bool,
 }
 
 /// A pool of VMs.
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -99,7 +99,7 @@
         };
         for (id, worker) in self.workers.iter() {
             if worker.listing.as_ref().is_some_and(|listing| listing.pool == job.pool) {
-                self.count_blocker(now, catalog, job, step, id, &mut blockers);
+                self.count_blocker(now, job, step, id, &mut blockers);
             }
         }
         self.events.push(DispatcherEvent::StepWaiting {
@@ -117,7 +117,6 @@
     fn count_blocker(
         &self,
         now: TimeMs,
-        catalog: &Catalog,
         job: &Job,
         step: StepKey,
         id: WorkerId,
@@ -127,7 +126,6 @@
         let Some(listing) = &worker.listing else { return };
         let spec = job.step_spec(step.step);
         let here = job.step(step).on_worker(id);
-        let needs_ticket = self.needs_advice(catalog, step.job);
         let count = if listing.is_draining || self.data_centres_out.contains(&listing.data_centre) {
             &mut blockers.leaving
         } else if worker.reachability != Reachability::Reachable {
@@ -142,7 +140,7 @@
             &mut blockers.unsuited
         } else if spec.max_tasks_per_worker.is_some_and(|most| here >= most) {
             &mut blockers.spread
-        } else if needs_ticket && self.ticket(now, step, id).is_none() {
+        } else if job.rules.needs_advice && self.ticket(now, step, id).is_none() {
             &mut blockers.without_ticket
         } else if !spec.effective_request().fits_in(worker.free()) {
             &mut blockers.full
--- a/lib/src/workload/spec.rs
+++ b/lib/src/workload/spec.rs
@@ -45,6 +45,8 @@
     pub slack_milli: u64,
     /// Constant part of the objective.
     pub target_latency_ms: u64,
+    /// Only workers with a ticket of the advice service may run a step.
+    pub needs_advice: bool,
 }
 
 /// Times at which the steps of a job run.
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -89,7 +89,7 @@
             if round.candidates.is_empty() {
                 continue;
             }
-            round.needs_advice = self.needs_advice(catalog, id);
+            round.needs_advice = self.jobs.get(id).is_some_and(|job| job.rules.needs_advice);
             self.place_job(round, catalog, id);
         }
         self.start_delay_ms = self.estimate_start_delay_ms(now, now_unix_ms);
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -264,10 +264,10 @@
     assert_eq!(fleet.starts, 0);
     let now = fleet.time();
     let owner = fleet.owner.as_mut().expect("an owner");
-    let questions = owner.advice_requests(now, now.0, &fleet.catalog);
+    let questions = owner.advice_requests(now, now.0);
     assert_eq!(questions.len(), 1);
     assert_eq!(questions[0].workers.len(), 3);
-    assert!(owner.advice_requests(now, now.0, &fleet.catalog).is_empty(), "one call per step");
+    assert!(owner.advice_requests(now, now.0).is_empty(), "one call per step");
     let answer = AdviceAnswer {
         sent_at: now,
         granted: vec![("w1".to_owned(), "ticket".to_owned())],
--- a/lib/tests/test_workload_advice.rs
+++ b/lib/tests/test_workload_advice.rs
@@ -41,7 +41,7 @@
     fn answer(&mut self, fleet: &mut Fleet) {
         let now = fleet.time();
         let owner = fleet.owner.as_mut().expect("an owner");
-        for request in owner.advice_requests(now, now.0, &fleet.catalog) {
+        for request in owner.advice_requests(now, now.0) {
             self.calls.push(request.workers.clone());
             let ticket = format!("ticket {}", self.calls.len());
             let granted = request.workers.iter().filter(|name| self.allowed.contains(*name));
@@ -151,7 +151,7 @@
     fleet.advance(20);
     let now = fleet.time();
     let owner = fleet.owner.as_mut().expect("an owner");
-    let requests = owner.advice_requests(now, now.0, &fleet.catalog);
+    let requests = owner.advice_requests(now, now.0);
     assert_eq!(requests[0].job, small);
     assert!(requests.len() < 8, "the service takes only so many calls");
 }
@@ -193,6 +193,28 @@
     fleet.assert_no_violations();
 }
 
+/// The waiting jobs of a queue that was removed from the configuration were started
+/// without tickets, which workers refuse.
+#[test]
+fn jobs_of_a_removed_queue_still_need_tickets() {
+    for is_owner_replaced in [false, true] {
+        let mut fleet = fleet_with_advice(3, 2);
+        let mut advice = Advice::new(&["w1"], LONG_VALID_MS);
+        let key = fleet.submit(1, job(vec![step(1, cores(1))]), SHORT_WORK);
+        fleet.is_queue_removed = true;
+        fleet.configure(3);
+        if is_owner_replaced {
+            fleet.replace_owner(true);
+        }
+        fleet.advance(1_000);
+        assert_eq!(fleet.starts, 0, "no ticket was granted");
+        advice.advance(&mut fleet, 2_000);
+        assert_eq!(fleet.outcome(key), Some(JobOutcome::Completed));
+        assert_eq!(fleet.tickets, [("w1".to_owned(), Some("ticket 1".to_owned()))]);
+        fleet.assert_no_violations();
+    }
+}
+
 /// A worker refused a ticket, which was then used again and again until it
 /// expired.
 #[test]
@@ -222,10 +244,10 @@
     assert_eq!(fleet.running(), 2);
     let now = fleet.time();
     let owner = fleet.owner.as_mut().expect("an owner");
-    let requests = owner.advice_requests(now, now.0, &fleet.catalog);
+    let requests = owner.advice_requests(now, now.0);
     assert_eq!(requests.len(), 1);
     owner.handle_advice_answer(now, &requests[0], None);
-    assert!(owner.advice_requests(now, now.0, &fleet.catalog).is_empty());
+    assert!(owner.advice_requests(now, now.0).is_empty());
     advice.advance(&mut fleet, 900);
     assert_eq!(advice.calls.len(), 1);
     advice.advance(&mut fleet, 500);
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -46,12 +46,17 @@
         pool: "pool".to_owned(),
         rules: rules(),
         is_public,
-        needs_advice: false,
     }
 }
 
 fn rules() -> QueueRules {
-    QueueRules { priority: 0, max_attempts: 2, slack_milli: 1_600, target_latency_ms: 600 }
+    QueueRules {
+        priority: 0,
+        max_attempts: 2,
+        slack_milli: 1_600,
+        target_latency_ms: 600,
+        needs_advice: false,
+    }
 }
 
 fn configuration(version: u64, queues: Vec<QueueSpec>, keys: &[&str]) -> CatalogSpec {
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -116,6 +116,8 @@
     pub(crate) unpolled_worker: Option<String>,
     pub(crate) limit: ResourceLimit,
     pub(crate) needs_advice: bool,
+    /// The configuration no longer contains the queue.
+    pub(crate) is_queue_removed: bool,
     /// Tickets that starts carried.
     pub(crate) tickets: Vec<(String, Option<String>)>,
     /// Ticket with which workers refuse starts.
@@ -144,7 +146,13 @@
 }
 
 fn rules() -> QueueRules {
-    QueueRules { priority: 0, max_attempts: 3, slack_milli: 1_600, target_latency_ms: 600 }
+    QueueRules {
+        priority: 0,
+        max_attempts: 3,
+        slack_milli: 1_600,
+        target_latency_ms: 600,
+        needs_advice: false,
+    }
 }
 
 impl Fleet {
@@ -177,6 +185,7 @@
             unpolled_worker: None,
             limit: ResourceLimit::default(),
             needs_advice: false,
+            is_queue_removed: false,
             tickets: Vec::new(),
             refused_ticket: None,
         };
@@ -215,17 +224,17 @@
     }
 
     pub(crate) fn configure(&mut self, version: u64) {
+        let queue = QueueSpec {
+            name: QUEUE.to_owned(),
+            host: "host".to_owned(),
+            path_prefix: "/queue/".to_owned(),
+            pool: POOL.to_owned(),
+            rules: QueueRules { needs_advice: self.needs_advice, ..rules() },
+            is_public: false,
+        };
         let spec = CatalogSpec {
             version,
-            queues: vec![QueueSpec {
-                name: QUEUE.to_owned(),
-                host: "host".to_owned(),
-                path_prefix: "/queue/".to_owned(),
-                pool: POOL.to_owned(),
-                rules: rules(),
-                is_public: false,
-                needs_advice: self.needs_advice,
-            }],
+            queues: if self.is_queue_removed { Vec::new() } else { vec![queue] },
             pools: vec![PoolSpec { name: POOL.to_owned(), is_standby: false }],
             organisations: vec![OrganisationSpec {
                 name: ORGANISATION.to_owned(),
@@ -245,8 +254,9 @@
         TimeMs(self.now)
     }
 
-    pub(crate) fn submit(&mut self, key: u64, spec: JobSpec, work: Work) -> JobKey {
+    pub(crate) fn submit(&mut self, key: u64, mut spec: JobSpec, work: Work) -> JobKey {
         let key = JobKey(key);
+        spec.rules.needs_advice = self.needs_advice && spec.queue == QUEUE;
         spec.check().expect("the job is valid");
         self.jobs.insert(key, spec.clone());
         self.work.insert(key, work);
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -17,6 +17,7 @@
 use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerEntry;
+use cowslipport_lib::workload::spec::JobSpec;
 
 use super::FakeWorker;
 use super::Fleet;
@@ -70,7 +71,8 @@
         for (key, spec) in &self.jobs {
             let progress = self.store.get(&RecordKey::Progress(*key));
             let progress = progress.map(|bytes| Progress::decode(bytes).expect("a valid record"));
-            owner.submitted(now, &mut self.catalog, *key, spec.clone(), progress.as_ref());
+            let spec = JobSpec::decode(&spec.encode()).expect("a valid record");
+            owner.submitted(now, &mut self.catalog, *key, spec, progress.as_ref());
         }
         for key in &self.cancelled {
             owner.cancelled(*key);
