workload: starts whose ticket has expired are not sent

Cause: the ticket of a start was looked up again once its placement was stored. If it had expired by then, or the worker had restarted, the start went out without a ticket, which workers refuse.

Change: such a placement is released, and its step asks for a new ticket.

Result: start_whose_ticket_has_expired_is_not_sent fails before and passes after.

--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -129,8 +129,12 @@
     }
 
     fn order_start(&mut self, now: TimeMs, key: TaskKey, may_order: bool) {
+        let planned_on = self.placement(key).map(|placement| placement.worker);
+        let ticket = planned_on.and_then(|worker| self.ticket(now, key.step, worker));
+        let ticket = ticket.map(str::to_owned);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let is_closing = job.is_closing();
+        let lacks_ticket = job.rules.needs_advice && ticket.is_none();
         let (task, payload) = (job.task_name(key), Rc::clone(&job.payload));
         let is_long_running = job.step_spec(key.step.step).long_running;
         let checkpoint = job.step(key.step).checkpoints.get(key.index).cloned();
@@ -144,7 +148,7 @@
         let may_start = self.workers.get(worker).is_some_and(|worker| {
             worker.reachability == Reachability::Reachable && worker.leases.may_be_renewed()
         });
-        if is_closing || placement.stop.is_some() || !may_order || !may_start {
+        if is_closing || placement.stop.is_some() || !may_order || !may_start || lacks_ticket {
             self.release_placement(key, PlacementReleaseReason::NotSent);
             return;
         }
@@ -159,7 +163,6 @@
         placement.state = AttemptState::Ordered;
         placement.since = now;
         placement.progressed_at = now;
-        let ticket = self.ticket(now, key.step, worker).map(str::to_owned);
         let start = StartOrder { key, task, attempt, payload, checkpoint, is_long_running, ticket };
         self.orders.push(WorkerOrder { worker, order: Order::Start(start) });
     }
--- a/lib/tests/test_workload_advice.rs
+++ b/lib/tests/test_workload_advice.rs
@@ -193,6 +193,24 @@
     fleet.assert_no_violations();
 }
 
+/// The store was down until the ticket of a planned start had expired. The start went
+/// out without a ticket, which workers refuse.
+#[test]
+fn start_whose_ticket_has_expired_is_not_sent() {
+    let mut fleet = fleet_with_advice(1, 2);
+    let mut advice = Advice::new(&["w0"], 1_000);
+    let key = fleet.submit(1, job(vec![step(1, cores(1))]), SHORT_WORK);
+    fleet.advance(100);
+    advice.answer(&mut fleet);
+    fleet.store_is_up = false;
+    fleet.advance(1_500);
+    fleet.store_is_up = true;
+    advice.advance(&mut fleet, 2_000);
+    assert_eq!(fleet.tickets, [("w0".to_owned(), Some("ticket 2".to_owned()))]);
+    assert_eq!(fleet.outcome(key), Some(JobOutcome::Completed));
+    fleet.assert_no_violations();
+}
+
 /// The waiting jobs of a queue that was removed from the configuration were started
 /// without tickets, which workers refuse.
 #[test]
