workload: spare CPU counts against the limit of its organisation

Cause: the use of an organisation was summed from what its tasks take of their workers' capacity, which leaves out the CPU of tasks that use spare CPU. Their number had no limit but memory.

Change: the limit counts declared resources, for one task as for a gang. The capacity of workers is counted as before.

--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -77,6 +77,7 @@
     early_cancellations: BTreeSet<JobKey>,
     pub(crate) workers: Arena<WorkerId, Worker>,
     worker_names: BTreeMap<String, WorkerId>,
+    /// Declared resources of the placed tasks of each organisation.
     pub(crate) used_by_organisation: BTreeMap<OrganisationId, Resources>,
     pub(crate) data_centres_out: BTreeSet<String>,
     pub(crate) orders: Vec<WorkerOrder>,
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -93,7 +93,7 @@
             over_limit: !self.is_within_limit(
                 catalog,
                 step.job,
-                job.step_spec(step.step).effective_request(),
+                job.step_spec(step.step).start_request(),
             ),
             ..PlacementBlockers::default()
         };
--- a/lib/src/workload/placements.rs
+++ b/lib/src/workload/placements.rs
@@ -30,7 +30,7 @@
         let request = spec.effective_request();
         if let Some(organisation) = job.organisation {
             let used = self.used_by_organisation.entry(organisation).or_default();
-            *used = used.saturating_add(request);
+            *used = used.saturating_add(spec.request);
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.used = worker.used.saturating_add(request);
@@ -53,7 +53,7 @@
         self.activity_changes.insert(worker);
         job.step_mut(task.step).set_phase(task.index, phase);
         if let Some(used) = organisation.and_then(|id| self.used_by_organisation.get_mut(&id)) {
-            *used = used.saturating_sub(request);
+            *used = used.saturating_sub(spec.request);
         }
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.used = worker.used.saturating_sub(request);
--- a/lib/src/workload/spec.rs
+++ b/lib/src/workload/spec.rs
@@ -109,12 +109,13 @@
         }
     }
 
-    /// Resources that the next start of the step takes: those of one task, or of
-    /// all tasks of a gang, which start together.
+    /// Resources that the next start of the step takes of the limit of its
+    /// organisation: those declared for one task, or for all tasks of a gang, which
+    /// start together. The CPU of a task that uses spare CPU counts, too.
     pub(crate) fn start_request(&self) -> Resources {
         match self.gang {
-            true => self.effective_request().scaled_up(self.task_count.into(), 1),
-            false => self.effective_request(),
+            true => self.request.scaled_up(self.task_count.into(), 1),
+            false => self.request,
         }
     }
 }
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -214,7 +214,7 @@
         let mut tasks_by_worker = self.tasks_by_worker(step, spec);
         for (placed, task) in waiting.iter().enumerate() {
             if !self.start_budget.is_available()
-                || !self.is_within_limit(catalog, step.job, spec.effective_request())
+                || !self.is_within_limit(catalog, step.job, spec.start_request())
             {
                 return placed;
             }
