node: the queue of orders for a worker holds the largest gang

Cause: the queue held 512 orders. The starts of a larger gang that one worker has room for were refused beyond that number, which broke the gang each time that it was placed.

Change: the queue holds as many orders as a job has tasks at most.

Starts that have been queued for more than 1.5 s are still not sent, so that on a distant worker the time of the calls is the limit.

--- a/daemon/src/node/order_task.rs
+++ b/daemon/src/node/order_task.rs
@@ -5,6 +5,7 @@
 use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::report::StartAnswer;
 use cowslipport_lib::workload::report::StartReply;
+use cowslipport_lib::workload::spec::MAX_TASKS;
 use slog::Logger;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -17,8 +18,10 @@
 use crate::node::platform::WorkerError;
 use crate::node::platform::WorkerLease;
 
-/// Capacity of the queue of orders for one worker.
-pub(crate) const ORDER_QUEUE_CAPACITY: usize = 512;
+/// Capacity of the queue of orders for one worker. A gang starts as a whole, so the
+/// queue holds the starts of the largest job. The queue takes memory only for the
+/// orders in it.
+pub(crate) const ORDER_QUEUE_CAPACITY: usize = MAX_TASKS as usize;
 /// A start that has been queued for longer is not sent, since its lease would
 /// soon expire.
 const START_AGE_MAX_MS: u64 = 1_500;
