workload: a list that misses a drained VM does not empty it

Cause: a list of VMs that was requested before the drain of a VM began may miss the VM. It ends no drain, because it is older, but the scheduler dropped the name of the cordoned worker for it, took the VM for empty and ordered it down with its long-running tasks. If the VM stayed up, nothing lifted the cordon.

Change: a draining VM that the list does not show as up waits for the next list.

--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -446,6 +446,9 @@
         for (vm, in_progress) in &mut self.in_progress {
             let may_order = orders.len() < max_orders;
             let is_ready = match in_progress.stage {
+                // The list may be older than the drain and miss the VM, which says
+                // nothing about its worker.
+                Stage::Draining { .. } if !is_up(vm) => false,
                 Stage::Draining { since } => {
                     let timeout = since.plus(DRAIN_TIMEOUT_MS);
                     in_progress.update_worker(vms.get(vm), dispatcher);
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -320,6 +320,29 @@
     assert_eq!(fleet.running(), 2);
 }
 
+/// A list that was requested before the drain of a VM began misses the VM. The VM must
+/// not count as empty, and the cordon of its worker must not be forgotten.
+#[test]
+fn vm_that_an_older_list_misses_is_not_ordered_down() {
+    let mut fleet = Fleet::new(1, cores(4));
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(200);
+    let mut scheduler = scheduler_for("vm", &fleet);
+    let now = fleet.time();
+    let listed = list_with(now.minus(500), Some(VmState::Up));
+    let excluded = BTreeSet::new();
+    let owner = fleet.owner.as_mut().expect("an owner");
+    assert!(scheduler.plan_maintenance(now, plan_input(&listed, &excluded), owner).is_empty());
+    let older = list_with(now.minus(100), None);
+    scheduler.vms_listed(&older, owner);
+    let later = now.plus(20);
+    assert!(scheduler.plan_maintenance(later, plan_input(&older, &excluded), owner).is_empty());
+    scheduler.wave_withdrawn(1, owner);
+    fleet.submit(2, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(200);
+    assert_eq!(fleet.running(), 2);
+}
+
 /// Plans maintenance and returns the waves that the VM is ordered down for.
 fn plan_orders(scheduler: &mut MaintenanceScheduler, fleet: &mut Fleet, vms: &VmList) -> Vec<u64> {
     let owner = fleet.owner.as_mut().expect("an owner");
