workload: a VM under maintenance that a list misses counts as down

Cause: the VMs of a wave that are down and that this owner has not ordered were counted in the last list only. A list may miss a VM.

Change: a VM stays counted until a list shows it in another state, or it counts as removed.

The new test failed before.

--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -65,6 +65,9 @@
     removed: BTreeSet<String>,
     /// When the first list was requested of those that miss a VM.
     missing_since: BTreeMap<String, TimeMs>,
+    /// VMs under maintenance as of the last list that shows them. A later list may
+    /// miss a VM.
+    listed_down: BTreeSet<String>,
     is_completed: bool,
     /// Whether the operator has withdrawn the wave, which then waits only for the
     /// outcome of its orders.
@@ -89,6 +92,7 @@
             maintained: BTreeSet::new(),
             removed: BTreeSet::new(),
             missing_since: BTreeMap::new(),
+            listed_down: BTreeSet::new(),
             is_completed: false,
             is_withdrawn: false,
             in_progress: BTreeMap::new(),
@@ -246,8 +250,8 @@
         }
     }
 
-    /// Finds out which VMs were removed, or are there again. A list without any VM
-    /// is no evidence: the VM service may have lost its state.
+    /// Finds out which VMs are under maintenance, were removed, or are there again. A
+    /// list without any VM is no evidence: the VM service may have lost its state.
     fn update_removed(
         &mut self,
         vms: &VmList,
@@ -259,8 +263,12 @@
         }
         let mut newly_removed = Vec::new();
         for vm in self.spec.vms.iter().chain(self.in_progress.keys()) {
-            if vms.get(vm).is_some() {
+            if let Some(entry) = vms.get(vm) {
                 self.missing_since.remove(vm);
+                match entry.state == VmState::Maintenance {
+                    true => self.listed_down.insert(vm.clone()),
+                    false => self.listed_down.remove(vm),
+                };
                 if self.removed.remove(vm) {
                     changed.insert(self.spec.wave);
                 }
@@ -273,6 +281,7 @@
             }
         }
         for vm in newly_removed {
+            self.listed_down.remove(&vm);
             self.stop_tracking(&vm, dispatcher);
             changed.insert(self.spec.wave);
         }
@@ -425,8 +434,10 @@
         let is_down = |vm: &&String| match self.in_progress.get(*vm).map(|vm| vm.stage) {
             Some(Stage::Ordered { .. }) => true,
             Some(Stage::Draining { .. }) | None => {
-                let is_listed_down =
-                    vms.get(vm).is_some_and(|entry| entry.state == VmState::Maintenance);
+                let is_listed_down = vms.get(vm).map_or_else(
+                    || self.listed_down.contains(*vm),
+                    |entry| entry.state == VmState::Maintenance,
+                );
                 is_listed_down || maybe_ordered.contains(*vm) && !self.maintained.contains(*vm)
             }
         };
--- /dev/null
+++ b/lib/tests/test_workload_upkeep_handover.rs
@@ -0,0 +1,95 @@
+//! Tests of the limit of a maintenance wave while it is not known which of its VMs
+//! are down.
+
+mod workload_fake;
+
+use std::collections::BTreeSet;
+
+use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
+use cowslipport_lib::workload::maintenance::WaveSpec;
+use cowslipport_lib::workload::vm::VmEntry;
+use cowslipport_lib::workload::vm::VmList;
+use cowslipport_lib::workload::vm::VmPlanInput;
+use cowslipport_lib::workload::vm::VmState;
+
+use crate::workload_fake::Fleet;
+use crate::workload_fake::cores;
+
+static NO_VMS: BTreeSet<String> = BTreeSet::new();
+
+/// A scheduler with a wave of the VMs `a` and `b`, one of which may be down.
+fn scheduler(now: TimeMs) -> MaintenanceScheduler {
+    let mut scheduler = MaintenanceScheduler::default();
+    let vms = vec!["a".to_owned(), "b".to_owned()];
+    let wave = WaveSpec { wave: 1, vms, deadline_ms: 10_000, max_down: 1 };
+    scheduler.wave_requested(now, wave);
+    scheduler
+}
+
+fn vm(name: &str, state: VmState, worker: &str) -> VmEntry {
+    VmEntry {
+        vm: name.to_owned(),
+        pool: workload_fake::POOL.to_owned(),
+        state,
+        worker: (state == VmState::Up).then(|| worker.to_owned()),
+        data_centre: "a".to_owned(),
+        rack: None,
+        capacity: cores(4),
+    }
+}
+
+/// A list with `b` up, and `a` in a state, if any.
+fn list(requested_at: TimeMs, state: Option<VmState>) -> VmList {
+    let mut vms = vec![vm("b", VmState::Up, "w1")];
+    vms.extend(state.map(|state| vm("a", state, "w0")));
+    VmList::new(requested_at, vms)
+}
+
+/// Two idle workers that have reported, and the owner's scheduler of the wave.
+fn idle_fleet() -> (Fleet, MaintenanceScheduler) {
+    let mut fleet = Fleet::new(2, cores(4));
+    fleet.advance(100);
+    let scheduler = scheduler(fleet.time());
+    (fleet, scheduler)
+}
+
+/// Plans with a list and returns the VMs that are ordered down. VMs in `reserved`
+/// must not be ordered yet.
+fn plan_at(
+    scheduler: &mut MaintenanceScheduler,
+    fleet: &mut Fleet,
+    now: TimeMs,
+    vms: &VmList,
+    reserved: &BTreeSet<String>,
+) -> Vec<String> {
+    let input = VmPlanInput {
+        vms,
+        excluded: reserved,
+        maybe_ordered: reserved,
+        max_orders: 10,
+        may_stop_long_running: true,
+    };
+    let owner = fleet.owner.as_mut().expect("an owner");
+    let orders = scheduler.plan_maintenance(now, input, owner);
+    orders.into_iter().map(|order| order.vm).collect()
+}
+
+/// Applies a list and plans with it.
+fn plan(scheduler: &mut MaintenanceScheduler, fleet: &mut Fleet, vms: &VmList) -> Vec<String> {
+    scheduler.vms_listed(vms, fleet.owner.as_mut().expect("an owner"));
+    plan_at(scheduler, fleet, vms.requested_at, vms, &NO_VMS)
+}
+
+/// The list shows a VM under maintenance that this owner has not ordered, and the next
+/// list misses it. Another VM must not go down besides.
+#[test]
+fn vm_under_maintenance_that_one_list_misses_counts_as_down() {
+    let (mut fleet, mut scheduler) = idle_fleet();
+    let now = fleet.time();
+    let under_way = list(now, Some(VmState::Maintenance));
+    assert!(plan(&mut scheduler, &mut fleet, &under_way).is_empty());
+    assert!(plan(&mut scheduler, &mut fleet, &list(now.plus(400), None)).is_empty());
+    let up = list(now.plus(800), Some(VmState::Up));
+    assert_eq!(plan(&mut scheduler, &mut fleet, &up).len(), 1);
+}
