workload: a refused repetition does not settle the first order

Cause: a VM without an answer to its order counts as down and is ordered again after 4 s. If the repetition was refused, the VM counted as up again, although the first order may be carried out later, or is what the VM is busy with.

Change: an order that follows one of unknown outcome is repeated 1 s after its refusal, until one is accepted; the VM counts as down meanwhile.

The new test failed before.

--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -182,8 +182,7 @@
                 self.changed.insert(number);
             }
             VmOrderAnswer::Busy | VmOrderAnswer::Refused => {
-                wave.retry_at.insert(vm.to_owned(), now.plus(BUSY_BACKOFF_MS));
-                wave.stop_tracking(vm, dispatcher);
+                wave.order_refused(now.plus(BUSY_BACKOFF_MS), vm, dispatcher);
             }
         }
     }
@@ -311,7 +310,7 @@
         self.give_up_draining(vms, dispatcher);
         let mut finished = Vec::new();
         for (vm, in_progress) in &mut self.in_progress {
-            let Stage::Ordered { at, accepted_at, is_under_way, repeat_at } =
+            let Stage::Ordered { at, accepted_at, is_under_way, repeat_at, .. } =
                 &mut in_progress.stage
             else {
                 continue;
@@ -352,6 +351,18 @@
         }
     }
 
+    /// Handles the refusal of an order. It tells nothing about an earlier order for the
+    /// VM: the VM may even be busy because of that.
+    fn order_refused(&mut self, next_at: TimeMs, vm: &str, dispatcher: &mut Dispatcher) {
+        let stage = self.in_progress.get_mut(vm).map(|in_progress| &mut in_progress.stage);
+        if let Some(Stage::Ordered { is_repeated: true, repeat_at, .. }) = stage {
+            *repeat_at = next_at;
+            return;
+        }
+        self.retry_at.insert(vm.to_owned(), next_at);
+        self.stop_tracking(vm, dispatcher);
+    }
+
     fn stop_tracking(&mut self, vm: &str, dispatcher: &mut Dispatcher) {
         let Some(in_progress) = self.in_progress.remove(vm) else { return };
         if let Some(worker) = in_progress.worker {
@@ -492,6 +503,7 @@
                     accepted_at: None,
                     is_under_way: false,
                     repeat_at: now.plus(ORDER_RETRY_MS),
+                    is_repeated: matches!(in_progress.stage, Stage::Ordered { .. }),
                 };
                 let action = VmAction::Maintain { wave: self.spec.wave };
                 orders.push(VmOrder { vm: vm.clone(), action });
--- a/lib/src/workload/vm_maintenance.rs
+++ b/lib/src/workload/vm_maintenance.rs
@@ -33,6 +33,8 @@
         is_under_way: bool,
         /// When the order is repeated if it has no answer until then.
         repeat_at: TimeMs,
+        /// Whether an earlier order for the VM may still be carried out.
+        is_repeated: bool,
     },
 }
 
--- a/lib/tests/test_workload_upkeep_handover.rs
+++ b/lib/tests/test_workload_upkeep_handover.rs
@@ -10,6 +10,7 @@
 use cowslipport_lib::workload::maintenance::WaveSpec;
 use cowslipport_lib::workload::vm::VmEntry;
 use cowslipport_lib::workload::vm::VmList;
+use cowslipport_lib::workload::vm::VmOrderAnswer;
 use cowslipport_lib::workload::vm::VmPlanInput;
 use cowslipport_lib::workload::vm::VmState;
 
@@ -81,6 +82,17 @@
     plan_at(scheduler, fleet, vms.requested_at, vms, &NO_VMS)
 }
 
+/// Handles the answer to the order for `a`.
+fn answer(
+    scheduler: &mut MaintenanceScheduler,
+    fleet: &mut Fleet,
+    now: TimeMs,
+    answer: VmOrderAnswer,
+) {
+    let owner = fleet.owner.as_mut().expect("an owner");
+    scheduler.order_answered(now, "a", 1, answer, owner);
+}
+
 /// The list shows a VM under maintenance that this owner has not ordered, and the next
 /// list misses it. Another VM must not go down besides.
 #[test]
@@ -93,3 +105,24 @@
     let up = list(now.plus(800), Some(VmState::Up));
     assert_eq!(plan(&mut scheduler, &mut fleet, &up).len(), 1);
 }
+
+/// An order gets no answer, and its repetition is refused because the first one is
+/// being carried out. The last list is from before. Another VM must not go down
+/// besides.
+#[test]
+fn refused_repetition_does_not_settle_the_first_order() {
+    for refusal in [VmOrderAnswer::Busy, VmOrderAnswer::Refused] {
+        let (mut fleet, mut scheduler) = idle_fleet();
+        let now = fleet.time();
+        let up = |after_ms| list(now.plus(after_ms), Some(VmState::Up));
+        assert_eq!(plan(&mut scheduler, &mut fleet, &up(0)), ["a"]);
+        answer(&mut scheduler, &mut fleet, now.plus(1_000), VmOrderAnswer::Unknown);
+        assert_eq!(plan(&mut scheduler, &mut fleet, &up(4_000)), ["a"], "a repetition");
+        answer(&mut scheduler, &mut fleet, now.plus(4_100), refusal);
+        let at = now.plus(4_200);
+        assert!(plan_at(&mut scheduler, &mut fleet, at, &up(4_000), &NO_VMS).is_empty());
+        assert_eq!(plan(&mut scheduler, &mut fleet, &up(5_200)), ["a"], "a second repetition");
+        answer(&mut scheduler, &mut fleet, now.plus(5_300), VmOrderAnswer::Accepted);
+        assert_eq!(plan(&mut scheduler, &mut fleet, &up(5_600)), ["b"]);
+    }
+}
