standin: a stall of the machine fails no bound on replies

Cause: replies_do_not_wait_for_acknowledgements bounds the sum of 50 replies by 1 s (20 ms each). A stall of the process counts in the sum: 1 of 14 runs failed with SIGSTOP for 0.3 to 2.5 s at random moments (1.26 s), although no reply waited for an acknowledgement.

Change: the same bound of 20 ms, for the median of the 50 replies. Without TCP_NODELAY each longer reply takes 40 ms, so the median exceeds it.

--- a/standin/tests/test_log_server.rs
+++ b/standin/tests/test_log_server.rs
@@ -61,17 +61,21 @@
 }
 
 /// Guards against a server without `TCP_NODELAY`: each longer reply would wait
-/// 40 ms for a delayed acknowledgement. The bound is half of that.
+/// 40 ms for a delayed acknowledgement. The bound is half of that, for the median: a sum
+/// would count the time for which the machine stands still.
 #[actix_rt::test]
 async fn replies_do_not_wait_for_acknowledgements() {
     let (handle, mut client) = start_log().await;
     for byte in 0..30 {
         client.append(record(byte)).await.expect("the log is up");
     }
-    let start = Instant::now();
+    let mut durations = Vec::new();
     for _ in 0..50 {
+        let start = Instant::now();
         client.read(read(0, 0)).await.expect("the log is up");
+        durations.push(start.elapsed());
     }
-    assert!(start.elapsed() < 50 * Duration::from_millis(20), "{:?}", start.elapsed());
+    durations.sort();
+    assert!(durations[25] < Duration::from_millis(20), "{durations:?}");
     handle.shutdown().await;
 }
