daemon tests: the availability budget of a wave holds after a stall, too

Cause: the change for stalls excused more than one unavailable VM near a stall. Change: the check is as strict as before. A stall may still fail it.

--- a/daemon/tests/test_waves.rs
+++ b/daemon/tests/test_waves.rs
@@ -14,7 +14,6 @@
 use support::start_three_daemons;
 use support::status;
 use support::wait_until;
-use tokio::time::Instant;
 
 const WAVE: &str = r#"
 [[wave]]
@@ -47,11 +46,8 @@
             let (code, body) = stalls.repeat_if_stalled(request).await;
             assert_eq!(code, 200, "{body}");
         }
-        let asked_at = Instant::now();
         let report = status(&daemons[0]).await;
-        // A VM whose checks were late counts as unavailable, beside the one of the wave.
-        let is_within_budget = report.pools[0].unavailable <= 1;
-        assert!(is_within_budget || stalls.has_stalled_near(asked_at), "{report:?}");
+        assert!(report.pools[0].unavailable <= 1, "{report:?}");
         report.waves.iter().all(|wave| wave.phase == "finished")
     })
     .await;
