tests: tasks that wait for leases are counted once these have expired

Cause: waves_complete_under_random_faults counted all tasks that run 15 s after the waves completed. Leases of workers that do not answer last up to 18 s after a change of owners (8 s of renewals by the former owner and the longest lease of 10 s), so that a task of the fault phase may still wait or run by then.

Change: the tasks of the last job, which show that no worker stays cordoned, are counted when they were before. The sum of all tasks is compared once all leases of the fault phase have expired.

--- a/lib/tests/test_workload_upkeep_random.rs
+++ b/lib/tests/test_workload_upkeep_random.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeSet;
 
 use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
 use cowslipport_lib::workload::maintenance::WaveSpec;
 use cowslipport_lib::workload::owner_record::WaveProgress;
@@ -20,7 +21,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::upkeep_fake::VmService;
+use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::Fleet;
+use crate::workload_fake::LEASE_MAX_MS;
 use crate::workload_fake::SHORT_WORK;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
@@ -35,6 +38,9 @@
 const FAULT_PHASE_MS: u64 = 30_000;
 /// Time within which all waves complete after the last fault.
 const FINISH_MS: u64 = 60_000;
+/// Time from which on no task waits for leases of the fault phase, and the short ones
+/// among these have ended.
+const SETTLED_AT_MS: u64 = FAULT_PHASE_MS + FORMER_RENEWS_MS + LEASE_MAX_MS + 2_000;
 const STEP_MS: u64 = 20;
 const LIST_INTERVAL_MS: u64 = 400;
 const LIST_DELAY_MS: u64 = 100;
@@ -110,6 +116,14 @@
         self.next_job += 1;
     }
 
+    /// Number of tasks of the last job that run.
+    fn last_job_tasks(&self) -> usize {
+        let last = JobKey(self.next_job - 1);
+        let workers = self.fleet.workers.values().filter(|worker| worker.is_up);
+        let tasks = workers.flat_map(|worker| worker.running.keys());
+        tasks.filter(|task| task.job == last).count()
+    }
+
     fn inject_fault(&mut self) {
         match self.rng.random_range(0..100) {
             0..6 => self.service.crash(&mut self.rng, &mut self.fleet),
@@ -202,6 +216,13 @@
         world.step();
     }
     let expected = up + LONG_RUNNING_TASKS as usize;
+    let last = world.last_job_tasks();
+    if last != up {
+        return Err(format!("{last} of {up} tasks of the last job run"));
+    }
+    while world.fleet.now < SETTLED_AT_MS {
+        world.step();
+    }
     match (world.fleet.running() == expected, world.fleet.violations.is_empty()) {
         (true, true) => Ok(()),
         (false, true) => Err(format!("{} of {expected} tasks run", world.fleet.running())),
