workload: a new owner takes on the orders whose outcome is not known

Cause: a successor counted the VMs that its predecessor had ordered for 3 s, and afterwards by the last list only. Orders without an answer that were over 4 s old were not in the record at all.

Change: the record of VM orders also holds the VMs and waves of orders for maintenance without a known outcome. A successor treats them as its own orders without an answer: they count as down, and are repeated once the VM is drained and no longer reserved. The record is written as often as before. The random test stores and inherits what the daemon does, where it reserved all VMs that were ever ordered.

--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -154,7 +154,10 @@
                     }
                 },
                 Some(RecordKey::VmOrders) => match VmOrders::decode(&record.value) {
-                    Ok(orders) => self.vm_handover.inherit(view.now, orders.vms),
+                    Ok(orders) => {
+                        self.vm_handover.inherit(view.now, orders.vms);
+                        self.maintenance.orders_inherited(view.now, orders.open);
+                    }
                     Err(findings) => {
                         warn!(self.logger, "decoding the record of VM orders failed";
                             "findings" => findings.to_string());
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -95,7 +95,8 @@
     }
 
     /// Returns the VMs that have an order now or had one lately, if there are
-    /// orders. A successor sends no orders for these VMs for a while.
+    /// orders. A successor sends no orders for these VMs for a while, and repeats
+    /// those whose outcome is not known.
     pub(crate) fn recent_vm_orders(
         &mut self,
         now: TimeMs,
@@ -106,7 +107,7 @@
         }
         let names = orders.iter().map(|queued| queued.order.vm.clone());
         let vms = self.vm_handover.record_orders(now, names);
-        Some(VmOrders { vms })
+        Some(VmOrders { vms, open: self.maintenance.open_orders() })
     }
 
     /// Sends orders, once the store has the names of their VMs.
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -204,10 +204,21 @@
 }
 /// VMs that the owner orders now or has ordered recently. The record is stored
 /// before the orders are sent.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct VmOrders {
     #[prost(string, repeated, tag = "1")]
     pub vms: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Orders for maintenance whose outcome is not known.
+    #[prost(message, repeated, tag = "2")]
+    pub open: ::prost::alloc::vec::Vec<OpenMaintenance>,
+}
+/// An order for maintenance whose outcome is not known.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OpenMaintenance {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub wave: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WaveProgress {
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -1,11 +1,14 @@
 //! Maintenance waves: which VM is drained next, and when it is taken down.
 
+mod inherited;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use crate::time::TimeMs;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::DrainBlocker;
+use crate::workload::owner_record::OpenMaintenance;
 use crate::workload::owner_record::WaveProgress;
 use crate::workload::vm::VmAction;
 use crate::workload::vm::VmList;
@@ -81,6 +84,9 @@
 pub struct MaintenanceScheduler {
     waves: BTreeMap<u64, Wave>,
     changed: BTreeSet<u64>,
+    /// Orders of former owners for waves that are not known yet, with the time at
+    /// which they were inherited.
+    inherited: Vec<(TimeMs, OpenMaintenance)>,
 }
 
 impl MaintenanceScheduler {
@@ -104,6 +110,7 @@
         }
         wave.is_completed &= wave.is_finished();
         self.changed.insert(wave.spec.wave);
+        self.apply_inherited();
     }
 
     /// Whether the operator requests the wave, or the outcome of its orders is
@@ -122,6 +129,7 @@
         let Some(wave) = self.waves.get_mut(&number) else { return };
         wave.maintained.extend(progress.maintained.iter().cloned());
         wave.removed.extend(progress.removed.iter().cloned());
+        wave.drop_settled_orders();
         // The operator may have added VMs since.
         wave.is_completed |= progress.completed && wave.is_finished();
     }
@@ -464,7 +472,7 @@
         dispatcher: &mut Dispatcher,
         orders: &mut Vec<VmOrder>,
     ) {
-        let VmPlanInput { vms, maybe_ordered, max_orders, may_stop_long_running, .. } = input;
+        let VmPlanInput { vms, excluded, maybe_ordered, max_orders, may_stop_long_running } = input;
         let is_up = |vm: &str| vms.get(vm).is_some_and(|entry| entry.state == VmState::Up);
         let mut free_slots =
             (self.spec.max_down as usize).saturating_sub(self.down_count(vms, maybe_ordered));
@@ -485,8 +493,11 @@
                 }
                 // The VM still counts as down, because the order may have been
                 // carried out, but tasks may run on it again.
-                Stage::Ordered { repeat_at, .. } if now >= repeat_at && is_up(vm) => {
+                Stage::Ordered { repeat_at, .. }
+                    if now >= repeat_at && is_up(vm) && !excluded.contains(vm) =>
+                {
                     let timeout = repeat_at.plus(DRAIN_TIMEOUT_MS);
+                    in_progress.update_worker(vms.get(vm), dispatcher);
                     let is_drained =
                         in_progress.drain(now, now >= timeout, may_stop_long_running, dispatcher);
                     is_drained && may_order
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -205,18 +205,33 @@
 pub struct VmOrders {
     /// Names of the VMs.
     pub vms: Vec<String>,
+    /// Orders for maintenance whose outcome is not known, also older ones.
+    pub open: Vec<OpenMaintenance>,
+}
+
+/// An order for the maintenance of a VM whose outcome is not known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenMaintenance {
+    /// Name of the VM.
+    pub vm: String,
+    /// Wave that the VM was ordered down for.
+    pub wave: u64,
 }
 
 impl VmOrders {
     /// Encodes the record.
     pub fn encode(&self) -> Vec<u8> {
-        raw::VmOrders { vms: self.vms.clone() }.encode_to_vec()
+        let open = self.open.iter();
+        let open = open.map(|open| raw::OpenMaintenance { vm: open.vm.clone(), wave: open.wave });
+        raw::VmOrders { vms: self.vms.clone(), open: open.collect() }.encode_to_vec()
     }
 
     /// Decodes a record.
     pub fn decode(bytes: &[u8]) -> Result<Self, Findings> {
         let raw = raw::VmOrders::decode(bytes)
             .map_err(|error| decode_error("vm_orders", error.to_string()))?;
-        Ok(Self { vms: raw.vms })
+        let open = raw.open.into_iter();
+        let open = open.map(|open| OpenMaintenance { vm: open.vm, wave: open.wave });
+        Ok(Self { vms: raw.vms, open: open.collect() })
     }
 }
--- a/lib/tests/test_workload_pools.rs
+++ b/lib/tests/test_workload_pools.rs
@@ -17,6 +17,7 @@
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::order_rate_limiter::OrderRateLimiter;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
+use cowslipport_lib::workload::owner_record::OpenMaintenance;
 use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::pool_autoscaler::PoolAutoscaler;
 use cowslipport_lib::workload::report::LeaseGrant;
@@ -396,7 +397,8 @@
     // A third owner learns of the orders of both.
     assert_eq!(second.record_orders(TimeMs(3_000), names(&["d"])), ["b", "c", "d"]);
     assert!(second.reserved_vms(TimeMs(3_100)).is_empty());
-    let record = VmOrders { vms: names(&["b", "c"]) };
+    let open = vec![OpenMaintenance { vm: "a".to_owned(), wave: 3 }];
+    let record = VmOrders { vms: names(&["b", "c"]), open };
     assert_eq!(VmOrders::decode(&record.encode()), Ok(record));
 }
 
--- a/lib/tests/test_workload_upkeep_handover.rs
+++ b/lib/tests/test_workload_upkeep_handover.rs
@@ -8,6 +8,8 @@
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
 use cowslipport_lib::workload::maintenance::WaveSpec;
+use cowslipport_lib::workload::owner_record::VmOrders;
+use cowslipport_lib::workload::owner_record::WaveProgress;
 use cowslipport_lib::workload::vm::VmEntry;
 use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
@@ -126,3 +128,82 @@
         assert_eq!(plan(&mut scheduler, &mut fleet, &up(5_600)), ["b"]);
     }
 }
+
+/// The scheduler of a new owner that inherits what the store has of `former`.
+fn successor(
+    former: &mut MaintenanceScheduler,
+    fleet: &Fleet,
+    now: TimeMs,
+) -> MaintenanceScheduler {
+    let record = VmOrders { vms: Vec::new(), open: former.open_orders() };
+    let record = VmOrders::decode(&record.encode()).expect("a record");
+    let mut successor = scheduler(fleet.time());
+    successor.orders_inherited(now, record.open);
+    for (wave, progress) in former.take_changed() {
+        successor.wave_restored(wave, &progress.expect("the wave is not withdrawn"));
+    }
+    successor
+}
+
+/// An order without an answer may be carried out long after its owner was replaced,
+/// once its VM is back from a crash. Another VM must not go down before the order of
+/// the successor was accepted and a list shows the outcome.
+#[test]
+fn order_of_a_former_owner_counts_as_down_until_it_is_settled() {
+    let (mut fleet, mut former) = idle_fleet();
+    let now = fleet.time();
+    let up = |after_ms| list(now.plus(after_ms), Some(VmState::Up));
+    assert_eq!(plan(&mut former, &mut fleet, &up(0)), ["a"]);
+    let mut successor = successor(&mut former, &fleet, now.plus(200));
+    let reserved = BTreeSet::from(["a".to_owned()]);
+    for after_ms in [600, 3_100] {
+        let (at, vms) = (now.plus(after_ms), up(after_ms));
+        successor.vms_listed(&vms, fleet.owner.as_mut().expect("an owner"));
+        assert!(plan_at(&mut successor, &mut fleet, at, &vms, &reserved).is_empty());
+    }
+    let crashed = list(now.plus(3_300), Some(VmState::Down));
+    assert!(plan(&mut successor, &mut fleet, &crashed).is_empty());
+    assert_eq!(plan(&mut successor, &mut fleet, &up(3_700)), ["a"], "the order is repeated");
+    answer(&mut successor, &mut fleet, now.plus(3_800), VmOrderAnswer::Accepted);
+    let missed = list(now.plus(4_100), None);
+    assert!(plan(&mut successor, &mut fleet, &missed).is_empty());
+    assert_eq!(plan(&mut successor, &mut fleet, &up(4_500)), ["b"]);
+}
+
+/// The record of orders may be older than that of a wave: it is stored with the next
+/// order. The VMs that were maintained or removed since must not be ordered again, and
+/// the wave completes.
+#[test]
+fn inherited_orders_that_are_settled_are_dropped() {
+    let (mut fleet, mut former) = idle_fleet();
+    let now = fleet.time();
+    assert_eq!(plan(&mut former, &mut fleet, &list(now, Some(VmState::Up))), ["a"]);
+    let progress = |maintained: &[&str], removed: &[&str]| WaveProgress {
+        maintained: maintained.iter().map(|vm| (*vm).to_owned()).collect(),
+        removed: removed.iter().map(|vm| (*vm).to_owned()).collect(),
+        completed: true,
+    };
+    for (progress, state) in
+        [(progress(&["a", "b"], &[]), Some(VmState::Up)), (progress(&["b"], &["a"]), None)]
+    {
+        let mut successor = successor(&mut former, &fleet, now.plus(200));
+        successor.wave_restored(1, &progress);
+        assert!(plan(&mut successor, &mut fleet, &list(now.plus(4_000), state)).is_empty());
+        let recorded = successor.take_changed().pop().and_then(|(_, progress)| progress);
+        assert_eq!(recorded, Some(progress));
+    }
+}
+
+/// A new owner may read the request of a wave after the orders of its predecessor.
+#[test]
+fn orders_are_inherited_for_a_wave_that_is_read_later() {
+    let (mut fleet, mut former) = idle_fleet();
+    let now = fleet.time();
+    assert_eq!(plan(&mut former, &mut fleet, &list(now, Some(VmState::Up))), ["a"]);
+    let mut successor = MaintenanceScheduler::default();
+    successor.orders_inherited(now.plus(200), former.open_orders());
+    let vms = vec!["a".to_owned(), "b".to_owned()];
+    let wave = WaveSpec { wave: 1, vms, deadline_ms: 10_000, max_down: 1 };
+    successor.wave_requested(now.plus(300), wave);
+    assert_eq!(successor.open_orders(), former.open_orders());
+}
--- a/lib/tests/test_workload_upkeep_random.rs
+++ b/lib/tests/test_workload_upkeep_random.rs
@@ -6,16 +6,17 @@
 mod workload_fake;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::maintenance::MaintenanceScheduler;
 use cowslipport_lib::workload::maintenance::WaveSpec;
+use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::owner_record::WaveProgress;
 use cowslipport_lib::workload::spec::StepSpec;
 use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmPlanInput;
+use cowslipport_lib::workload::vm_handover::VmHandover;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -42,6 +43,7 @@
 /// among these have ended.
 const SETTLED_AT_MS: u64 = FAULT_PHASE_MS + FORMER_RENEWS_MS + LEASE_MAX_MS + 2_000;
 const STEP_MS: u64 = 20;
+const DEADLINE_MS: u64 = 20_000;
 const LIST_INTERVAL_MS: u64 = 400;
 const LIST_DELAY_MS: u64 = 100;
 /// A new owner does not order VMs that its predecessor ordered in this time.
@@ -56,9 +58,10 @@
     vms: Option<VmList>,
     list_requested_at: Option<u64>,
     next_list_at: u64,
-    /// When each VM was last ordered.
-    ordered_at: BTreeMap<String, u64>,
+    handover: VmHandover,
     owner_since: u64,
+    /// The record of VM orders in the store.
+    stored_orders: VmOrders,
     /// Progress of the waves in the store.
     stored: BTreeMap<u64, WaveProgress>,
     next_job: u64,
@@ -82,8 +85,9 @@
             vms: None,
             list_requested_at: None,
             next_list_at: 0,
-            ordered_at: BTreeMap::new(),
+            handover: VmHandover::new(SEPARATION_MS, 0),
             owner_since: 0,
+            stored_orders: VmOrders::default(),
             stored: BTreeMap::new(),
             next_job: 2,
         }
@@ -91,7 +95,7 @@
 
     fn request_wave(&mut self, wave: u64, vms: std::ops::Range<usize>, max_down: u32) {
         let vms = vms.map(|index| format!("vm{index}")).collect();
-        let spec = WaveSpec { wave, vms, deadline_ms: 20_000, max_down };
+        let spec = WaveSpec { wave, vms, deadline_ms: DEADLINE_MS, max_down };
         self.service.waves.insert(wave, spec.clone());
         self.scheduler.wave_requested(self.fleet.time(), spec);
     }
@@ -106,6 +110,9 @@
         for (wave, progress) in &self.stored {
             self.scheduler.wave_restored(*wave, progress);
         }
+        self.handover = VmHandover::new(SEPARATION_MS, 0);
+        self.handover.inherit(self.fleet.time(), self.stored_orders.vms.clone());
+        self.scheduler.orders_inherited(self.fleet.time(), self.stored_orders.open.clone());
         self.vms = None;
         self.list_requested_at = None;
         self.owner_since = self.fleet.now;
@@ -165,12 +172,9 @@
 
     fn plan(&mut self) {
         let Some(vms) = &self.vms else { return };
-        let (now, owner_since) = (self.fleet.time(), self.owner_since);
-        let is_reserved =
-            |at: u64| at < owner_since && self.fleet.now < owner_since + SEPARATION_MS;
-        let ordered = self.ordered_at.iter().filter(|(_, at)| is_reserved(**at));
-        let excluded: BTreeSet<String> = ordered.map(|(vm, _)| vm.clone()).collect();
-        let may_stop_long_running = self.fleet.now >= owner_since + SEPARATION_MS;
+        let now = self.fleet.time();
+        let excluded = self.handover.reserved_vms(now);
+        let may_stop_long_running = self.fleet.now >= self.owner_since + SEPARATION_MS;
         let input = VmPlanInput {
             vms,
             excluded: &excluded,
@@ -179,8 +183,14 @@
             may_stop_long_running,
         };
         let owner = self.fleet.owner.as_mut().expect("an owner");
-        for order in self.scheduler.plan_maintenance(now, input, owner) {
-            self.ordered_at.insert(order.vm.clone(), self.fleet.now);
+        let orders = self.scheduler.plan_maintenance(now, input, owner);
+        if orders.is_empty() {
+            return;
+        }
+        let names = orders.iter().map(|order| order.vm.clone());
+        let vms = self.handover.record_orders(now, names);
+        self.stored_orders = VmOrders { vms, open: self.scheduler.open_orders() };
+        for order in orders {
             self.service.order(&mut self.rng, &mut self.fleet, order);
         }
     }
@@ -230,6 +240,28 @@
     }
 }
 
+/// A change of owners at any moment leaves waves in time, although the new owner has to
+/// find out what became of the orders of the former one.
+#[test]
+fn waves_complete_in_time_after_a_change_of_owners() {
+    for replaced_after_ms in (300..8_100).step_by(200) {
+        let mut world = World::new(replaced_after_ms);
+        world.service.is_faulty = false;
+        let started_at = world.fleet.now;
+        world.request_wave(1, 0..5, 2);
+        world.request_wave(2, 4..8, 1);
+        while world.stored.len() < 2 || !world.stored.values().all(|wave| wave.completed) {
+            let took_ms = world.fleet.now - started_at;
+            if took_ms == replaced_after_ms {
+                world.replace_owner();
+            }
+            world.step();
+            assert!(took_ms <= DEADLINE_MS, "replaced after {replaced_after_ms} ms");
+        }
+        world.fleet.assert_no_violations();
+    }
+}
+
 /// Waves complete, and only once each VM that stays was maintained for them.
 #[test]
 fn waves_complete_under_random_faults() {
