workload: a refusal counts for its own VM order only

Cause: the answer to an order for maintenance was matched by VM and wave. If a VM was removed, came back and was drained or ordered down again before the refusal of the old order was handled, the refusal lifted the cordon and freed the place of the new order.

Change: an answer carries the time at which its order was planned. A refusal is applied only if the present order of the VM was planned then. Acceptance still counts for the VM and the wave, as it says that the work is done or under way. Answers to moves are matched by VM as before.

Result: the new test failed before.

--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -11,7 +11,6 @@
 use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::WorkerReport;
 use cowslipport_lib::workload::vm::VmEntry;
-use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -21,6 +20,7 @@
 use crate::node::platform::Topic;
 use crate::node::platform::WorkerLease;
 use crate::node::settings::LEASE_MS;
+use crate::node::vm_task::QueuedVmOrder;
 
 /// Capacity of the core's mailbox. Calls beyond it are refused at once.
 pub(crate) const CORE_MAILBOX_CAPACITY: usize = 2_048;
@@ -92,7 +92,7 @@
     /// The advice service answered a request, or the call failed.
     AdviceAnswered { request: AdviceRequest, answer: Option<AdviceAnswer> },
     /// The VM service answered an order.
-    VmOrderAnswered { order: VmOrder, answer: VmOrderAnswer },
+    VmOrderAnswered { queued: QueuedVmOrder, answer: VmOrderAnswer },
 }
 
 /// Reading of a worker's clock, with the time on the local clock.
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -279,10 +279,10 @@
                 self.dispatcher.handle_advice_answer(now, &request, answer.as_ref());
             }
             OwnerMessage::VmListFailed => self.is_listing_vms = false,
-            OwnerMessage::VmOrderAnswered { order, answer } => {
-                info!(self.logger, "VM order answered"; "vm" => &order.vm,
+            OwnerMessage::VmOrderAnswered { queued, answer } => {
+                info!(self.logger, "VM order answered"; "vm" => &queued.order.vm,
                     "answer" => format!("{answer:?}"));
-                self.handle_vm_answer(now, &order, answer);
+                self.handle_vm_answer(now, &queued, answer);
             }
         }
     }
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -4,7 +4,6 @@
 use cowslipport_lib::workload::owner_record::VmOrders;
 use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmList;
-use cowslipport_lib::workload::vm::VmOrder;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
 use cowslipport_lib::workload::vm::VmPlanInput;
 use slog::info;
@@ -115,23 +114,29 @@
         for queued in orders {
             let order = &queued.order;
             if !view.is_confirmed {
-                self.handle_vm_answer(view.now, order, VmOrderAnswer::Refused);
+                self.handle_vm_answer(view.now, &queued, VmOrderAnswer::Refused);
                 continue;
             }
             info!(self.logger, "sending VM order"; "vm" => &order.vm,
                 "action" => format!("{:?}", order.action));
             if !self.mailboxes.vms.send_order(queued.clone()) {
                 warn!(self.logger, "VM order dropped"; "reason" => "queue is full");
-                self.handle_vm_answer(view.now, order, VmOrderAnswer::Refused);
+                self.handle_vm_answer(view.now, &queued, VmOrderAnswer::Refused);
             }
         }
     }
 
-    pub(crate) fn handle_vm_answer(&mut self, now: TimeMs, order: &VmOrder, answer: VmOrderAnswer) {
+    pub(crate) fn handle_vm_answer(
+        &mut self,
+        now: TimeMs,
+        queued: &QueuedVmOrder,
+        answer: VmOrderAnswer,
+    ) {
+        let QueuedVmOrder { order, planned_at } = queued;
         let (vm, dispatcher) = (&order.vm, &mut self.dispatcher);
         match &order.action {
             VmAction::Maintain { wave } => {
-                self.maintenance.order_answered(now, vm, *wave, answer, dispatcher);
+                self.maintenance.order_answered(now, *planned_at, vm, *wave, answer, dispatcher);
             }
             VmAction::MoveTo { .. } => {
                 self.pool_autoscaler.order_answered(now, vm, answer, dispatcher)
--- a/daemon/src/node/vm_task.rs
+++ b/daemon/src/node/vm_task.rs
@@ -138,8 +138,7 @@
     async fn run(mut self) {
         while let Some(queued) = self.mailbox.recv().await {
             let answer = self.send(&queued).await;
-            let order = queued.order;
-            if !self.owner.send(OwnerMessage::VmOrderAnswered { order, answer }).await {
+            if !self.owner.send(OwnerMessage::VmOrderAnswered { queued, answer }).await {
                 return;
             }
         }
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -166,10 +166,12 @@
         self.forget_withdrawn();
     }
 
-    /// Handles the answer to an order.
+    /// Handles the answer to the order that was planned at `planned_at`. A refusal of
+    /// an earlier order than the present one tells nothing about that.
     pub fn order_answered(
         &mut self,
         now: TimeMs,
+        planned_at: TimeMs,
         vm: &str,
         number: u64,
         answer: VmOrderAnswer,
@@ -190,7 +192,9 @@
                 self.changed.insert(number);
             }
             VmOrderAnswer::Busy | VmOrderAnswer::Refused => {
-                wave.order_refused(now.plus(BUSY_BACKOFF_MS), vm, dispatcher);
+                if wave.is_ordered_at(vm, planned_at) {
+                    wave.order_refused(now.plus(BUSY_BACKOFF_MS), vm, dispatcher);
+                }
             }
         }
     }
@@ -359,6 +363,12 @@
         }
     }
 
+    /// Whether the present order for a VM was planned at a time.
+    fn is_ordered_at(&self, vm: &str, planned_at: TimeMs) -> bool {
+        let stage = self.in_progress.get(vm).map(|in_progress| in_progress.stage);
+        matches!(stage, Some(Stage::Ordered { at, .. }) if at == planned_at)
+    }
+
     /// Handles the refusal of an order. It tells nothing about an earlier order for the
     /// VM: the VM may even be busy because of that.
     fn order_refused(&mut self, next_at: TimeMs, vm: &str, dispatcher: &mut Dispatcher) {
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -145,7 +145,7 @@
     let now = fleet.time();
     let owner = fleet.owner.as_mut().expect("an owner");
     let worker = owner.worker_id("w0");
-    scheduler.order_answered(now.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    scheduler.order_answered(now.plus(20), now, "vm", 1, VmOrderAnswer::Accepted, owner);
     scheduler.vms_listed(&VmList::new(now.plus(10), vec![vm(VmState::Up)]), owner);
     assert!(owner.has_tasks(worker), "the task may still run");
     let mut repeated = scheduler.clone();
@@ -190,7 +190,14 @@
     fleet.advance(100);
     let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Unknown, owner);
+    scheduler.order_answered(
+        ordered_at.plus(20),
+        ordered_at,
+        "vm",
+        1,
+        VmOrderAnswer::Unknown,
+        owner,
+    );
     let excluded = BTreeSet::new();
     let mut orders = 0;
     for (after_ms, state) in
@@ -204,7 +211,7 @@
     }
     assert_eq!(orders, 1, "the order is repeated");
     let now = ordered_at.plus(9_100);
-    scheduler.order_answered(now, "vm", 1, VmOrderAnswer::Accepted, owner);
+    scheduler.order_answered(now, now, "vm", 1, VmOrderAnswer::Accepted, owner);
     for (after_ms, state) in [(9_400, VmState::Maintenance), (11_000, VmState::Up)] {
         let now = ordered_at.plus(after_ms);
         let vms = VmList::new(now, vec![vm("vm", state, "w2")]);
@@ -239,7 +246,14 @@
     fleet.advance(100);
     let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Unknown, owner);
+    scheduler.order_answered(
+        ordered_at.plus(20),
+        ordered_at,
+        "vm",
+        1,
+        VmOrderAnswer::Unknown,
+        owner,
+    );
     let mut orders = 0;
     for (after_ms, state) in [(400, None), (800, Some(VmState::Up)), (4_100, Some(VmState::Up))] {
         orders +=
@@ -371,7 +385,7 @@
     let up = |at| list_with(at, Some(VmState::Up));
     assert_eq!(plan_orders(&mut scheduler, &mut fleet, &up(now)), [1]);
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(now.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    scheduler.order_answered(now.plus(20), now, "vm", 1, VmOrderAnswer::Accepted, owner);
     assert_eq!(plan_orders(&mut scheduler, &mut fleet, &up(now.plus(2_400))), [2]);
 }
 
@@ -384,14 +398,28 @@
     fleet.advance(100);
     let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Unknown, owner);
+    scheduler.order_answered(
+        ordered_at.plus(20),
+        ordered_at,
+        "vm",
+        1,
+        VmOrderAnswer::Unknown,
+        owner,
+    );
     let under_way = list_with(ordered_at.plus(400), Some(VmState::Maintenance));
     assert!(plan_orders(&mut scheduler, &mut fleet, &under_way).is_empty());
     let up = list_with(ordered_at.plus(2_400), Some(VmState::Up));
     assert_eq!(plan_orders(&mut scheduler, &mut fleet, &up), [1], "the order is repeated");
     assert!(!is_recorded_as_completed(&mut scheduler));
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(ordered_at.plus(2_500), "vm", 1, VmOrderAnswer::Accepted, owner);
+    scheduler.order_answered(
+        ordered_at.plus(2_500),
+        ordered_at,
+        "vm",
+        1,
+        VmOrderAnswer::Accepted,
+        owner,
+    );
     let up = list_with(ordered_at.plus(2_800), Some(VmState::Up));
     assert!(plan_orders(&mut scheduler, &mut fleet, &up).is_empty());
     assert!(is_recorded_as_completed(&mut scheduler));
@@ -426,7 +454,14 @@
     fleet.advance(100);
     let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    scheduler.order_answered(
+        ordered_at.plus(20),
+        ordered_at,
+        "vm",
+        1,
+        VmOrderAnswer::Accepted,
+        owner,
+    );
     let list = list_with(ordered_at.plus(2_400), Some(VmState::Up));
     apply_list(&mut scheduler, &mut fleet, &list);
     assert!(is_recorded_as_completed(&mut scheduler));
@@ -533,7 +568,14 @@
     fleet.advance(100);
     let (mut scheduler, ordered_at) = scheduler_with_order(&mut fleet);
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(ordered_at.plus(20), "vm", 1, VmOrderAnswer::Accepted, owner);
+    scheduler.order_answered(
+        ordered_at.plus(20),
+        ordered_at,
+        "vm",
+        1,
+        VmOrderAnswer::Accepted,
+        owner,
+    );
     scheduler.wave_withdrawn(1, owner);
     let wave = WaveSpec { wave: 1, vms: vec!["vm".to_owned()], deadline_ms: 10_000, max_down: 1 };
     scheduler.wave_requested(ordered_at.plus(100), wave);
--- a/lib/tests/test_workload_upkeep_handover.rs
+++ b/lib/tests/test_workload_upkeep_handover.rs
@@ -84,15 +84,15 @@
     plan_at(scheduler, fleet, vms.requested_at, vms, &NO_VMS)
 }
 
-/// Handles the answer to the order for `a`.
+/// Handles the answer to the order for `a` that was planned at a time, 100 ms later.
 fn answer(
     scheduler: &mut MaintenanceScheduler,
     fleet: &mut Fleet,
-    now: TimeMs,
+    planned_at: TimeMs,
     answer: VmOrderAnswer,
 ) {
     let owner = fleet.owner.as_mut().expect("an owner");
-    scheduler.order_answered(now, "a", 1, answer, owner);
+    scheduler.order_answered(planned_at.plus(100), planned_at, "a", 1, answer, owner);
 }
 
 /// The list shows a VM under maintenance that this owner has not ordered, and the next
@@ -118,13 +118,13 @@
         let now = fleet.time();
         let up = |after_ms| list(now.plus(after_ms), Some(VmState::Up));
         assert_eq!(plan(&mut scheduler, &mut fleet, &up(0)), ["a"]);
-        answer(&mut scheduler, &mut fleet, now.plus(1_000), VmOrderAnswer::Unknown);
+        answer(&mut scheduler, &mut fleet, now, VmOrderAnswer::Unknown);
         assert_eq!(plan(&mut scheduler, &mut fleet, &up(4_000)), ["a"], "a repetition");
-        answer(&mut scheduler, &mut fleet, now.plus(4_100), refusal);
+        answer(&mut scheduler, &mut fleet, now.plus(4_000), refusal);
         let at = now.plus(4_200);
         assert!(plan_at(&mut scheduler, &mut fleet, at, &up(4_000), &NO_VMS).is_empty());
         assert_eq!(plan(&mut scheduler, &mut fleet, &up(5_200)), ["a"], "a second repetition");
-        answer(&mut scheduler, &mut fleet, now.plus(5_300), VmOrderAnswer::Accepted);
+        answer(&mut scheduler, &mut fleet, now.plus(5_200), VmOrderAnswer::Accepted);
         assert_eq!(plan(&mut scheduler, &mut fleet, &up(5_600)), ["b"]);
     }
 }
@@ -164,7 +164,7 @@
     let crashed = list(now.plus(3_300), Some(VmState::Down));
     assert!(plan(&mut successor, &mut fleet, &crashed).is_empty());
     assert_eq!(plan(&mut successor, &mut fleet, &up(3_700)), ["a"], "the order is repeated");
-    answer(&mut successor, &mut fleet, now.plus(3_800), VmOrderAnswer::Accepted);
+    answer(&mut successor, &mut fleet, now.plus(3_700), VmOrderAnswer::Accepted);
     let missed = list(now.plus(4_100), None);
     assert!(plan(&mut successor, &mut fleet, &missed).is_empty());
     assert_eq!(plan(&mut successor, &mut fleet, &up(4_500)), ["b"]);
@@ -207,3 +207,25 @@
     successor.wave_requested(now.plus(300), wave);
     assert_eq!(successor.open_orders(), former.open_orders());
 }
+
+/// The answer to an order comes after its VM was removed, is back, and is drained or
+/// ordered down again. A refusal of the old order must not lift the cordon.
+#[test]
+fn refusal_of_an_earlier_order_does_not_end_a_later_one() {
+    let (mut fleet, mut scheduler) = idle_fleet();
+    let now = fleet.time();
+    let up = |after_ms| list(now.plus(after_ms), Some(VmState::Up));
+    assert_eq!(plan(&mut scheduler, &mut fleet, &up(0)), ["a"]);
+    let reserved = BTreeSet::from(["b".to_owned()]);
+    for after_ms in [400, 2_400] {
+        let missed = list(now.plus(after_ms), None);
+        scheduler.vms_listed(&missed, fleet.owner.as_mut().expect("an owner"));
+        plan_at(&mut scheduler, &mut fleet, missed.requested_at, &missed, &reserved);
+    }
+    assert!(scheduler.open_orders().is_empty(), "the VM was removed");
+    assert_eq!(plan(&mut scheduler, &mut fleet, &up(4_400)), ["a"]);
+    answer(&mut scheduler, &mut fleet, now, VmOrderAnswer::Refused);
+    assert_eq!(scheduler.open_orders().len(), 1, "the new order is under way");
+    answer(&mut scheduler, &mut fleet, now.plus(4_400), VmOrderAnswer::Refused);
+    assert!(scheduler.open_orders().is_empty());
+}
--- a/lib/tests/test_workload_upkeep_random.rs
+++ b/lib/tests/test_workload_upkeep_random.rs
@@ -21,6 +21,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::upkeep_fake::Answer;
 use crate::upkeep_fake::VmService;
 use crate::workload_fake::FORMER_RENEWS_MS;
 use crate::workload_fake::Fleet;
@@ -147,8 +148,9 @@
         let now = self.fleet.now;
         self.service.advance(&mut self.rng, &mut self.fleet);
         let owner = self.fleet.owner.as_mut().expect("an owner");
-        for (vm, wave, answer) in self.service.take_answers(now) {
-            self.scheduler.order_answered(TimeMs(now), &vm, wave, answer, owner);
+        for Answer { ordered_at, vm, wave, answer, .. } in self.service.take_answers(now) {
+            let ordered_at = TimeMs(ordered_at);
+            self.scheduler.order_answered(TimeMs(now), ordered_at, &vm, wave, answer, owner);
         }
         if self.list_requested_at.is_none() && now >= self.next_list_at {
             self.list_requested_at = Some(now);
--- a/lib/tests/upkeep_fake/mod.rs
+++ b/lib/tests/upkeep_fake/mod.rs
@@ -53,11 +53,12 @@
 }
 
 /// An answer under way.
-struct Answer {
+pub(crate) struct Answer {
     at: u64,
-    vm: String,
-    wave: u64,
-    answer: VmOrderAnswer,
+    pub(crate) ordered_at: u64,
+    pub(crate) vm: String,
+    pub(crate) wave: u64,
+    pub(crate) answer: VmOrderAnswer,
 }
 
 pub(crate) struct VmService {
@@ -134,11 +135,11 @@
     }
 
     /// Takes the answers that have arrived.
-    pub(crate) fn take_answers(&mut self, now: u64) -> Vec<(String, u64, VmOrderAnswer)> {
+    pub(crate) fn take_answers(&mut self, now: u64) -> Vec<Answer> {
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.answers).into_iter().partition(|answer| answer.at <= now);
         self.answers = later;
-        due.into_iter().map(|answer| (answer.vm, answer.wave, answer.answer)).collect()
+        due
     }
 
     /// Loses the answers that are under way, because their owner has ended.
@@ -195,7 +196,13 @@
             false => rng.random_range(20..200),
         };
         let wave = wave_of(&order);
-        self.answers.push(Answer { at: now + delay_ms, vm: order.vm, wave, answer });
+        self.answers.push(Answer {
+            at: now + delay_ms,
+            ordered_at: now,
+            vm: order.vm,
+            wave,
+            answer,
+        });
     }
 
     fn carry_out(&mut self, fleet: &mut Fleet, order: &VmOrder, is_in_time: bool) -> VmOrderAnswer {
