--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -3,7 +3,6 @@
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::event::DispatcherEvent;
-use cowslipport_lib::workload::event::PlacementBlockers;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::pool_load::PoolLoad;
@@ -62,36 +61,21 @@
             DispatcherEvent::PoolMeasured { pool, load } => {
                 log_pool(logger, catalog.pool_name(pool), &load);
             }
-            DispatcherEvent::DrainGivenUp { worker, tasks, blocker } => {
-                warn!(logger, "drain given up"; "worker" => dispatcher.worker_name(worker),
-                    "tasks" => tasks, "reason" => blocker.as_str());
-            }
             DispatcherEvent::StepWaiting { job, occurrence, step, tasks, waited_ms, blockers } => {
-                log_wait(logger, job, (occurrence, step), tasks, waited_ms, blockers);
+                info!(logger, "tasks wait for a worker"; "job" => %job,
+                    "occurrence" => occurrence, "step" => step, "tasks" => tasks,
+                    "waited_ms" => waited_ms,
+                    "over_limit" => blockers.over_limit, "leaving" => blockers.leaving,
+                    "unreached" => blockers.unreached, "restarted" => blockers.restarted,
+                    "cordoned" => blockers.cordoned,
+                    "avoided" => blockers.avoided, "unsuited" => blockers.unsuited,
+                    "spread" => blockers.spread, "without_ticket" => blockers.without_ticket,
+                    "full" => blockers.full, "kept" => blockers.kept);
             }
         }
     }
 }
 
-fn log_wait(
-    logger: &Logger,
-    job: JobKey,
-    (occurrence, step): (u32, u32),
-    tasks: u32,
-    waited_ms: u64,
-    blockers: PlacementBlockers,
-) {
-    info!(logger, "tasks wait for a worker"; "job" => %job,
-        "occurrence" => occurrence, "step" => step, "tasks" => tasks,
-        "waited_ms" => waited_ms,
-        "over_limit" => blockers.over_limit, "leaving" => blockers.leaving,
-        "unreached" => blockers.unreached, "restarted" => blockers.restarted,
-        "cordoned" => blockers.cordoned,
-        "avoided" => blockers.avoided, "unsuited" => blockers.unsuited,
-        "spread" => blockers.spread, "without_ticket" => blockers.without_ticket,
-        "full" => blockers.full, "kept" => blockers.kept);
-}
-
 fn log_end(logger: &Logger, task: TaskName, attempt: u32, worker: &str, end: TaskEnd) {
     metrics::counter!("cowslipport_tasks_ended_total", "end" => end.as_str()).increment(1);
     match end {
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -52,8 +52,8 @@
         let reserved = self.vm_handover.reserved_vms(view.now);
         let mut moving = self.pool_autoscaler.moving_vms();
         moving.extend(reserved.iter().cloned());
-        let may_stop_long_running = self.may_start(view)
-            && view.now.since(self.gained_at) >= self.vm_handover.separation_ms();
+        let may_stop_long_running =
+            view.now.since(self.gained_at) >= self.vm_handover.separation_ms();
         let input = VmPlanInput {
             vms,
             excluded: &moving,
--- a/lib/src/workload/advice.rs
+++ b/lib/src/workload/advice.rs
@@ -175,12 +175,6 @@
         self.tickets.answer(step, self.incarnation(worker))?.usable_ticket(now)
     }
 
-    /// True if the service has denied the worker a ticket for the step.
-    pub(crate) fn is_denied(&self, step: StepKey, worker: WorkerId) -> bool {
-        let answer = self.tickets.answer(step, self.incarnation(worker));
-        matches!(answer, Some(Permission::Denied))
-    }
-
     fn incarnation(&self, id: WorkerId) -> WorkerIncarnation {
         (id, self.workers.get(id).and_then(|worker| worker.started_unix_ms))
     }
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -18,7 +18,6 @@
 use crate::time::TimeMs;
 use crate::workload::advice::Tickets;
 use crate::workload::catalog::Catalog;
-use crate::workload::drain_places::DrainPlaces;
 use crate::workload::ended::EndedJobs;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::explain::WaitTracker;
@@ -93,7 +92,6 @@
     pub(crate) pacer: Pacer,
     pub(crate) tickets: Tickets,
     pub(crate) waits: WaitTracker,
-    pub(crate) drain_places: DrainPlaces,
     pub(crate) arrivals: Arrivals,
     pub(crate) start_budget: StartBudget,
     /// Time until the budget allows a start that is requested now, as of the
@@ -146,7 +144,6 @@
             pacer: Pacer::default(),
             tickets: Tickets::default(),
             waits: WaitTracker::default(),
-            drain_places: DrainPlaces::default(),
             arrivals: Arrivals::default(),
             start_budget: StartBudget::default(),
             start_delay_ms: 0,
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -92,16 +92,6 @@
         /// Its capacity and demand.
         load: PoolLoad,
     },
-    /// The VM of a worker could not be drained. The worker gets tasks again, and
-    /// the drain is tried again later.
-    DrainGivenUp {
-        /// The worker.
-        worker: WorkerId,
-        /// Number of tasks that are left on the worker.
-        tasks: usize,
-        /// Why the last of them were not stopped.
-        blocker: DrainBlocker,
-    },
     /// Tasks of a step are ready to start, and no worker can take them.
     StepWaiting {
         /// The job.
@@ -147,31 +137,6 @@
     pub kept: u32,
 }
 
-/// Why no long-running task of a drained VM is stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DrainBlocker {
-    /// The worker is not known to be reachable.
-    Unreached,
-    /// Only this worker has room for a long-running task that waits.
-    NeededByWaitingTask,
-    /// No other worker has room for the tasks.
-    NoPlace,
-    /// As many tasks of their steps are unavailable as may be.
-    MaxUnavailable,
-}
-
-impl DrainBlocker {
-    /// Name in log lines.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Unreached => "unreached",
-            Self::NeededByWaitingTask => "needed_by_waiting_task",
-            Self::NoPlace => "no_place",
-            Self::MaxUnavailable => "max_unavailable",
-        }
-    }
-}
-
 /// Why a placement was released without a reported end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PlacementReleaseReason {
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -7,10 +7,10 @@
 
 use crate::time::TimeMs;
 use crate::workload::dispatcher::Dispatcher;
-use crate::workload::event::DrainBlocker;
 use crate::workload::owner_record::OpenMaintenance;
 use crate::workload::owner_record::WaveProgress;
 use crate::workload::vm::VmAction;
+use crate::workload::vm::VmEntry;
 use crate::workload::vm::VmList;
 use crate::workload::vm::VmOrder;
 use crate::workload::vm::VmOrderAnswer;
@@ -18,8 +18,6 @@
 use crate::workload::vm::VmState;
 use crate::workload::vm_drain::DrainCost;
 use crate::workload::vm_drain::drain_cost;
-use crate::workload::vm_maintenance::Stage;
-use crate::workload::vm_maintenance::VmMaintenance;
 
 /// Tasks that are not long-running get this time to end before their VM is
 /// taken down. Most run for less.
@@ -27,9 +25,6 @@
 /// At most this many times the VMs that may be down are drained or down, so
 /// that the next one can go down as soon as another is up again.
 const DRAIN_AHEAD_FACTOR: u64 = 2;
-/// A drain that was given up is tried again after this time, so that the worker is
-/// cordoned for half of the time at most while its tasks have no place elsewhere.
-const DRAIN_RETRY_MS: u64 = 5_000;
 /// An order without effect in the VM list for this time is repeated.
 const ORDER_RETRY_MS: u64 = 4_000;
 /// A VM that the VM service reported as busy is retried after this time.
@@ -79,6 +74,31 @@
     retry_at: BTreeMap<String, TimeMs>,
 }
 
+/// A VM that is being maintained.
+#[derive(Clone, Debug)]
+struct VmMaintenance {
+    worker: Option<String>,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The VM's worker gets no new tasks until it is empty.
+    Draining { since: TimeMs },
+    /// The VM was ordered down for maintenance.
+    Ordered {
+        at: TimeMs,
+        accepted_at: Option<TimeMs>,
+        /// Whether the list has shown the VM under maintenance since the order,
+        /// which may be the maintenance of another wave.
+        is_under_way: bool,
+        /// When the order is repeated if it has no answer until then.
+        repeat_at: TimeMs,
+        /// Whether an earlier order for the VM may still be carried out.
+        is_repeated: bool,
+    },
+}
+
 /// Schedules the maintenance of VMs in waves.
 #[derive(Clone, Debug, Default)]
 pub struct MaintenanceScheduler {
@@ -208,7 +228,6 @@
         dispatcher: &mut Dispatcher,
     ) -> Vec<VmOrder> {
         let mut orders = Vec::new();
-        dispatcher.drain_places.begin_plan(now);
         // A VM in several waves is maintained for one after the other.
         let mut excluded = input.excluded.clone();
         excluded.extend(self.vms_under_maintenance());
@@ -219,7 +238,6 @@
             wave.start_draining(now, input.vms, &excluded, dispatcher);
             excluded.extend(wave.in_progress.keys().cloned());
             wave.order_drained(now, input, dispatcher, &mut orders);
-            wave.give_up_blocked(now, dispatcher);
             let is_finished = wave.is_finished();
             if is_finished != wave.is_completed {
                 wave.is_completed = is_finished;
@@ -389,8 +407,7 @@
     }
 
     /// Starts to drain further VMs as far as the wave allows, those with the
-    /// lowest cost first. One whose tasks have no place elsewhere waits until no
-    /// other is drained, because its cordon takes their places.
+    /// lowest cost first.
     fn start_draining(
         &mut self,
         now: TimeMs,
@@ -399,9 +416,6 @@
         dispatcher: &mut Dispatcher,
     ) {
         let free_slots = self.max_in_progress(now, vms).saturating_sub(self.in_progress.len());
-        if free_slots == 0 {
-            return;
-        }
         let mut due: Vec<(DrainCost, &String)> = self
             .spec
             .vms
@@ -410,28 +424,13 @@
             .map(|vm| (drain_cost(vm, vms, dispatcher), vm))
             .collect();
         due.sort();
-        let (mut chosen, mut blocked) = (Vec::new(), None);
-        for (_, vm) in due {
+        for (_, vm) in due.into_iter().take(free_slots) {
             let worker = vms.get(vm).and_then(|entry| entry.worker.clone());
-            if worker.as_deref().is_none_or(|worker| dispatcher.can_be_drained(now, worker)) {
-                chosen.push((vm.clone(), worker));
-            } else {
-                blocked = blocked.or_else(|| Some((vm.clone(), worker)));
-            }
-            if chosen.len() == free_slots {
-                break;
-            }
-        }
-        let is_draining = |vm: &VmMaintenance| matches!(vm.stage, Stage::Draining { .. });
-        if chosen.is_empty() && !self.in_progress.values().any(is_draining) {
-            chosen.extend(blocked);
-        }
-        for (vm, worker) in chosen {
             if let Some(worker) = &worker {
                 dispatcher.set_cordoned(worker, true);
             }
             let stage = Stage::Draining { since: now };
-            self.in_progress.insert(vm, VmMaintenance { worker, stage, blocked: None });
+            self.in_progress.insert(vm.clone(), VmMaintenance { worker, stage });
         }
     }
 
@@ -496,7 +495,7 @@
                     let timeout = since.plus(DRAIN_TIMEOUT_MS);
                     in_progress.update_worker(vms.get(vm), dispatcher);
                     let is_drained =
-                        in_progress.drain(now, now >= timeout, may_stop_long_running, dispatcher);
+                        in_progress.drain(now >= timeout, may_stop_long_running, dispatcher);
                     let may_go_down = is_drained && may_order && free_slots > 0;
                     free_slots -= usize::from(may_go_down);
                     may_go_down
@@ -509,16 +508,12 @@
                     let timeout = repeat_at.plus(DRAIN_TIMEOUT_MS);
                     in_progress.update_worker(vms.get(vm), dispatcher);
                     let is_drained =
-                        in_progress.drain(now, now >= timeout, may_stop_long_running, dispatcher);
+                        in_progress.drain(now >= timeout, may_stop_long_running, dispatcher);
                     is_drained && may_order
                 }
-                Stage::Ordered { .. } => {
-                    in_progress.blocked = None;
-                    false
-                }
+                Stage::Ordered { .. } => false,
             };
             if is_ready {
-                in_progress.blocked = None;
                 in_progress.stage = Stage::Ordered {
                     at: now,
                     accepted_at: None,
@@ -532,24 +527,35 @@
         }
     }
 
-    /// Ends drains that have been blocked for long.
-    fn give_up_blocked(&mut self, now: TimeMs, dispatcher: &mut Dispatcher) {
-        let blocked = self
-            .in_progress
-            .iter()
-            .filter_map(|(vm, in_progress)| Some((vm.clone(), in_progress.blocked_for_long(now)?)));
-        for (vm, blocker) in blocked.collect::<Vec<(String, DrainBlocker)>>() {
-            if let Some(worker) = self.in_progress.get(&vm).and_then(|vm| vm.worker.as_deref()) {
-                dispatcher.drain_given_up(worker, blocker);
-            }
-            self.stop_tracking(&vm, dispatcher);
-            self.retry_at.insert(vm, now.plus(DRAIN_RETRY_MS));
-        }
-    }
-
     /// True if every VM was maintained or removed.
     fn is_finished(&self) -> bool {
         let is_settled = |vm: &String| self.maintained.contains(vm) || self.removed.contains(vm);
         self.in_progress.is_empty() && self.spec.vms.iter().all(is_settled)
     }
 }
+
+impl VmMaintenance {
+    /// Drains the VM. Returns true once it may go down.
+    fn drain(
+        &self,
+        is_timed_out: bool,
+        may_stop_long_running: bool,
+        dispatcher: &mut Dispatcher,
+    ) -> bool {
+        self.worker.as_deref().is_none_or(|worker| {
+            dispatcher.drain_for_maintenance(worker, is_timed_out, may_stop_long_running)
+        })
+    }
+
+    /// Applies the present worker of the VM, which may have been restarted.
+    fn update_worker(&mut self, entry: Option<&VmEntry>, dispatcher: &mut Dispatcher) {
+        let present = entry.and_then(|entry| entry.worker.clone());
+        if present == self.worker {
+            return;
+        }
+        if let Some(worker) = &present {
+            dispatcher.set_cordoned(worker, true);
+        }
+        self.worker = present;
+    }
+}
--- a/lib/src/workload/maintenance/inherited.rs
+++ b/lib/src/workload/maintenance/inherited.rs
@@ -51,7 +51,7 @@
             is_repeated: true,
         };
         // The list tells which worker is on the VM.
-        self.in_progress.entry(vm).or_insert(VmMaintenance { worker: None, stage, blocked: None });
+        self.in_progress.entry(vm).or_insert(VmMaintenance { worker: None, stage });
         self.drop_settled_orders();
     }
 
--- a/lib/src/workload/vm_drain.rs
+++ b/lib/src/workload/vm_drain.rs
@@ -1,11 +1,7 @@
 //! How the VM of a maintenance wave is drained: which of its tasks are stopped,
 //! and what that costs.
 
-use crate::time::TimeMs;
 use crate::workload::dispatcher::Dispatcher;
-use crate::workload::drain_places::Room;
-use crate::workload::event::DispatcherEvent;
-use crate::workload::event::DrainBlocker;
 use crate::workload::event::PlacementReleaseReason;
 use crate::workload::job::Task;
 use crate::workload::key::TaskKey;
@@ -22,115 +18,53 @@
         return (0, 0);
     };
     let id = dispatcher.worker_id(worker);
-    let long_running = dispatcher.long_running_on(id).len();
+    let long_running = dispatcher.tasks_on(id).into_iter().filter(|task| {
+        let job = dispatcher.jobs.get(task.step.job);
+        job.is_some_and(|job| job.step_spec(task.step.step).long_running)
+    });
+    let long_running = long_running.count();
     (long_running, dispatcher.workers.get(id).map_or(0, |worker| worker.used.cpu_milli))
 }
 
-/// How far the drain of a VM has got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum DrainState {
-    /// Only tasks remain, if any, that have had their time to end.
-    Drained,
-    /// Tasks are ending.
-    Draining,
-    /// Long-running tasks remain, and none of them may be stopped now.
-    Blocked(DrainBlocker),
-}
-
 impl Dispatcher {
-    /// Stops those long-running tasks on a worker that have a place elsewhere, as
-    /// far as their steps allow.
+    /// Stops long-running tasks on a worker as far as allowed. Returns true
+    /// once only tasks remain, if any, that have had their time to end.
     pub(crate) fn drain_for_maintenance(
         &mut self,
-        now: TimeMs,
         name: &str,
         is_timed_out: bool,
         may_stop_long_running: bool,
-    ) -> DrainState {
+    ) -> bool {
         let id = self.worker_id(name);
         let tasks = self.tasks_on(id);
         let is_listed = self.workers.get(id).is_some_and(|worker| worker.listing.is_some());
         if tasks.is_empty() && !self.is_stored_as_empty(id) {
-            return DrainState::Draining;
+            return false;
         }
         if !is_listed && tasks.is_empty() {
             // The VM is on standby, where it gets no tasks.
-            return DrainState::Drained;
+            return true;
         }
         if !self.is_listed_and_reachable(id) {
             // It is not known what runs on the VM: it may have another worker.
-            return DrainState::Blocked(DrainBlocker::Unreached);
-        }
-        let long_running = self.long_running_on(id);
-        match (long_running.is_empty(), tasks.is_empty() || is_timed_out) {
-            (true, true) => DrainState::Drained,
-            (true, false) => DrainState::Draining,
-            (false, _) if may_stop_long_running => self.stop_for_maintenance(now, id, long_running),
-            (false, _) => DrainState::Draining,
+            return false;
         }
-    }
-
-    fn stop_for_maintenance(
-        &mut self,
-        now: TimeMs,
-        id: WorkerId,
-        tasks: Vec<TaskKey>,
-    ) -> DrainState {
-        let is_needed = self.is_needed_by_waiting_task(now, id);
-        let mut without_place = None;
-        let mut blocker = DrainBlocker::MaxUnavailable;
-        let mut is_stopping = false;
+        let mut is_drained = true;
         for task in tasks {
-            if self.placement(task).is_some_and(|placement| placement.stop.is_some()) {
-                is_stopping = true;
-                self.drain_places.reserve(task.step);
-            } else if is_needed {
-                blocker = DrainBlocker::NeededByWaitingTask;
-            } else if self.may_stop_for_maintenance(task) {
-                self.drain_places.reserve(task.step);
-                let without_place =
-                    without_place.get_or_insert_with(|| self.tasks_without_place(now, id));
-                if self.has_place(now, task.step, without_place, id, Room::Free) {
-                    self.stop(task, StopReason::Maintenance);
-                    without_place.push(task.step);
-                    is_stopping = true;
-                } else {
-                    blocker = DrainBlocker::NoPlace;
-                }
+            let Some(job) = self.jobs.get(task.step.job) else { continue };
+            let spec = job.step_spec(task.step.step);
+            let is_stopping =
+                job.task(task).placement().is_some_and(|placement| placement.stop.is_some());
+            is_drained &= !spec.long_running && is_timed_out;
+            if spec.long_running
+                && !is_stopping
+                && may_stop_long_running
+                && self.may_stop_for_maintenance(task)
+            {
+                self.stop(task, StopReason::Maintenance);
             }
         }
-        match is_stopping {
-            true => DrainState::Draining,
-            false => DrainState::Blocked(blocker),
-        }
-    }
-
-    /// True if, as far as capacity goes, all long-running tasks of a worker have
-    /// places on others once the other tasks there have ended.
-    pub(crate) fn can_be_drained(&mut self, now: TimeMs, name: &str) -> bool {
-        let id = self.worker_id(name);
-        let mut others = Vec::new();
-        let has_places = self.long_running_on(id).into_iter().all(|task| {
-            let has_place = self.has_place(now, task.step, &others, id, Room::Later);
-            others.push(task.step);
-            has_place
-        });
-        has_places && (!self.has_tasks(id) || self.is_listed_and_reachable(id))
-    }
-
-    /// Why the worker of a drained VM that has to wait for its order should get
-    /// tasks again.
-    pub(crate) fn blocker_of_drained(&mut self, now: TimeMs, name: &str) -> Option<DrainBlocker> {
-        let id = self.worker_id(name);
-        let is_needed = self.is_needed_by_waiting_task(now, id);
-        is_needed.then_some(DrainBlocker::NeededByWaitingTask)
-    }
-
-    /// Handles that the drain of a worker's VM was given up.
-    pub(crate) fn drain_given_up(&mut self, name: &str, blocker: DrainBlocker) {
-        let worker = self.worker_id(name);
-        let tasks = self.tasks_on(worker).len();
-        self.events.push(DispatcherEvent::DrainGivenUp { worker, tasks, blocker });
+        is_drained
     }
 
     /// Handles that the VM of a worker is down for maintenance, which has ended
@@ -144,14 +78,6 @@
         self.workers.get(id).map_or_else(Vec::new, |worker| worker.tasks.iter().copied().collect())
     }
 
-    fn long_running_on(&self, id: WorkerId) -> Vec<TaskKey> {
-        let is_long_running = |task: &TaskKey| {
-            let job = self.jobs.get(task.step.job);
-            job.is_some_and(|job| job.step_spec(task.step.step).long_running)
-        };
-        self.tasks_on(id).into_iter().filter(is_long_running).collect()
-    }
-
     /// True if so few other tasks of its step are unavailable that a task may
     /// be stopped now.
     fn may_stop_for_maintenance(&self, task: TaskKey) -> bool {
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -72,16 +72,20 @@
         }
         self.start_budget.refill(now);
         self.tickets.round_started();
-        self.drain_places.begin_placement();
         let mut rounds: BTreeMap<PoolId, PlacementRound> = BTreeMap::new();
         // All pools share the link of the owner, so their jobs are in one order.
         for (_, pool, id) in self.waiting_jobs(now, now_unix_ms) {
             if !self.start_budget.is_available() {
                 break;
             }
-            let round = rounds
-                .entry(pool)
-                .or_insert_with(|| self.begin_round(now, now_unix_ms, catalog, pool));
+            let round = rounds.entry(pool).or_insert_with(|| PlacementRound {
+                now,
+                now_unix_ms,
+                candidates: self.schedulable_workers(now, pool),
+                reserved_workers: BTreeSet::new(),
+                needs_advice: false,
+                too_large_requests: Vec::new(),
+            });
             if round.candidates.is_empty() {
                 continue;
             }
@@ -91,34 +95,6 @@
         self.start_delay_ms = self.estimate_start_delay_ms(now, now_unix_ms);
     }
 
-    /// Begins a round with workers reserved for the tasks that drains stop, as for
-    /// tasks that wait.
-    fn begin_round(
-        &self,
-        now: TimeMs,
-        now_unix_ms: u64,
-        catalog: &Catalog,
-        pool: PoolId,
-    ) -> PlacementRound {
-        let mut round = PlacementRound {
-            now,
-            now_unix_ms,
-            candidates: self.schedulable_workers(now, pool),
-            reserved_workers: BTreeSet::new(),
-            needs_advice: false,
-            too_large_requests: Vec::new(),
-        };
-        for step in self.drain_places.reserved(now) {
-            let Some(job) = self.jobs.get(step.job).filter(|job| job.pool == pool) else {
-                continue;
-            };
-            if !job.is_closing() && self.is_within_limit(catalog, step.job, Resources::ZERO) {
-                self.reserve_worker(&mut round, job.step_spec(step.step), step);
-            }
-        }
-        round
-    }
-
     /// Time until the link of the owner has carried all starts that are due and
     /// that a new job would wait for. It is zero while the link is not the
     /// limit.
@@ -190,7 +166,6 @@
             }
             if spec.long_running {
                 self.reserve_worker(round, spec, step);
-                self.add_unplaced(catalog, step, spec);
             }
         }
     }
@@ -446,6 +421,20 @@
         let best = round.candidates.iter().filter(may_run).min_by_key(shortfall).copied();
         round.reserved_workers.extend(best);
     }
+
+    /// Capacity of a worker that is not taken by long-running tasks.
+    fn capacity_for_long_running(&self, id: WorkerId) -> Resources {
+        let Some(worker) = self.workers.get(id) else { return Resources::ZERO };
+        let capacity = worker.listing.as_ref().map_or(Resources::ZERO, |listing| listing.capacity);
+        worker.tasks.iter().fold(capacity, |free, task| {
+            let job = self.jobs.get(task.step.job);
+            let spec = job.map(|job| job.step_spec(task.step.step));
+            match spec.filter(|spec| spec.long_running) {
+                Some(spec) => free.saturating_sub(spec.effective_request()),
+                None => free,
+            }
+        })
+    }
 }
 
 /// Compared field by field; the lowest score is best. The fields are: the
--- a/lib/tests/test_workload_upkeep.rs
+++ b/lib/tests/test_workload_upkeep.rs
@@ -486,9 +486,6 @@
     fleet.submit(1, job(vec![long_running(1)]), LONG_WORK);
     fleet.advance(1_000);
     assert_eq!(fleet.worker("w1").running.len(), 1);
-    // The task is stopped only if it has a place on another worker.
-    fleet.add_worker("w2", "a", cores(4));
-    fleet.list_workers();
     fleet.advance(5_000);
     let now = fleet.time();
     assert!(now > ordered_at.plus(4_000), "the repetition is due");
@@ -614,10 +611,6 @@
     let mut fleet = Fleet::new(1, cores(4));
     fleet.submit(1, job(vec![long_running(1)]), LONG_WORK);
     fleet.advance(300);
-    // The task is stopped only if it has a place on another worker.
-    fleet.add_worker("w1", "b", cores(4));
-    fleet.list_workers();
-    fleet.advance(100);
     let mut scheduler = scheduler_for("vm", &fleet);
     let (now, excluded) = (fleet.time(), BTreeSet::new());
     let vms = VmList::new(now, vec![vm("vm", VmState::Up, "w0")]);
