workload: witnesses tell a successor when a former owner stops renewing leases

Cause: an owner renews leases for 8 s without the store, since an outage usually affects all nodes. Its successor could not tell an owner that was lost from one that is cut off and still reaches the worker, and waited for 8 s before it counted the lease.

Change: an owner records five workers as witnesses in its ownership record. A worker refuses an owner once a later one has called it. Without the store, the owner renews leases for 1.5 s after most witnesses last answered, and for 8 s at most, as before. A successor that most of them have answered counts 1.5 s. Witnesses without tasks are polled only while the store does not confirm the ownership.

Why it is safe: what most witnesses answered the former owner was sent before most of them answered the successor, as two majorities have a member in common. Only the recorded incarnation of a witness counts; a changed set counts beside the old one until it is stored.

Ruled out: an unknown or unread record of the lease, missing tickets.

leases_of_a_former_owner_are_waited_for let a former owner renew for 8 s while its successor reached two of its three witnesses, which can no longer happen; the successor reaches one of them now.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -45,7 +45,6 @@
 use crate::node::settings::NodeSettings;
 use crate::node::settings::OWNER_PAUSE;
 use crate::node::settings::OWNER_TICK;
-use crate::node::settings::RENEW_WITHOUT_STORE_MS;
 use crate::node::settings::ROUND_PAUSE_FACTOR;
 use crate::node::settings::ROUND_PAUSE_MAX;
 use crate::node::submissions::Submission;
@@ -121,10 +120,12 @@
     }
 
     fn publish_ownership_times(&self) {
-        self.ownership_times.send_replace(OwnershipTimes {
-            confirmed_until: self.ownership.confirmed_until(),
-            renewable_until: self.ownership.renewable_until(RENEW_WITHOUT_STORE_MS),
-        });
+        let owner = self.owner.as_ref().zip(self.ownership.confirmed_at());
+        let renewable_until = owner
+            .map(|(owner, confirmed_at)| owner.dispatcher.renewable_until(confirmed_at))
+            .unwrap_or_default();
+        let confirmed_until = self.ownership.confirmed_until();
+        self.ownership_times.send_replace(OwnershipTimes { confirmed_until, renewable_until });
     }
 }
 
@@ -212,6 +213,7 @@
             catalog: &mut state.catalog,
             operator_confirmed_at: state.confirmed_at.configuration,
             is_confirmed: state.ownership.is_confirmed(now),
+            ownership_confirmed_at: state.ownership.confirmed_at(),
         };
         change(owner, &mut view);
     }
@@ -234,6 +236,7 @@
             // The receiver is gone if `Node::step_down` has timed out.
             let _ = done.send(());
         }
+        self.state.publish_ownership_times();
         self.update_candidacy();
         let is_ready = self.is_ready();
         self.readiness.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
@@ -310,6 +313,7 @@
                     owner.wave_requested(*requested_at, wave.clone());
                 }
                 self.state.owner = Some(owner);
+                self.state.publish_ownership_times();
             }
             Some(OwnershipChange::Lost) => {
                 info!(self.logger, "ownership lost"; "generation" => answer.generation);
--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -28,15 +28,15 @@
                 present_unix_ms,
                 reported,
             } => {
-                metrics::counter!("cowslipport_worker_restarts_total").increment(1);
-                warn!(logger, "worker has restarted"; "worker" => dispatcher.worker_name(worker),
-                    "former_unix_ms" => former_unix_ms, "present_unix_ms" => present_unix_ms,
-                    "reported_tasks" => reported);
+                let worker = dispatcher.worker_name(worker);
+                log_restart(logger, worker, former_unix_ms, present_unix_ms, reported);
             }
             DispatcherEvent::LeaseTooLong { worker, remaining_ms } => {
-                metrics::counter!("cowslipport_long_leases_total").increment(1);
-                warn!(logger, "leases on a worker last too long";
-                    "worker" => dispatcher.worker_name(worker), "remaining_ms" => remaining_ms);
+                log_long_lease(logger, dispatcher.worker_name(worker), remaining_ms);
+            }
+            DispatcherEvent::FormerOwnerEnding { node, remaining_ms, earlier_ms } => {
+                info!(logger, "witnesses of a former owner have answered"; "node" => node,
+                    "remaining_ms" => remaining_ms, "earlier_ms" => earlier_ms);
             }
             DispatcherEvent::Ended { task, attempt, worker, end } => {
                 log_end(logger, task, attempt, dispatcher.worker_name(worker), end);
@@ -76,6 +76,25 @@
     }
 }
 
+fn log_restart(
+    logger: &Logger,
+    worker: &str,
+    former_unix_ms: u64,
+    present_unix_ms: u64,
+    reported: usize,
+) {
+    metrics::counter!("cowslipport_worker_restarts_total").increment(1);
+    warn!(logger, "worker has restarted"; "worker" => worker,
+        "former_unix_ms" => former_unix_ms, "present_unix_ms" => present_unix_ms,
+        "reported_tasks" => reported);
+}
+
+fn log_long_lease(logger: &Logger, worker: &str, remaining_ms: u64) {
+    metrics::counter!("cowslipport_long_leases_total").increment(1);
+    warn!(logger, "leases on a worker last too long"; "worker" => worker,
+        "remaining_ms" => remaining_ms);
+}
+
 fn log_end(logger: &Logger, task: TaskName, attempt: u32, worker: &str, end: TaskEnd) {
     metrics::counter!("cowslipport_tasks_ended_total", "end" => end.as_str()).increment(1);
     match end {
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -58,6 +58,8 @@
     pub(crate) operator_confirmed_at: Option<TimeMs>,
     /// Whether no other node can have become the owner.
     pub(crate) is_confirmed: bool,
+    /// When the store last confirmed the ownership.
+    pub(crate) ownership_confirmed_at: Option<TimeMs>,
 }
 
 /// The state and the tasks of the owner.
@@ -94,6 +96,8 @@
     /// Workers whose poll tasks have not been told of their present activity.
     pub(crate) untold_workers: BTreeSet<WorkerId>,
     leases_checked_at: TimeMs,
+    /// Whether leases could be renewed at the last check.
+    renews_leases: bool,
     pub(crate) wave_status: Vec<KeyedRecord>,
     pub(crate) is_fenced: bool,
     pub(crate) release: Release,
@@ -175,6 +179,7 @@
             listed_workers: BTreeSet::new(),
             untold_workers: BTreeSet::new(),
             leases_checked_at: gained_at,
+            renews_leases: true,
             wave_status: Vec::new(),
             is_fenced: false,
             release: Release::None,
@@ -316,6 +321,8 @@
             self.store_changes(view.now);
             return;
         }
+        self.dispatcher.set_confirmed(view.is_confirmed);
+        self.log_renewals(view);
         if view.now.since(self.leases_checked_at) >= LEASE_CHECK_INTERVAL_MS {
             self.leases_checked_at = view.now;
             self.dispatcher.expire_leases(view.now);
@@ -332,6 +339,23 @@
         core_log::log(&self.logger, view.catalog, &mut self.dispatcher);
     }
 
+    /// Logs when the owner stops renewing leases, since it has heard of neither the store
+    /// nor most of its witnesses, and when it goes on.
+    fn log_renewals(&mut self, view: &OwnerView<'_>) {
+        let until = view.ownership_confirmed_at.map(|at| self.dispatcher.renewable_until(at));
+        let renews_leases = until.is_some_and(|until| view.now < until);
+        if std::mem::replace(&mut self.renews_leases, renews_leases) == renews_leases {
+            return;
+        }
+        let unconfirmed_ms = view.ownership_confirmed_at.map(|at| view.now.since(at));
+        match renews_leases {
+            true => info!(self.logger, "leases are renewed again"),
+            false => warn!(self.logger, "leases are no longer renewed";
+                "reason" => "neither the store nor most witnesses answer",
+                "unconfirmed_ms" => unconfirmed_ms),
+        }
+    }
+
     /// Whether the owner may start tasks: no other node can be the owner, and
     /// the operators' requests and the list of workers are recent enough.
     pub(crate) fn may_start(&self, view: &OwnerView<'_>) -> bool {
--- a/daemon/src/node/owner_workers.rs
+++ b/daemon/src/node/owner_workers.rs
@@ -17,6 +17,7 @@
 use crate::node::platform::Platform;
 use crate::node::platform::RecordCodec;
 use crate::node::platform::WorkerChange;
+use crate::node::poll_task::PollActivity;
 
 impl<P> Owner<P>
 where
@@ -85,8 +86,12 @@
                     continue;
                 }
             };
-            let renews_leases = self.dispatcher.may_renew_leases(id);
-            if !self.connections.set_activity(id, is_active, renews_leases) {
+            let activity = PollActivity {
+                is_active,
+                renews_leases: self.dispatcher.may_renew_leases(id),
+                is_witness: self.dispatcher.needs_answer_of(id),
+            };
+            if !self.connections.set_activity(id, activity) {
                 self.untold_workers.insert(id);
             }
         }
--- a/daemon/src/node/poll_task.rs
+++ b/daemon/src/node/poll_task.rs
@@ -22,6 +22,7 @@
 use crate::node::platform::Worker;
 use crate::node::platform::WorkerError;
 use crate::node::settings::POLL_WAIT_MS;
+use crate::node::settings::WITNESS_POLL_WAIT_MS;
 
 /// Longest delay of the next poll until the store has the ended tasks of the
 /// last answer. Without the delay, the worker would report the same ended tasks
@@ -36,13 +37,23 @@
 /// A message for a poll task.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum PollMessage {
-    /// Whether tasks may run there, and whether their leases are renewed while
-    /// the owner may renew any.
-    Activity { is_active: bool, renews_leases: bool },
+    /// What the worker is polled for.
+    Activity(PollActivity),
     /// The store has ended tasks of the worker.
     Acknowledged(Acknowledgement),
 }
 
+/// What a worker is polled for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PollActivity {
+    /// Whether the worker has to be polled.
+    pub(crate) is_active: bool,
+    /// Whether the leases on the worker are renewed while the owner may renew any.
+    pub(crate) renews_leases: bool,
+    /// Whether renewals depend on the answers of the worker.
+    pub(crate) is_witness: bool,
+}
+
 /// Polls one worker.
 pub(crate) struct PollTask<W> {
     pub(crate) worker: WorkerId,
@@ -57,8 +68,7 @@
 /// State of a poll task.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PollState {
-    is_active: bool,
-    renews_leases: bool,
+    activity: PollActivity,
     /// Highest number of an ended task that the store has.
     acknowledged: u64,
     /// Highest number of an ended task that the worker reported.
@@ -91,7 +101,7 @@
                 incarnation_unix_ms: self.state.started_unix_ms,
                 acknowledged: self.state.acknowledged,
                 lease_until_worker_ms: lease,
-                wait_ms: if self.state.is_reachable { POLL_WAIT_MS } else { 0 },
+                wait_ms: self.wait_ms(),
             };
             let answer = self.client.poll(&request).await;
             self.state.is_reachable = answer.is_ok();
@@ -156,12 +166,22 @@
         }
     }
 
+    /// How long the worker may wait before it answers the next poll.
+    fn wait_ms(&self) -> u64 {
+        match (self.state.is_reachable, self.state.activity.is_witness) {
+            (false, _) => 0,
+            (true, true) => WITNESS_POLL_WAIT_MS,
+            (true, false) => POLL_WAIT_MS,
+        }
+    }
+
     /// Returns the end of the leases that the next poll grants. A worker that
     /// did not answer the last poll gets no new lease, so that its tasks end
     /// when their leases expire. The ownership is checked here, right before the
     /// poll: after a pause of the process, a message of the core may come too late.
     fn new_lease_end(&self, now: TimeMs) -> Option<u64> {
-        if !self.state.is_reachable || !self.state.renews_leases || !self.state.is_active {
+        let PollActivity { is_active, renews_leases, .. } = self.state.activity;
+        if !self.state.is_reachable || !renews_leases || !is_active {
             return None;
         }
         if !self.ownership.may_renew_leases() {
@@ -176,7 +196,7 @@
         while let Ok(message) = self.mailbox.try_recv() {
             self.handle_message(message);
         }
-        while !self.state.is_active && self.state.is_reachable {
+        while !self.state.activity.is_active && self.state.is_reachable {
             let message = self.mailbox.recv().await.ok_or(OwnerEnded)?;
             self.handle_message(message);
         }
@@ -185,10 +205,7 @@
 
     fn handle_message(&mut self, message: PollMessage) {
         match message {
-            PollMessage::Activity { is_active, renews_leases } => {
-                self.state.is_active = is_active;
-                self.state.renews_leases = renews_leases;
-            }
+            PollMessage::Activity(activity) => self.state.activity = activity,
             PollMessage::Acknowledged(acknowledgement) => {
                 // Numbers of a former incarnation are no longer valid.
                 if acknowledgement.started_unix_ms == self.state.started_unix_ms {
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -23,8 +23,17 @@
 /// How long the owner continues to renew leases while it cannot reach the
 /// store. An outage usually affects all nodes, so that there is no successor. A
 /// successor waits this long for workers that it cannot reach, since the former
-/// owner may still renew their leases.
+/// owner may still renew their leases, unless the witnesses of the former owner
+/// have answered.
 pub const RENEW_WITHOUT_STORE_MS: u64 = 8_000;
+/// How long the owner renews leases after the store or most of its witnesses last
+/// answered. It covers two polls of `POLL_WAIT_MS`, and the time until the ownership is
+/// no longer confirmed and witnesses without tasks are polled, too. A long-running task
+/// that is lost with the owner waits for this time and its lease.
+pub const OWNERSHIP_EVIDENCE_MS: u64 = 1_500;
+/// How long a witness waits for a task to end before it answers a poll, while the
+/// ownership is not confirmed.
+pub const WITNESS_POLL_WAIT_MS: u64 = 250;
 /// Maximum age of the list of workers with which the owner starts tasks. A
 /// draining worker must get no new task after 2 s.
 pub const WORKERS_AGE_MAX_MS: u64 = 1_500;
@@ -104,6 +113,7 @@
             lease_ms: LEASE_MS,
             longest_ms: self.worker_lease_max_ms,
             former_renewal_ms: RENEW_WITHOUT_STORE_MS,
+            evidence_ms: OWNERSHIP_EVIDENCE_MS,
         }
     }
 
--- a/daemon/src/node/worker_connections.rs
+++ b/daemon/src/node/worker_connections.rs
@@ -24,6 +24,7 @@
 use crate::node::ownership_check::OwnershipCheck;
 use crate::node::platform::Platform;
 use crate::node::platform::WorkerLease;
+use crate::node::poll_task::PollActivity;
 use crate::node::poll_task::PollMessage;
 use crate::node::poll_task::PollState;
 use crate::node::poll_task::PollTask;
@@ -47,7 +48,7 @@
     address: SocketAddr,
     polls: mpsc::Sender<PollMessage>,
     orders: mpsc::Sender<QueuedOrder>,
-    activity: Option<(bool, bool)>,
+    activity: Option<PollActivity>,
     worker_clock: Option<WorkerClockReading>,
     is_unreachable: bool,
     /// Aborted when the connection is dropped.
@@ -144,21 +145,16 @@
         }
     }
 
-    /// Tells the poll task whether tasks may run on the worker, and whether
-    /// their leases are renewed. Returns false if its mailbox is full.
-    pub(crate) fn set_activity(
-        &mut self,
-        id: WorkerId,
-        is_active: bool,
-        renews_leases: bool,
-    ) -> bool {
+    /// Tells the poll task what the worker is polled for. Returns false if its mailbox
+    /// is full.
+    pub(crate) fn set_activity(&mut self, id: WorkerId, activity: PollActivity) -> bool {
         let Some(connection) = self.connections.get_mut(&id) else { return true };
-        if connection.activity == Some((is_active, renews_leases)) {
+        if connection.activity == Some(activity) {
             return true;
         }
-        match connection.polls.try_send(PollMessage::Activity { is_active, renews_leases }) {
+        match connection.polls.try_send(PollMessage::Activity(activity)) {
             Ok(()) => {
-                connection.activity = Some((is_active, renews_leases));
+                connection.activity = Some(activity);
                 true
             }
             Err(TrySendError::Full(_)) => false,
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -181,8 +181,12 @@
     /// requested now.
     #[prost(uint64, tag = "6")]
     pub start_delay_ms: u64,
+    /// Without the store, the owner renews leases only while most of these workers
+    /// answer it. Without witnesses it does so in any case.
+    #[prost(message, repeated, tag = "7")]
+    pub witnesses: ::prost::alloc::vec::Vec<Witness>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FormerOwner {
     #[prost(string, tag = "1")]
     pub node: ::prost::alloc::string::String,
@@ -192,6 +196,18 @@
     /// renew leases.
     #[prost(uint64, tag = "3")]
     pub remaining_ms: u64,
+    /// The witnesses of the former owner.
+    #[prost(message, repeated, tag = "4")]
+    pub witnesses: ::prost::alloc::vec::Vec<Witness>,
+}
+/// An incarnation of a worker. It refuses an owner once a later one has called it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Witness {
+    #[prost(string, tag = "1")]
+    pub worker: ::prost::alloc::string::String,
+    /// Start of the incarnation in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub started_unix_ms: u64,
 }
 /// The present incarnation of a node.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -120,6 +120,7 @@
     /// this one. The progress of deleted jobs goes last, because a submission
     /// without progress would run again.
     pub fn batch_published(&mut self, number: u64) {
+        self.renewals.batch_published(number);
         while let Some((_, jobs)) =
             self.unpublished_deletions.pop_front_if(|(batch, _)| *batch <= number)
         {
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -39,6 +39,7 @@
 use crate::workload::record::JobOutcome;
 use crate::workload::record::Progress;
 use crate::workload::record::RecordKey;
+use crate::workload::renewal::Renewals;
 use crate::workload::report::WorkerEntry;
 use crate::workload::spec::JobSpec;
 use crate::workload::start_budget::StartBudget;
@@ -49,7 +50,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WorkerActivity {
     /// Tasks are placed on the worker, or its registry entry shows a restart that its
-    /// last report does not show.
+    /// last report does not show, or it is a witness whose answer is needed.
     Polled,
     /// The worker has a registry entry and no tasks.
     Idle,
@@ -69,6 +70,7 @@
     pub(crate) lease_times: LeaseTimes,
     pub(crate) owner: NodeIncarnation,
     pub(crate) former_owners: FormerOwners,
+    pub(crate) renewals: Renewals,
     pub(crate) is_released: bool,
     pub(crate) jobs: GenerationalArena<JobId, Job>,
     by_key: BTreeMap<JobKey, JobId>,
@@ -125,6 +127,7 @@
             lease_times,
             owner,
             former_owners: FormerOwners::unknown(gained_at, lease_times),
+            renewals: Renewals::default(),
             is_released: false,
             jobs: GenerationalArena::default(),
             by_key: BTreeMap::new(),
@@ -326,6 +329,9 @@
         match self.workers.get(id) {
             Some(worker) if !worker.tasks.is_empty() => WorkerActivity::Polled,
             Some(worker) if !worker.is_listing_current() => WorkerActivity::Polled,
+            Some(worker) if worker.listing.is_some() && self.renewals.needs_answer_of(id) => {
+                WorkerActivity::Polled
+            }
             Some(worker) if worker.listing.is_some() => WorkerActivity::Idle,
             Some(_) | None => WorkerActivity::Departed,
         }
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -41,6 +41,16 @@
         /// Time until the leases expire, as the worker said.
         remaining_ms: u64,
     },
+    /// Most witnesses of a former owner have answered this one, so that it renews no
+    /// leases after a known time.
+    FormerOwnerEnding {
+        /// Name of the node.
+        node: String,
+        /// Time until then.
+        remaining_ms: u64,
+        /// By how much this is earlier than without witnesses.
+        earlier_ms: u64,
+    },
     /// An attempt ended.
     Ended {
         /// The task.
--- a/lib/src/workload/former_owners.rs
+++ b/lib/src/workload/former_owners.rs
@@ -2,15 +2,20 @@
 //!
 //! A former owner is known to have ended if it released its ownership, if its
 //! process was restarted, or after the time for which an owner that cannot
-//! reach the store goes on renewing leases.
+//! reach the store goes on renewing leases. That time is short once most of
+//! its witnesses have answered a later owner.
 
 use crate::time::TimeMs;
 use crate::workload::candidacy::OWNERSHIP_RECORD_INTERVAL_MS;
 use crate::workload::dispatcher::Dispatcher;
+use crate::workload::event::DispatcherEvent;
 use crate::workload::lease::LeaseTimes;
 use crate::workload::owner_record::FormerOwner;
 use crate::workload::owner_record::NodeIncarnation;
 use crate::workload::owner_record::OwnershipRecord;
+use crate::workload::owner_record::Witness;
+use crate::workload::renewal::WitnessId;
+use crate::workload::renewal::WitnessSet;
 
 /// Time between two ownership records while a former owner may still renew
 /// leases.
@@ -32,6 +37,8 @@
 struct PossibleOwner {
     owner: NodeIncarnation,
     until: TimeMs,
+    /// The witnesses of the former owner, with their answers to this one.
+    witnesses: WitnessSet,
 }
 
 impl FormerOwners {
@@ -60,14 +67,32 @@
         }
     }
 
-    /// The former owners that may still renew leases at `now`.
-    fn remaining(&self, now: TimeMs) -> Vec<FormerOwner> {
-        let left = self.possible_owners.iter().filter(|former| former.until > now);
-        left.map(|former| FormerOwner {
-            owner: former.owner.clone(),
-            remaining_ms: former.until.since(now),
-        })
-        .collect()
+    /// Handles that a worker has answered this owner, and refuses former ones.
+    pub(crate) fn witness_answered(
+        &mut self,
+        now: TimeMs,
+        times: LeaseTimes,
+        id: WitnessId,
+    ) -> Vec<DispatcherEvent> {
+        let mut events = Vec::new();
+        for former in &mut self.possible_owners {
+            if !former.witnesses.answered(id, now) || former.witnesses.majority_at().is_none() {
+                continue;
+            }
+            // Each majority has a member in common with those that answered this owner,
+            // so the former owner sent its last call of one before now.
+            let until = now.plus(times.evidence_ms);
+            if until < former.until {
+                events.push(DispatcherEvent::FormerOwnerEnding {
+                    node: former.owner.node.clone(),
+                    remaining_ms: times.evidence_ms,
+                    earlier_ms: former.until.since(until),
+                });
+                former.until = until;
+                self.is_changed = true;
+            }
+        }
+        events
     }
 }
 
@@ -82,20 +107,38 @@
         let mut former =
             FormerOwners { others_ended_at: now, is_changed: true, ..FormerOwners::default() };
         if let Some(record) = record {
+            let witnesses = self.witness_ids(&record.witnesses);
+            self.renewals.inherit(witnesses.clone());
             // An earlier incarnation of this node has ended.
             let has_ended = record.is_over || record.owner.node == self.owner.node;
-            former
-                .possible_owners
-                .extend((!has_ended).then_some(PossibleOwner { owner: record.owner, until }));
-            let earlier = record.former.into_iter();
-            former.possible_owners.extend(earlier.map(|earlier| PossibleOwner {
-                owner: earlier.owner,
-                until: now.plus(earlier.remaining_ms),
-            }));
+            let witnesses = witnesses.into_iter().collect();
+            let previous = PossibleOwner { owner: record.owner, until, witnesses };
+            former.possible_owners.extend((!has_ended).then_some(previous));
+            for earlier in record.former {
+                let until = now.plus(earlier.remaining_ms);
+                let witnesses = self.witness_ids(&earlier.witnesses).into_iter().collect();
+                let earlier = PossibleOwner { owner: earlier.owner, until, witnesses };
+                former.possible_owners.push(earlier);
+            }
         }
         self.former_owners = former;
     }
 
+    fn witness_ids(&mut self, witnesses: &[Witness]) -> Vec<WitnessId> {
+        witnesses.iter().map(|witness| self.witness_id(witness)).collect()
+    }
+
+    /// The former owners that may still renew leases at `now`.
+    fn remaining_former_owners(&self, now: TimeMs) -> Vec<FormerOwner> {
+        let former = self.former_owners.possible_owners.iter();
+        let remaining = former.filter(|former| former.until > now).map(|former| FormerOwner {
+            owner: former.owner.clone(),
+            remaining_ms: former.until.since(now),
+            witnesses: former.witnesses.ids().map(|id| self.witness(id)).collect(),
+        });
+        remaining.collect()
+    }
+
     /// Applies the present incarnation of a node.
     pub fn node_started(&mut self, now: TimeMs, present: &NodeIncarnation) {
         self.former_owners.node_started(now, present);
@@ -104,7 +147,7 @@
     /// The ownership record, if it is due to be written. It also tells smaller
     /// nodes that there is an owner.
     pub(crate) fn ownership_record(&mut self, now: TimeMs) -> Option<OwnershipRecord> {
-        let former = self.former_owners.remaining(now);
+        let former = self.remaining_former_owners(now);
         let interval_ms =
             if former.is_empty() { OWNERSHIP_RECORD_INTERVAL_MS } else { FORMER_OWNER_INTERVAL_MS };
         let is_old = self
@@ -118,12 +161,14 @@
         self.former_owners.is_changed = false;
         self.former_owners.recorded_at = Some(now);
         let (epoch, owner) = (self.epoch, self.owner.clone());
+        let witnesses = self.record_witnesses();
         Some(OwnershipRecord {
             epoch,
             owner,
             is_over: self.is_released,
             former,
             start_delay_ms: self.start_delay_ms,
+            witnesses,
         })
     }
 
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -35,6 +35,7 @@
 mod job_record;
 mod placements;
 mod rank;
+mod renewal;
 mod stall;
 mod unreachable;
 mod vm_drain;
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -41,6 +41,26 @@
     }
 }
 
+/// An incarnation of a worker that tells an owner of its successor: it refuses an owner
+/// once a later one has called it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Witness {
+    /// Name of the worker.
+    pub worker: String,
+    /// Start of the incarnation in milliseconds since 1970.
+    pub started_unix_ms: u64,
+}
+
+impl Witness {
+    fn to_raw(&self) -> raw::Witness {
+        raw::Witness { worker: self.worker.clone(), started_unix_ms: self.started_unix_ms }
+    }
+
+    fn from_raw(raw: raw::Witness) -> Self {
+        Self { worker: raw.worker, started_unix_ms: raw.started_unix_ms }
+    }
+}
+
 /// An owner that may still renew leases.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FormerOwner {
@@ -49,6 +69,8 @@
     /// Time for which the former owner may still renew leases, as of the
     /// record.
     pub remaining_ms: u64,
+    /// Its witnesses.
+    pub witnesses: Vec<Witness>,
 }
 
 /// The ownership record, which the owner of an epoch writes.
@@ -65,6 +87,8 @@
     /// Time until the owner can order the start of a task that is requested
     /// now, because starts before it take its link.
     pub start_delay_ms: u64,
+    /// Without the store, the owner renews leases only while most of these answer it.
+    pub witnesses: Vec<Witness>,
 }
 
 /// Prints the name of the stored message, which appears in log lines.
@@ -76,6 +100,7 @@
             .field("is_over", &self.is_over)
             .field("former", &self.former)
             .field("start_delay_ms", &self.start_delay_ms)
+            .field("witnesses", &self.witnesses)
             .finish()
     }
 }
@@ -87,6 +112,7 @@
             node: former.owner.node.clone(),
             life: former.owner.incarnation,
             remaining_ms: former.remaining_ms,
+            witnesses: former.witnesses.iter().map(Witness::to_raw).collect(),
         });
         raw::Tenure {
             epoch: self.epoch,
@@ -95,6 +121,7 @@
             is_over: self.is_over,
             former: former.collect(),
             start_delay_ms: self.start_delay_ms,
+            witnesses: self.witnesses.iter().map(Witness::to_raw).collect(),
         }
         .encode_to_vec()
     }
@@ -106,6 +133,7 @@
         let former = raw.former.into_iter().map(|former| FormerOwner {
             owner: NodeIncarnation { node: former.node, incarnation: former.life },
             remaining_ms: former.remaining_ms,
+            witnesses: former.witnesses.into_iter().map(Witness::from_raw).collect(),
         });
         Ok(Self {
             epoch: raw.epoch,
@@ -113,6 +141,7 @@
             is_over: raw.is_over,
             former: former.collect(),
             start_delay_ms: raw.start_delay_ms,
+            witnesses: raw.witnesses.into_iter().map(Witness::from_raw).collect(),
         })
     }
 }
--- a/lib/src/workload/ownership.rs
+++ b/lib/src/workload/ownership.rs
@@ -128,13 +128,9 @@
         }
     }
 
-    /// Time until which this process may renew leases if the store answers no
-    /// further call, which is `without_store_ms` after the last one that it
-    /// answered was sent; zero if this process is not the owner.
-    pub fn renewable_until(&self, without_store_ms: u64) -> TimeMs {
-        match self.epoch {
-            Some(_) => self.confirmed_at.plus(without_store_ms),
-            None => TimeMs::default(),
-        }
+    /// When the last call was sent with which the store confirmed the ownership of this
+    /// process; `None` if it is not the owner.
+    pub fn confirmed_at(&self) -> Option<TimeMs> {
+        self.epoch.map(|_| self.confirmed_at)
     }
 }
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -51,6 +51,7 @@
             return;
         }
         // The worker now refuses calls of former owners.
+        self.witness_answered(now, id, report.sent_at, report.started_unix_ms);
         let longest_expires_at = self.lease_times.longest_expires_at(now);
         let unknown_until = self.former_unknown_expires_at(id).min(longest_expires_at);
         let Some(worker) = self.workers.get_mut(id) else { return };
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -147,17 +147,22 @@
     fleet.assert_no_violations();
 }
 
+/// The former owner still reaches most of its witnesses, and renews leases for as long as
+/// it may.
 #[test]
 fn leases_of_a_former_owner_are_waited_for() {
-    let mut fleet = Fleet::new(3, cores(2));
+    let mut fleet = Fleet::new(3, cores(3));
     fleet.submit(1, job(vec![long_running(3)]), SHORT_WORK);
     fleet.advance(500);
-    fleet.worker("w0").is_reachable = false;
+    for name in ["w0", "w2"] {
+        fleet.worker(name).is_reachable = false;
+    }
     fleet.replace_owner(false);
-    // The former owner still reaches the worker and renews its leases.
     for _ in 0..(FORMER_RENEWS_MS / 500) {
         let now = fleet.now;
-        fleet.worker("w0").lease_until = now + LEASE_MS;
+        for name in ["w0", "w2"] {
+            fleet.worker(name).lease_until = now + LEASE_MS;
+        }
         fleet.advance(500);
     }
     fleet.advance(LEASE_MS + 1_000);
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -31,10 +31,12 @@
 use cowslipport_lib::workload::spec::QueueRules;
 use cowslipport_lib::workload::spec::StepSpec;
 
+pub(crate) use self::former::CutOffOwner;
 pub(crate) use self::gang::checkpoint_at;
 pub(crate) use self::worker::FakeWorker;
 pub(crate) use self::worker::Run;
 
+mod former;
 mod gang;
 mod owner;
 mod worker;
@@ -43,10 +45,12 @@
 /// Longest lease that a worker grants, as the worker contract states.
 pub(crate) const LEASE_MAX_MS: u64 = 10_000;
 pub(crate) const FORMER_RENEWS_MS: u64 = 8_000;
+pub(crate) const EVIDENCE_MS: u64 = 1_500;
 pub(crate) const LEASE_TIMES: LeaseTimes = LeaseTimes {
     lease_ms: LEASE_MS,
     longest_ms: LEASE_MAX_MS,
     former_renewal_ms: FORMER_RENEWS_MS,
+    evidence_ms: EVIDENCE_MS,
 };
 /// The store refuses larger records.
 pub(crate) const MAX_RECORD_BYTES: usize = 262_144;
@@ -81,6 +85,8 @@
     pub(crate) workers: BTreeMap<String, FakeWorker>,
     pub(crate) owner: Option<Dispatcher>,
     pub(crate) epoch: u64,
+    /// Former owners that go on without the store.
+    pub(crate) cut_off: Vec<CutOffOwner>,
     pub(crate) jobs: BTreeMap<JobKey, JobSpec>,
     pub(crate) cancelled: BTreeSet<JobKey>,
     /// Records that owners have stored.
@@ -164,6 +170,7 @@
             workers: BTreeMap::new(),
             owner: None,
             epoch: 0,
+            cut_off: Vec::new(),
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             store: BTreeMap::new(),
@@ -284,6 +291,7 @@
             if self.now.is_multiple_of(HEARTBEAT_MS) {
                 self.list_workers();
             }
+            self.advance_cut_off_owners();
             self.advance_owner();
         }
     }
