workload: a poll without an answer counts as a lease of the next incarnation

After a worker had restarted under its name and was cut off, the tasks that had been started there since ran on beside their next attempts (TWICE).

Cause: a poll that renews leases ends them at a time on the clock of the incarnation that it is for. The next one may carry it out, and grants the longest lease to all that it runs, also to tasks that are started later. Without an answer, the owner counted that only for attempts whose start had no answer either.

Change: when another incarnation reports, the leases of the worker count as granted for the longest time by the last renewing call without an answer. A new owner counts the same for a worker that lacks an attempt which it had started. What a restart means is in a module of its own.

--- a/lib/src/workload/attempt_lease.rs
+++ b/lib/src/workload/attempt_lease.rs
@@ -14,6 +14,7 @@
 use crate::workload::key::JobId;
 use crate::workload::key::TaskKey;
 use crate::workload::key::WorkerId;
+use crate::workload::lease::LATE_CALL_MS;
 use crate::workload::record::RecordedPlacement;
 use crate::workload::report::LeaseGrant;
 
@@ -25,10 +26,6 @@
 /// of a job holds all its tasks, and their workers answer one after the other.
 const RECORD_INTERVAL_MS: u64 = 1_000;
 
-/// A start without an answer may be carried out this much later by an incarnation that
-/// has already reported: it has waited for the worker to be back, for example.
-const LATE_START_MS: u64 = 3_000;
-
 /// What the owner knows of the lease of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptLease {
@@ -109,7 +106,7 @@
 
     /// Notes whether the leases on a worker last longer than owners intend. If they have
     /// become longer, the store must no longer hold that they are known.
-    fn note_long_leases(&mut self, now: TimeMs, id: WorkerId) {
+    pub(crate) fn note_long_leases(&mut self, now: TimeMs, id: WorkerId) {
         let times = self.lease_times;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let is_too_long = worker.leases.is_too_long(times, now);
@@ -141,7 +138,7 @@
             AttemptLease::Unknown { incarnation_unix_ms, expires_at } => {
                 let is_present =
                     incarnation_unix_ms.is_some() && incarnation_unix_ms == present_unix_ms;
-                (!is_present).then(|| expires_at.max(unknown_until).plus(LATE_START_MS))
+                (!is_present).then(|| expires_at.max(unknown_until).plus(LATE_CALL_MS))
             }
             AttemptLease::Known => None,
         });
--- a/lib/src/workload/lease.rs
+++ b/lib/src/workload/lease.rs
@@ -10,6 +10,10 @@
 /// worker's answer was in transit.
 const CLOCK_ESTIMATE_SLACK_MS: u64 = 250;
 
+/// A call without an answer may be carried out this much later by an incarnation that
+/// has already reported: it has waited for the worker to be back, for example.
+pub(crate) const LATE_CALL_MS: u64 = 3_000;
+
 /// Times of the leases that owners grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTimes {
@@ -47,6 +51,12 @@
     pub(crate) fn longest_expires_at(self, granted_at: TimeMs) -> TimeMs {
         self.remaining_expires_at(granted_at, self.longest_ms)
     }
+
+    /// When any lease has expired that a call without an answer may have granted, which
+    /// ended at `ended_at` and may be carried out late.
+    pub(crate) fn late_call_expires_at(self, ended_at: TimeMs) -> TimeMs {
+        self.longest_expires_at(ended_at).plus(LATE_CALL_MS)
+    }
 }
 
 /// Longest time that passes here while a worker's clock advances by `worker_ms`.
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -42,4 +42,5 @@
 mod worker;
 mod worker_choice;
 mod worker_reports;
+mod worker_restart;
 mod worker_room;
--- a/lib/src/workload/unreachable.rs
+++ b/lib/src/workload/unreachable.rs
@@ -51,6 +51,7 @@
         worker.reachability = Reachability::Unreachable;
         let Some(renewed_at) = renewed_at else { return };
         worker.leases.granted(times.expires_at(renewed_at));
+        worker.unanswered_renewal_at = Some(now);
         self.lease_granted(now, id, LeaseGrant::Unknown);
     }
 
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -44,6 +44,9 @@
     pub(crate) has_long_leases: bool,
     /// Start time of the incarnation that sent the last report.
     pub(crate) started_unix_ms: Option<u64>,
+    /// When the last call without an answer ended that renewed leases of that
+    /// incarnation.
+    pub(crate) unanswered_renewal_at: Option<TimeMs>,
     /// When the owner learned of the last restart of the worker.
     pub(crate) restarted_at: Option<TimeMs>,
     /// Highest number of an end that was handled in this incarnation.
@@ -115,6 +118,7 @@
             runs_unassigned: false,
             has_long_leases: false,
             started_unix_ms: None,
+            unanswered_renewal_at: None,
             restarted_at: None,
             last_end_number: 0,
             is_cordoned: false,
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -59,6 +59,7 @@
             (Some(former), Some(present)) => (former != present).then_some((former, present)),
             (None, _) | (_, None) => None,
         };
+        let is_first_report = worker.started_unix_ms.is_none();
         worker.reachability = Reachability::Reachable;
         // The call that returned the report may have renewed the leases.
         worker.leases.granted(self.lease_times.expires_at(report.sent_at));
@@ -72,11 +73,7 @@
                 present_unix_ms,
                 reported,
             });
-            worker.last_end_number = 0;
-            worker.restarted_at = Some(now);
-            self.activity_changes.insert(id);
-            self.to_acknowledge.remove(&id);
-            self.drop_fences(id);
+            self.worker_restarted(now, id);
         }
         self.lease_granted(now, id, report.lease);
         self.incarnation_reported(now, id, report.started_unix_ms, unknown_until);
@@ -99,6 +96,9 @@
             None => Unreported::Doubtful,
         };
         if !report.has_more_ends {
+            if is_first_report {
+                self.check_former_restart(now, id, &reported);
+            }
             self.check_unreported(id, report.sent_at, &reported, unreported);
         }
         self.stop_stalled(now, id);
@@ -414,21 +414,6 @@
         self.release_matching(id, reason, |placement| placement.state != AttemptState::Planned);
     }
 
-    /// Forgets which starts a worker has promised to refuse, since it has
-    /// restarted.
-    fn drop_fences(&mut self, id: WorkerId) {
-        let Some(worker) = self.workers.get(id) else { return };
-        for key in &worker.tasks {
-            let job = self.jobs.get_mut(key.step.job);
-            let placement = job.and_then(|job| job.task_mut(*key).placement_mut());
-            if let Some(Placement { state: AttemptState::Unknown { fenced_at, .. }, .. }) =
-                placement
-            {
-                *fenced_at = None;
-            }
-        }
-    }
-
     pub(crate) fn release_matching<F>(
         &mut self,
         id: WorkerId,
--- a/lib/tests/test_workload_restarts.rs
+++ b/lib/tests/test_workload_restarts.rs
@@ -5,6 +5,7 @@
 mod workload_fake;
 
 use cowslipport_lib::generational_arena::GenerationalKey;
+use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::dispatcher::WorkerActivity;
 use cowslipport_lib::workload::key::JobId;
 use cowslipport_lib::workload::key::JobKey;
@@ -37,6 +38,9 @@
 /// which renews the leases of all its tasks.
 const LATE_START_MS: u64 = 3_000;
 
+/// Time after which a poll is given up.
+const POLL_TIMEOUT_MS: u64 = 1_200;
+
 /// Sets whether a worker gets no new tasks.
 fn set_draining(fleet: &mut Fleet, name: &str, is_draining: bool) {
     fleet.worker(name).is_draining = is_draining;
@@ -128,6 +132,76 @@
     check_cut_off_worker(&mut fleet, LONGEST_WAIT_MS);
 }
 
+/// Restarts `w0`, which runs a task, while a poll that renews its leases is under way. The
+/// new incarnation carries the poll out. Returns when the poll was sent.
+fn restart_during_poll(fleet: &mut Fleet) -> TimeMs {
+    set_draining(fleet, "w1", true);
+    fleet.submit(1, job(vec![step(1, cores(1))]), LONG_WORK);
+    fleet.advance(FORMER_RUN_MS);
+    assert_eq!(fleet.worker("w0").running.len(), 1);
+    let sent_at = fleet.time();
+    let lease_until = fleet.now + LEASE_MS - fleet.worker("w0").started_at;
+    fleet.unpolled_worker = Some("w0".to_owned());
+    fleet.restart_worker("w0");
+    fleet.advance(20);
+    let now = fleet.now;
+    fleet.worker("w0").renew(now, lease_until);
+    fleet.advance(POLL_TIMEOUT_MS);
+    sent_at
+}
+
+/// Tells the owner that the poll got no answer.
+fn give_poll_up(fleet: &mut Fleet, sent_at: TimeMs) {
+    let now = fleet.time();
+    let owner = fleet.owner.as_mut().expect("an owner");
+    let id = owner.worker_id("w0");
+    owner.worker_unreachable(now, id, Some(sent_at));
+}
+
+/// Cuts `w0` off once the task has started there again.
+fn check_cut_off_after_restart(fleet: &mut Fleet) {
+    learn_of_restart(fleet);
+    fleet.advance(500);
+    assert_eq!(fleet.worker("w0").running.len(), 1, "the task has started again");
+    set_draining(fleet, "w1", false);
+    check_cut_off_worker(fleet, LONGEST_WAIT_MS + LATE_START_MS);
+}
+
+/// A poll that was meant for the former incarnation gets no answer, and the new one carries
+/// it out before the owner hears of the restart. The tasks that are started there later ran
+/// on for 10 s after the worker was cut off, and twice.
+#[test]
+fn unanswered_poll_at_a_restarted_worker_counts_as_a_lease() {
+    let mut fleet = Fleet::new(2, cores(4));
+    let sent_at = restart_during_poll(&mut fleet);
+    give_poll_up(&mut fleet, sent_at);
+    check_cut_off_after_restart(&mut fleet);
+}
+
+/// The same, and the owner is replaced after it has started the task again.
+#[test]
+fn successor_counts_an_unanswered_poll_that_its_predecessor_knew() {
+    for is_clean in [true, false] {
+        let mut fleet = Fleet::new(2, cores(4));
+        let sent_at = restart_during_poll(&mut fleet);
+        give_poll_up(&mut fleet, sent_at);
+        learn_of_restart(&mut fleet);
+        fleet.advance(500);
+        fleet.replace_owner(is_clean);
+        check_cut_off_after_restart(&mut fleet);
+    }
+}
+
+/// The same, and the owner is lost before it hears of the restart. Its successor finds a
+/// task that the worker had started, and no longer lists.
+#[test]
+fn successor_counts_an_unanswered_poll_of_its_predecessor() {
+    let mut fleet = Fleet::new(2, cores(4));
+    restart_during_poll(&mut fleet);
+    fleet.replace_owner(false);
+    check_cut_off_after_restart(&mut fleet);
+}
+
 /// The owner is lost after the start. Its successor hears the worker once, or not at
 /// all, before the worker is cut off.
 #[test]
