workload: tickets are requested while the leases of a lost worker run

Cause: its step requested tickets only when the placement had been released, 4.33 s after the last answer of the worker, and two calls took 3.0 s more.

Change: a step also requests tickets for the long-running tasks that are on workers that do not answer, unless workers with tickets have room.

--- a/lib/src/workload/advice.rs
+++ b/lib/src/workload/advice.rs
@@ -4,7 +4,8 @@
 //! The service is slow and serves one call at a time. Each step therefore
 //! requests tickets for a few workers as soon as it may start, and uses its
 //! tickets for all of its tasks. It requests more only while no worker with a
-//! ticket can take its next task.
+//! ticket can take its next task, or those that it may lose with workers that do
+//! not answer: the service may take as long as the leases of these workers.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -201,6 +202,7 @@
 
     fn due_requests(&self, now: TimeMs, now_unix_ms: u64) -> Vec<DueRequest> {
         let mut due = Vec::new();
+        let at_risk = self.long_running_tasks_at_risk();
         let mut pools: BTreeMap<PoolId, Vec<WorkerId>> = BTreeMap::new();
         for (id, job) in self.jobs.iter() {
             if job.is_closing() || !job.rules.needs_advice {
@@ -208,17 +210,35 @@
             }
             let schedulable =
                 pools.entry(job.pool).or_insert_with(|| self.schedulable_workers(now, job.pool));
-            for (step, _) in job.startable_steps(id, now_unix_ms) {
+            let steps_at_risk = at_risk.keys().copied().filter(|step| step.job == id);
+            let startable = job.startable_steps(id, now_unix_ms).map(|(step, _)| step);
+            for step in startable.chain(steps_at_risk).collect::<BTreeSet<_>>() {
                 if self.tickets.is_request_due(now, step) {
-                    due.extend(self.due_request(now, job, step, schedulable));
+                    let at_risk = at_risk.get(&step).copied().unwrap_or(0);
+                    due.extend(self.due_request(now, job, step, at_risk, schedulable));
                 }
             }
         }
         due
     }
 
-    /// The request of a step with waiting tasks; none if it needs none, or if no
-    /// further worker could take a task. Workers that have room now are named
+    /// Numbers of the long-running tasks, by step, that have to be placed elsewhere if
+    /// their workers do not answer any more.
+    fn long_running_tasks_at_risk(&self) -> BTreeMap<StepKey, u32> {
+        let mut at_risk = BTreeMap::new();
+        for (_, worker) in self.workers.iter().filter(|(_, worker)| worker.is_unreachable()) {
+            for key in &worker.tasks {
+                let job = self.jobs.get(key.step.job);
+                if job.is_some_and(|job| job.step_spec(key.step.step).long_running) {
+                    *at_risk.entry(key.step).or_default() += 1;
+                }
+            }
+        }
+        at_risk
+    }
+
+    /// The request of a step with tasks that wait or are at risk; none if it needs none,
+    /// or if no further worker could take a task. Workers that have room now are named
     /// first. The others are named only if no worker with a ticket will do, so that
     /// a step holds tickets when capacity becomes free.
     fn due_request(
@@ -226,16 +246,28 @@
         now: TimeMs,
         job: &Job,
         step: StepKey,
+        at_risk: u32,
         schedulable: &[WorkerId],
     ) -> Option<DueRequest> {
         let (spec, waiting) = (job.step_spec(step.step), job.step(step).waiting());
+        let wanted = waiting.saturating_add(at_risk);
         let tasks_by_worker = self.tasks_by_worker(step, spec);
         let slots = |id: WorkerId, room: Resources| {
             let tasks_here = tasks_by_worker.get(&id).copied().unwrap_or(0);
-            self.task_slots(id, spec, tasks_here, room, waiting)
+            self.task_slots(id, spec, tasks_here, room, wanted)
         };
-        let has_tickets = self.has_tickets(now, job, step, schedulable, slots);
-        if has_tickets && !self.tickets.unplaced.contains(&step) {
+        let ticketed = self.workers_with_tickets(now, step, schedulable);
+        let slots_later = ticketed.iter().map(|id| slots(*id, self.capacity(*id)));
+        let needed = if spec.gang { waiting } else { 1 };
+        let has_tickets = slots_later.fold(0, u32::saturating_add) >= needed;
+        let is_served = match at_risk {
+            0 => has_tickets && !self.tickets.unplaced.contains(&step),
+            _ => {
+                let slots_now = ticketed.iter().map(|id| slots(*id, self.free_capacity(*id)));
+                slots_now.fold(0, u32::saturating_add) >= wanted
+            }
+        };
+        if is_served {
             return None;
         }
         let mut candidates = Vec::new();
@@ -255,33 +287,22 @@
         }
         candidates.sort_by_key(|candidate| (candidate.slots_now == 0, !candidate.was_granted));
         let has_no_room = candidates.first()?.slots_now == 0;
-        let workers = workers_to_name(&candidates, waiting);
+        let workers = workers_to_name(&candidates, wanted);
         Some(DueRequest { urgency: Urgency { has_no_room, has_tickets }, step, workers })
     }
 
-    /// True if the workers with usable tickets could take the next task of a step
-    /// once they have room, or all tasks of a gang.
-    fn has_tickets<F>(
+    /// The workers with usable tickets for a step that may get new tasks.
+    fn workers_with_tickets(
         &self,
         now: TimeMs,
-        job: &Job,
         step: StepKey,
         schedulable: &[WorkerId],
-        slots: F,
-    ) -> bool
-    where
-        F: Fn(WorkerId, Resources) -> u32,
-    {
-        let Some(known) = self.tickets.steps.get(&step) else { return false };
-        let needed = if job.step_spec(step.step).gang { job.step(step).waiting() } else { 1 };
-        let mut found: u32 = 0;
-        for &id in known.answers.keys() {
-            let is_schedulable = schedulable.binary_search(&id).is_ok();
-            if is_schedulable && self.ticket(now, step, id).is_some() {
-                found = found.saturating_add(slots(id, self.capacity(id)));
-            }
-        }
-        found >= needed
+    ) -> Vec<WorkerId> {
+        let Some(known) = self.tickets.steps.get(&step) else { return Vec::new() };
+        let is_usable = |id: &WorkerId| {
+            schedulable.binary_search(id).is_ok() && self.ticket(now, step, *id).is_some()
+        };
+        known.answers.keys().copied().filter(is_usable).collect()
     }
 
     /// Handles the answer to a request; none if the call failed.
@@ -325,12 +346,12 @@
 }
 
 /// The first candidates, as many as one call names. Those that are granted a ticket
-/// again are enough if they have room for all waiting tasks.
-fn workers_to_name(candidates: &[Candidate], waiting: u32) -> Vec<WorkerId> {
+/// again are enough if they have room for all tasks that need a worker.
+fn workers_to_name(candidates: &[Candidate], wanted: u32) -> Vec<WorkerId> {
     let mut workers = Vec::new();
     let mut served: u32 = 0;
     for candidate in candidates.iter().take(MAX_WORKERS_PER_CALL) {
-        if served >= waiting {
+        if served >= wanted {
             break;
         }
         if candidate.was_granted {
--- a/lib/tests/test_workload_advice.rs
+++ b/lib/tests/test_workload_advice.rs
@@ -11,6 +11,7 @@
 use cowslipport_lib::workload::spec::StepSpec;
 
 use crate::workload_fake::Fleet;
+use crate::workload_fake::LEASE_MS;
 use crate::workload_fake::SHORT_WORK;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
@@ -92,6 +93,46 @@
     fleet.assert_no_violations();
 }
 
+/// The service may be slow. A long-running task waited for the leases of its lost worker,
+/// and only then for the tickets that it needed elsewhere.
+#[test]
+fn tickets_are_requested_while_the_leases_of_a_lost_worker_run() {
+    let mut fleet = fleet_with_advice(MANY_WORKERS, 16);
+    let mut advice = Advice::new(&["w0", "w1", "w10", "w11", "w8"], LONG_VALID_MS);
+    let spread =
+        StepSpec { long_running: true, max_tasks_per_worker: Some(1), ..step(4, cores(1)) };
+    fleet.submit(1, job(vec![spread]), SHORT_WORK);
+    advice.advance(&mut fleet, 500);
+    assert_eq!(fleet.running(), 4);
+    fleet.worker("w0").is_up = false;
+    advice.advance(&mut fleet, LEASE_MS - 500);
+    assert_eq!(advice.calls.len(), 2);
+    // The service answers no more calls.
+    fleet.advance(1_000);
+    assert_eq!(fleet.running(), 4, "calls: {:?}", advice.calls);
+    fleet.assert_no_violations();
+}
+
+/// A worker with a ticket and room is enough for a task that may be lost.
+#[test]
+fn no_ticket_is_requested_if_another_worker_with_a_ticket_has_room() {
+    let mut fleet = fleet_with_advice(4, 16);
+    let mut advice = Advice::new(&["w0", "w1", "w2"], LONG_VALID_MS);
+    let spread =
+        StepSpec { long_running: true, max_tasks_per_worker: Some(1), ..step(2, cores(1)) };
+    fleet.submit(1, job(vec![spread]), SHORT_WORK);
+    advice.advance(&mut fleet, 500);
+    assert_eq!((fleet.running(), advice.calls.len()), (2, 1));
+    let busy = fleet.workers.values().find(|worker| !worker.running.is_empty());
+    let name = busy.expect("a worker runs a task").name.clone();
+    fleet.worker(&name).is_up = false;
+    advice.advance(&mut fleet, LEASE_MS - 500);
+    assert_eq!(advice.calls.len(), 1, "{:?}", advice.calls);
+    advice.advance(&mut fleet, 1_000);
+    assert_eq!(fleet.running(), 2);
+    fleet.assert_no_violations();
+}
+
 /// The tickets were all for workers without room, and workers with room were not
 /// asked for. Those for which nothing can change must not be asked for again.
 #[test]
