--- a/lib/tests/test_workload_renewals.rs
+++ b/lib/tests/test_workload_renewals.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::dispatcher::WorkerActivity;
 use cowslipport_lib::workload::owner_record::FormerOwner;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
@@ -228,7 +229,7 @@
     assert_eq!(witnesses.len(), 5);
     let owner = fleet.owner.as_mut().expect("an owner");
     let ids: Vec<_> = witnesses.iter().map(|witness| owner.worker_id(&witness.worker)).collect();
-    let count = |owner: &cowslipport_lib::workload::dispatcher::Dispatcher| {
+    let count = |owner: &Dispatcher| {
         ids.iter().filter(|id| owner.activity(**id) == WorkerActivity::Polled).count()
     };
     owner.take_activity_changes();
