--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -3,6 +3,7 @@
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::event::DispatcherEvent;
+use cowslipport_lib::workload::event::PlacementReleaseReason;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::pool_load::PoolLoad;
@@ -31,6 +32,9 @@
                 let worker = dispatcher.worker_name(worker);
                 log_restart(logger, worker, former_unix_ms, present_unix_ms, reported);
             }
+            DispatcherEvent::RestartInferred { worker, task } => {
+                log_inferred_restart(logger, dispatcher.worker_name(worker), task);
+            }
             DispatcherEvent::LeaseTooLong { worker, remaining_ms } => {
                 log_long_lease(logger, dispatcher.worker_name(worker), remaining_ms);
             }
@@ -42,10 +46,7 @@
                 log_end(logger, task, attempt, dispatcher.worker_name(worker), end);
             }
             DispatcherEvent::PlacementReleased { task, attempt, worker, reason } => {
-                metrics::counter!("cowslipport_places_freed_total", "reason" => reason.as_str())
-                    .increment(1);
-                warn!(logger, "placement released"; "task" => %task, "attempt" => attempt,
-                    "worker" => dispatcher.worker_name(worker), "reason" => reason.as_str());
+                log_release(logger, task, attempt, dispatcher.worker_name(worker), reason);
             }
             DispatcherEvent::JobEnded { job, outcome } => {
                 log_job_end(logger, job, outcome);
@@ -89,12 +90,30 @@
         "reported_tasks" => reported);
 }
 
+fn log_inferred_restart(logger: &Logger, worker: &str, lacking: TaskName) {
+    metrics::counter!("cowslipport_worker_restarts_total").increment(1);
+    warn!(logger, "worker has restarted under a former owner"; "worker" => worker,
+        "lacking_task" => %lacking);
+}
+
 fn log_long_lease(logger: &Logger, worker: &str, remaining_ms: u64) {
     metrics::counter!("cowslipport_long_leases_total").increment(1);
     warn!(logger, "leases on a worker last too long"; "worker" => worker,
         "remaining_ms" => remaining_ms);
 }
 
+fn log_release(
+    logger: &Logger,
+    task: TaskName,
+    attempt: u32,
+    worker: &str,
+    reason: PlacementReleaseReason,
+) {
+    metrics::counter!("cowslipport_places_freed_total", "reason" => reason.as_str()).increment(1);
+    warn!(logger, "placement released"; "task" => %task, "attempt" => attempt,
+        "worker" => worker, "reason" => reason.as_str());
+}
+
 fn log_end(logger: &Logger, task: TaskName, attempt: u32, worker: &str, end: TaskEnd) {
     metrics::counter!("cowslipport_tasks_ended_total", "end" => end.as_str()).increment(1);
     match end {
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -34,6 +34,14 @@
         /// Tasks that the present incarnation runs or has run.
         reported: usize,
     },
+    /// A worker lacks an attempt that it had started under a former owner, so it has
+    /// restarted since.
+    RestartInferred {
+        /// The worker.
+        worker: WorkerId,
+        /// The task of the attempt.
+        task: TaskName,
+    },
     /// The leases on a worker last longer than owners intend.
     LeaseTooLong {
         /// The worker.
--- a/lib/src/workload/worker_restart.rs
+++ b/lib/src/workload/worker_restart.rs
@@ -7,9 +7,9 @@
 use crate::time::TimeMs;
 use crate::workload::attempt_lease::AttemptLease;
 use crate::workload::dispatcher::Dispatcher;
+use crate::workload::event::DispatcherEvent;
 use crate::workload::job::AttemptState;
 use crate::workload::job::Placement;
-use crate::workload::key::TaskKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
 
@@ -38,17 +38,16 @@
         reported: &BTreeSet<(TaskName, u32)>,
     ) {
         let Some(worker) = self.workers.get(id) else { return };
-        let is_lacking = |key: &TaskKey| {
-            let Some(job) = self.jobs.get(key.step.job) else { return false };
-            let task = job.task(*key);
-            let is_started = task.placement().is_some_and(|placement| {
-                placement.state != AttemptState::Planned && placement.lease == AttemptLease::Known
-            });
-            is_started && !reported.contains(&(job.task_name(*key), task.attempt))
-        };
-        if !worker.tasks.iter().any(is_lacking) {
-            return;
-        }
+        let lacking = worker.tasks.iter().find_map(|key| {
+            let job = self.jobs.get(key.step.job)?;
+            let (task, name) = (job.task(*key), job.task_name(*key));
+            let placement = task.placement()?;
+            let is_started =
+                placement.state != AttemptState::Planned && placement.lease == AttemptLease::Known;
+            (is_started && !reported.contains(&(name, task.attempt))).then_some(name)
+        });
+        let Some(task) = lacking else { return };
+        self.events.push(DispatcherEvent::RestartInferred { worker: id, task });
         if let Some(worker) = self.workers.get_mut(id) {
             worker.leases.granted(self.lease_times.late_call_expires_at(now));
         }
