--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -155,6 +155,7 @@
             settings.status_kept_ms,
         );
         dispatcher.set_start_budget(StartBudget::new(gained_at, settings.link_bits_per_second));
+        dispatcher.set_features(settings.scheduling);
         Self {
             epoch,
             gained_at,
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -6,6 +6,7 @@
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::owner_record::NodeRecord;
+use cowslipport_lib::workload::scheduling::SchedulingFeatures;
 
 /// Duration of the leases of tasks on workers. A lease outlasts a change of the
 /// owner (at most 1.6 s) and one poll without an answer (1.2 s). It also bounds
@@ -91,6 +92,8 @@
     pub worker_lease_max_ms: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace_ms: u64,
+    /// Decisions that the deployment turns on.
+    pub scheduling: SchedulingFeatures,
 }
 
 /// Part of `key_withdrawal_ms`, in percent, after which a node without a newer
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -41,6 +41,7 @@
 use crate::workload::record::RecordKey;
 use crate::workload::renewal::Renewals;
 use crate::workload::report::WorkerEntry;
+use crate::workload::scheduling::SchedulingFeatures;
 use crate::workload::spec::JobSpec;
 use crate::workload::start_budget::StartBudget;
 use crate::workload::worker::Listing;
@@ -96,6 +97,7 @@
     pub(crate) waits: WaitTracker,
     pub(crate) arrivals: Arrivals,
     pub(crate) start_budget: StartBudget,
+    pub(crate) features: SchedulingFeatures,
     /// Time until the budget allows a start that is requested now, as of the
     /// last placement round.
     pub(crate) start_delay_ms: u64,
@@ -149,6 +151,7 @@
             waits: WaitTracker::default(),
             arrivals: Arrivals::default(),
             start_budget: StartBudget::default(),
+            features: SchedulingFeatures::default(),
             start_delay_ms: 0,
             unlisted_by_vms: BTreeSet::new(),
             activity_changes: BTreeSet::new(),
@@ -169,6 +172,11 @@
         self.start_budget = budget;
     }
 
+    /// Turns decisions on that go beyond what jobs declare.
+    pub fn set_features(&mut self, features: SchedulingFeatures) {
+        self.features = features;
+    }
+
     /// Sets the time of day for the recovery. The jobs that are applied before
     /// [`Self::recovered`] keep the age that they had under former owners.
     pub fn begin_recovery(&mut self, now_unix_ms: u64) {
