preview: where a job would go now, and why

Cause: operators cannot tell where a job would go without submitting it. Change: POST /preview at the metrics address of a node, with the operators' token, and the command cowslipport preview. The owner submits the job to a copy of its state and runs the same placement round there. Measured: the preview names the workers and task counts that the owner then gives to the same job (test_workload_preview, and over sockets test_preview).

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod dc;
 mod explain;
 mod jobs;
+mod preview;
 mod status;
 mod submit;
 mod watch;
@@ -29,6 +30,7 @@
     Jobs(jobs::JobsArguments),
     Cancel(cancel::CancelArguments),
     Explain(explain::ExplainArguments),
+    Preview(preview::PreviewArguments),
     Wave(wave::WaveArguments),
     Completions(completions::CompletionsArguments),
 }
@@ -45,6 +47,7 @@
         Command::Jobs(arguments) => jobs::cmd_jobs(&arguments).await,
         Command::Cancel(arguments) => cancel::cmd_cancel(&arguments).await,
         Command::Explain(arguments) => explain::cmd_explain(&arguments).await,
+        Command::Preview(arguments) => preview::cmd_preview(&arguments).await,
         Command::Wave(arguments) => wave::cmd_wave(&arguments).await,
         Command::Completions(arguments) => completions::cmd_completions(&arguments),
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod error;
 mod in_force;
+mod nodes;
 mod output;
 
 use std::process::ExitCode;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -30,7 +30,7 @@
 pub mod platform;
 mod subscriber;
 mod tasks;
-mod token;
+pub mod token;
 mod violation;
 mod witness_wire;
 mod worker_spec;
--- a/daemon/src/node/calls.rs
+++ b/daemon/src/node/calls.rs
@@ -7,6 +7,8 @@
 use cowslipport_lib::workload::admission::CallAnswer;
 use cowslipport_lib::workload::admission::NotRunReason;
 use cowslipport_lib::workload::admission::not_run;
+use cowslipport_lib::workload::preview::PreviewAnswer;
+use cowslipport_lib::workload::preview::PreviewQuestion;
 use cowslipport_lib::workload::spec::Schedule;
 use cowslipport_lib::workload::spec::StepSpec;
 use tokio::sync::mpsc;
@@ -66,6 +68,14 @@
         answer
     }
 
+    /// Answers an operator who asks what would happen to a job; `None` if the node
+    /// is too busy.
+    pub async fn preview(&self, question: PreviewQuestion) -> Option<PreviewAnswer> {
+        let (reply, answer) = oneshot::channel();
+        self.core.try_send(CoreMessage::Preview { question, reply }).ok()?;
+        timeout(ANSWER_TIMEOUT, answer).await.ok()?.ok()
+    }
+
     async fn call_core(&self, request: CallRequest) -> CallAnswer {
         let is_change = match request.action {
             Action::Submit | Action::Cancel => true,
--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -93,6 +93,8 @@
     /// Whether the node leaves the group because the store confirms an ownership
     /// that the node does not have.
     pub(crate) must_leave_group: bool,
+    /// When the last preview was answered.
+    pub(crate) previewed_at: Option<TimeMs>,
     pub(crate) is_shutting_down: bool,
     pub(crate) release_done: Option<oneshot::Sender<()>>,
 }
@@ -114,6 +116,7 @@
             candidacy: Candidacy::new(&settings.name, settings.processor_milli, now),
             owner: None,
             must_leave_group: false,
+            previewed_at: None,
             is_shutting_down: false,
             release_done: None,
         }
@@ -175,6 +178,7 @@
                 self.apply_topic_update(topic, update, confirmed_at);
             }
             CoreMessage::Call { request, reply } => self.handle_call(request, reply),
+            CoreMessage::Preview { question, reply } => self.handle_preview(question, reply),
             CoreMessage::Joined { sent_at, answer } => self.handle_join_answer(sent_at, answer),
             CoreMessage::Members { members } => self.state.candidacy.members_seen(&members),
             CoreMessage::LeftGroup => {
@@ -200,7 +204,7 @@
         }
     }
 
-    fn with_owner<F>(&mut self, change: F)
+    pub(crate) fn with_owner<F>(&mut self, change: F)
     where
         F: FnOnce(&mut Owner<P>, &mut OwnerView<'_>),
     {
--- a/daemon/src/node/core_calls.rs
+++ b/daemon/src/node/core_calls.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 
 use crate::node::calls::CallRequest;
+use crate::node::calls::JobDraft;
 use crate::node::core::Core;
 use crate::node::platform::KeyedRecord;
 use crate::node::platform::Platform;
@@ -27,24 +28,13 @@
     P: Platform,
 {
     pub(crate) fn handle_call(&mut self, request: CallRequest, reply: oneshot::Sender<CallAnswer>) {
-        let state = &self.state;
         let call = Call {
             host: &request.host,
             path: &request.path,
             key: request.key,
             action: request.action,
         };
-        let limits = self.settings.age_limits();
-        let decision = admission::admit(
-            self.clock.now(),
-            &call,
-            &state.catalog,
-            &state.job_registry,
-            state.confirmed_at,
-            state.start_delay,
-            limits,
-        );
-        match decision {
+        match self.admit(&call) {
             AdmissionDecision::Answer(answer) => {
                 self.log_refusal(&request, &answer);
                 // The receiver is gone if the caller has disconnected.
@@ -66,6 +56,20 @@
         }
     }
 
+    /// Decides what the node does with a call.
+    pub(crate) fn admit(&self, call: &Call<'_>) -> AdmissionDecision {
+        let state = &self.state;
+        admission::admit(
+            self.clock.now(),
+            call,
+            &state.catalog,
+            &state.job_registry,
+            state.confirmed_at,
+            state.start_delay,
+            self.settings.age_limits(),
+        )
+    }
+
     /// Logs a call that is not served, with the state that the decision used.
     fn log_refusal(&self, request: &CallRequest, answer: &CallAnswer) {
         if answer.is_success() {
@@ -88,10 +92,21 @@
         admitted: &AdmittedJob,
         request: CallRequest,
     ) -> Result<KeyedRecord, CallAnswer> {
-        let catalog = &self.state.catalog;
         let Some(draft) = request.draft else {
             return Err(CallAnswer::Invalid("the body holds no job".to_owned()));
         };
+        let spec = self.job_spec(admitted, draft)?;
+        let key = RecordKey::Submission(admitted.job).encode().into();
+        Ok(KeyedRecord { key, value: spec.encode().into() })
+    }
+
+    /// The checked job that a caller describes.
+    pub(crate) fn job_spec(
+        &self,
+        admitted: &AdmittedJob,
+        draft: JobDraft,
+    ) -> Result<JobSpec, CallAnswer> {
+        let catalog = &self.state.catalog;
         let Some(queue) = catalog.queue(admitted.queue) else {
             return Err(CallAnswer::NoSuchQueue);
         };
@@ -107,8 +122,7 @@
             accepted_unix_ms: self.platform.unix_now_ms(),
         };
         spec.check().map_err(|findings| CallAnswer::Invalid(findings.to_string()))?;
-        let key = RecordKey::Submission(admitted.job).encode().into();
-        Ok(KeyedRecord { key, value: spec.encode().into() })
+        Ok(spec)
     }
 
     /// Stores a record for a caller, and replies with `answer` once the store
--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -8,6 +8,8 @@
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::key::WorkerId;
 use cowslipport_lib::workload::ownership::JoinAnswer;
+use cowslipport_lib::workload::preview::PreviewAnswer;
+use cowslipport_lib::workload::preview::PreviewQuestion;
 use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::WorkerReport;
 use cowslipport_lib::workload::vm::VmEntry;
@@ -46,6 +48,8 @@
     },
     /// A call of a submitter.
     Call { request: CallRequest, reply: oneshot::Sender<CallAnswer> },
+    /// A question of an operator: what would happen to a job.
+    Preview { question: PreviewQuestion, reply: oneshot::Sender<PreviewAnswer> },
     /// The store answered a call to join the group.
     Joined { sent_at: TimeMs, answer: JoinAnswer },
     /// The nodes in the group, which are the candidates for ownership.
--- a/daemon/src/node/mod.rs
+++ b/daemon/src/node/mod.rs
@@ -20,6 +20,7 @@
 mod ownership_check;
 pub mod platform;
 mod poll_task;
+mod preview;
 mod recovery;
 pub mod settings;
 pub mod start;
--- a/gen/src/main.rs
+++ b/gen/src/main.rs
@@ -27,13 +27,14 @@
     Differs { files: Vec<String> },
 }
 
-const SCHEMAS: [&str; 6] = [
+const SCHEMAS: [&str; 7] = [
     "config.proto",
     "control.proto",
     "platform.proto",
     "peer.proto",
     "caller.proto",
     "workload.proto",
+    "node.proto",
 ];
 
 /// Messages that the command line tool prints as JSON.
@@ -153,6 +154,9 @@
         .type_attribute(".cowslipport.caller", "#[derive(serde::Serialize, serde::Deserialize)]")
         .type_attribute(".cowslipport.caller", "#[serde(default)]")
         .type_attribute(".cowslipport.caller.SubmitJob", "#[serde(deny_unknown_fields)]")
+        .type_attribute(".cowslipport.node", "#[derive(serde::Serialize, serde::Deserialize)]")
+        .type_attribute(".cowslipport.node", "#[serde(default)]")
+        .type_attribute(".cowslipport.node.PreviewRequest", "#[serde(deny_unknown_fields)]")
         .compile_fds(descriptors)
         .map_err(|source| io_error(out, source))
 }
--- a/lib/src/protos/mod.rs
+++ b/lib/src/protos/mod.rs
@@ -34,6 +34,11 @@
     include!("cowslipport.caller.rs");
 }
 
+/// JSON bodies of the operators' calls to a node.
+pub mod node {
+    include!("cowslipport.node.rs");
+}
+
 /// Stored records of jobs with several steps.
 pub mod workload {
     include!("cowslipport.workload.rs");
--- a/lib/src/wire/mod.rs
+++ b/lib/src/wire/mod.rs
@@ -5,4 +5,5 @@
 pub(crate) mod control;
 pub(crate) mod entities;
 pub(crate) mod job;
+pub(crate) mod preview;
 pub(crate) mod settings;
--- a/lib/src/workload/catalog.rs
+++ b/lib/src/workload/catalog.rs
@@ -265,6 +265,12 @@
         self.organisation_names.intern(name)
     }
 
+    /// Key of an organisation's name, if some version of the configuration or some
+    /// job has named the organisation.
+    pub fn find_organisation_id(&self, name: &str) -> Option<OrganisationId> {
+        self.organisation_names.keys.get(name).copied()
+    }
+
     /// Name of a pool, in force or not.
     pub fn pool_name(&self, pool: PoolId) -> &str {
         self.pool_names.names.get(pool).map_or("", String::as_str)
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -155,6 +155,69 @@
     pub kept: u32,
 }
 
+/// The first reason for which a worker gets no task of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Blocker {
+    /// The worker drains, or its data centre is out of service.
+    Leaving,
+    /// The worker is not known to be reachable.
+    Unreached,
+    /// The registry entry is of another incarnation than the last report.
+    Restarted,
+    /// The worker is kept empty for maintenance or a move.
+    Cordoned,
+    /// The worker has recently failed or refused tasks.
+    Avoided,
+    /// The worker lacks the label that the step requires.
+    Unsuited,
+    /// The worker runs as many tasks of the step as it allows on one worker.
+    Spread,
+    /// No valid ticket of the advice service.
+    WithoutTicket,
+    /// Not enough free capacity.
+    Full,
+    /// The worker could run a task, but others are preferred or the capacity is
+    /// reserved for other tasks.
+    Kept,
+}
+
+impl Blocker {
+    /// Name in log lines and answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Unreached => "unreached",
+            Self::Restarted => "restarted",
+            Self::Cordoned => "cordoned",
+            Self::Avoided => "avoided",
+            Self::Unsuited => "unsuited",
+            Self::Spread => "spread",
+            Self::WithoutTicket => "without_ticket",
+            Self::Full => "full",
+            Self::Kept => "kept",
+        }
+    }
+}
+
+impl PlacementBlockers {
+    /// Counts a worker.
+    pub(crate) fn count(&mut self, blocker: Blocker) {
+        let count = match blocker {
+            Blocker::Leaving => &mut self.leaving,
+            Blocker::Unreached => &mut self.unreached,
+            Blocker::Restarted => &mut self.restarted,
+            Blocker::Cordoned => &mut self.cordoned,
+            Blocker::Avoided => &mut self.avoided,
+            Blocker::Unsuited => &mut self.unsuited,
+            Blocker::Spread => &mut self.spread,
+            Blocker::WithoutTicket => &mut self.without_ticket,
+            Blocker::Full => &mut self.full,
+            Blocker::Kept => &mut self.kept,
+        };
+        *count += 1;
+    }
+}
+
 /// Why a placement was released without a reported end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PlacementReleaseReason {
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -6,6 +6,7 @@
 use crate::time::TimeMs;
 use crate::workload::catalog::Catalog;
 use crate::workload::dispatcher::Dispatcher;
+use crate::workload::event::Blocker;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::event::PlacementBlockers;
 use crate::workload::job::Job;
@@ -98,8 +99,10 @@
             ..PlacementBlockers::default()
         };
         for (id, worker) in self.workers.iter() {
-            if worker.listing.as_ref().is_some_and(|listing| listing.pool == job.pool) {
-                self.count_blocker(now, job, step, id, &mut blockers);
+            if worker.listing.as_ref().is_some_and(|listing| listing.pool == job.pool)
+                && let Some(blocker) = self.blocker(now, job, step, id)
+            {
+                blockers.count(blocker);
             }
         }
         self.events.push(DispatcherEvent::StepWaiting {
@@ -112,41 +115,40 @@
         });
     }
 
-    /// Counts a worker under the first reason for which it gets no task of the
-    /// step.
-    fn count_blocker(
+    /// The first reason for which a worker gets no task of the step.
+    pub(crate) fn blocker(
         &self,
         now: TimeMs,
         job: &Job,
         step: StepKey,
         id: WorkerId,
-        blockers: &mut PlacementBlockers,
-    ) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let Some(listing) = &worker.listing else { return };
+    ) -> Option<Blocker> {
+        let worker = self.workers.get(id)?;
+        let listing = worker.listing.as_ref()?;
         let spec = job.step_spec(step.step);
         let here = job.step(step).on_worker(id);
-        let count = if listing.is_draining || self.data_centres_out.contains(&listing.data_centre) {
-            &mut blockers.leaving
+        let is_out = self.data_centres_out.contains(&listing.data_centre);
+        let blocker = if listing.is_draining || is_out {
+            Blocker::Leaving
         } else if worker.reachability != Reachability::Reachable {
-            &mut blockers.unreached
+            Blocker::Unreached
         } else if !worker.is_listing_current() {
-            &mut blockers.restarted
+            Blocker::Restarted
         } else if worker.is_cordoned {
-            &mut blockers.cordoned
+            Blocker::Cordoned
         } else if !worker.is_schedulable(now) {
-            &mut blockers.avoided
+            Blocker::Avoided
         } else if !self.has_required_label(id, spec) {
-            &mut blockers.unsuited
+            Blocker::Unsuited
         } else if spec.max_tasks_per_worker.is_some_and(|most| here >= most) {
-            &mut blockers.spread
+            Blocker::Spread
         } else if job.rules.needs_advice && self.ticket(now, step, id).is_none() {
-            &mut blockers.without_ticket
+            Blocker::WithoutTicket
         } else if !spec.effective_request().fits_in(worker.free()) {
-            &mut blockers.full
+            Blocker::Full
         } else {
-            &mut blockers.kept
+            Blocker::Kept
         };
-        *count += 1;
+        Some(blocker)
     }
 }
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -19,6 +19,7 @@
 pub mod pace;
 pub mod pool_autoscaler;
 pub mod pool_load;
+pub mod preview;
 pub mod record;
 pub mod report;
 pub mod scheduling;
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -116,7 +116,11 @@
     }
 
     /// Jobs with tasks that may start, and their pools, in ascending rank.
-    fn waiting_jobs(&mut self, now: TimeMs, now_unix_ms: u64) -> Vec<(rank::Rank, PoolId, JobId)> {
+    pub(crate) fn waiting_jobs(
+        &mut self,
+        now: TimeMs,
+        now_unix_ms: u64,
+    ) -> Vec<(rank::Rank, PoolId, JobId)> {
         let mut waiting = Vec::new();
         let is_link_limited = self.start_delay_ms > 0;
         for (id, job) in self.jobs.iter_mut() {
