--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -37,6 +37,7 @@
 use crate::exchange::Reply;
 use crate::job_api;
 use crate::listener;
+use crate::listener::BODY_MEMORY_BYTES;
 use crate::listener::BodyError;
 use crate::listener::ListenLimits;
 use crate::platform::Upstream;
@@ -50,6 +51,9 @@
 /// for the answer.
 const READ_TIMEOUT: Duration = Duration::from_millis(MAX_DEADLINE_MS + 30_000);
 
+/// Bodies of the largest size that the settings allow which always have room together.
+const MIN_BODIES_HELD: u64 = 4;
+
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
@@ -74,7 +78,11 @@
     U: Upstream,
 {
     let limits = ListenLimits {
+        name: "callers",
         max_connections: context.limits.max_connections as usize,
+        body_memory_bytes: BODY_MEMORY_BYTES
+            .max(context.limits.max_body_bytes.saturating_mul(MIN_BODIES_HELD)),
+        body_timeout: Duration::from_millis(context.limits.request_read_timeout_ms),
         head_timeout: Duration::from_millis(context.limits.request_read_timeout_ms),
         write_timeout: WRITE_TIMEOUT,
         read_timeout: READ_TIMEOUT,
@@ -107,6 +115,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLarge)) => return refuse(RefusalReason::BodyTooLarge),
         Ok(Err(BodyError::Malformed)) => return refuse(RefusalReason::Malformed),
+        Ok(Err(BodyError::GaveWay)) => return refuse(RefusalReason::Overloaded),
         Err(_) => return refuse(RefusalReason::ReadTimeout),
     };
     let Some((pool, path)) = pool_path else {
--- a/daemon/src/node/calls.rs
+++ b/daemon/src/node/calls.rs
@@ -11,6 +11,7 @@
 use cowslipport_lib::workload::spec::StepSpec;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
@@ -21,6 +22,10 @@
 /// which a submission is retried.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(2_200);
 
+/// Largest body of a call, also before there is a configuration. No configuration of the
+/// platform allows more.
+pub const MAX_BODY_BYTES: u64 = 262_144;
+
 /// A call of a submitter.
 #[derive(Clone)]
 pub struct CallRequest {
@@ -51,9 +56,28 @@
 #[derive(Clone)]
 pub struct CallHandler {
     pub(crate) core: mpsc::Sender<CoreMessage>,
+    pub(crate) max_body_bytes: watch::Receiver<u64>,
 }
 
 impl CallHandler {
+    /// Largest body of a call that the configuration allows.
+    pub fn max_body_bytes(&self) -> u64 {
+        (*self.max_body_bytes.borrow()).min(MAX_BODY_BYTES)
+    }
+
+    /// The refusal of a call that its head alone decides, so that its body need not be
+    /// read. The call may still be refused later.
+    pub async fn check_head(&self, request: CallRequest) -> Option<CallAnswer> {
+        let (reply, answer) = oneshot::channel();
+        if self.core.try_send(CoreMessage::CheckHead { request, reply }).is_err() {
+            return Some(not_run(NotRunReason::TooManyWaiting));
+        }
+        match timeout(ANSWER_TIMEOUT, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Some(not_run(NotRunReason::TooManyWaiting)),
+        }
+    }
+
     /// Handles a call and returns its answer.
     pub async fn handle(&self, request: CallRequest) -> CallAnswer {
         let (action, began_at) = (request.action.as_str(), Instant::now());
--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -68,6 +68,8 @@
     pub(crate) submissions: mpsc::Sender<Submission>,
     pub(crate) job_pause: watch::Sender<std::time::Duration>,
     pub(crate) readiness: watch::Sender<bool>,
+    /// Largest body of a call in the configuration.
+    pub(crate) max_body_bytes: watch::Sender<u64>,
     /// Whether the node is a candidate for ownership.
     pub(crate) is_candidate: watch::Sender<bool>,
     pub(crate) state: CoreState<P>,
@@ -175,6 +177,10 @@
                 self.apply_topic_update(topic, update, confirmed_at);
             }
             CoreMessage::Call { request, reply } => self.handle_call(request, reply),
+            CoreMessage::CheckHead { request, reply } => {
+                // The receiver is gone if the caller has disconnected.
+                let _ = reply.send(self.head_refusal(&request));
+            }
             CoreMessage::Joined { sent_at, answer } => self.handle_join_answer(sent_at, answer),
             CoreMessage::Members { members } => self.state.candidacy.members_seen(&members),
             CoreMessage::LeftGroup => {
@@ -461,6 +467,7 @@
                 }
                 if state.catalog.apply(spec) {
                     info!(self.logger, "configuration applied"; "version" => version);
+                    self.max_body_bytes.send_replace(state.catalog.max_body_bytes());
                     if let Some(owner) = &mut state.owner {
                         owner.refresh(&mut state.catalog);
                     }
--- a/daemon/src/node/core_calls.rs
+++ b/daemon/src/node/core_calls.rs
@@ -27,24 +27,7 @@
     P: Platform,
 {
     pub(crate) fn handle_call(&mut self, request: CallRequest, reply: oneshot::Sender<CallAnswer>) {
-        let state = &self.state;
-        let call = Call {
-            host: &request.host,
-            path: &request.path,
-            key: request.key,
-            action: request.action,
-        };
-        let limits = self.settings.age_limits();
-        let decision = admission::admit(
-            self.clock.now(),
-            &call,
-            &state.catalog,
-            &state.job_registry,
-            state.confirmed_at,
-            state.start_delay,
-            limits,
-        );
-        match decision {
+        match self.admit(&request) {
             AdmissionDecision::Answer(answer) => {
                 self.log_refusal(&request, &answer);
                 // The receiver is gone if the caller has disconnected.
@@ -66,6 +49,38 @@
         }
     }
 
+    /// The refusal of a call whose head alone decides it.
+    pub(crate) fn head_refusal(&self, request: &CallRequest) -> Option<CallAnswer> {
+        match self.admit(request) {
+            AdmissionDecision::Answer(answer) if !answer.is_success() => {
+                self.log_refusal(request, &answer);
+                Some(answer)
+            }
+            AdmissionDecision::Answer(_)
+            | AdmissionDecision::Store(_)
+            | AdmissionDecision::StoreCancellation(_) => None,
+        }
+    }
+
+    fn admit(&self, request: &CallRequest) -> AdmissionDecision {
+        let state = &self.state;
+        let call = Call {
+            host: &request.host,
+            path: &request.path,
+            key: request.key,
+            action: request.action,
+        };
+        admission::admit(
+            self.clock.now(),
+            &call,
+            &state.catalog,
+            &state.job_registry,
+            state.confirmed_at,
+            state.start_delay,
+            self.settings.age_limits(),
+        )
+    }
+
     /// Logs a call that is not served, with the state that the decision used.
     fn log_refusal(&self, request: &CallRequest, answer: &CallAnswer) {
         if answer.is_success() {
--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -46,6 +46,8 @@
     },
     /// A call of a submitter.
     Call { request: CallRequest, reply: oneshot::Sender<CallAnswer> },
+    /// Whether the head of a call suffices to refuse it.
+    CheckHead { request: CallRequest, reply: oneshot::Sender<Option<CallAnswer>> },
     /// The store answered a call to join the group.
     Joined { sent_at: TimeMs, answer: JoinAnswer },
     /// The nodes in the group, which are the candidates for ownership.
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::node::calls::CallHandler;
+use crate::node::calls::MAX_BODY_BYTES;
 use crate::node::core::Core;
 use crate::node::core::CoreState;
 use crate::node::membership_task;
@@ -75,6 +76,7 @@
     settings: NodeSettings,
     core: mpsc::Sender<CoreMessage>,
     readiness: watch::Receiver<bool>,
+    max_body_bytes: watch::Receiver<u64>,
     logger: Logger,
     membership: JoinSet<()>,
     /// Aborted when the node is dropped.
@@ -95,6 +97,7 @@
         let (job_pause, job_pause_receiver) = watch::channel(FOLLOWER_PAUSE);
         let (_, no_pause) = watch::channel(Duration::ZERO);
         let (readiness, is_ready) = watch::channel(false);
+        let (max_body_bytes, max_body_receiver) = watch::channel(MAX_BODY_BYTES);
         let mut tasks = JoinSet::new();
         tasks.spawn_local(submissions::run(platform.store(), submission_mailbox));
         tasks.spawn_local(store_node_record(settings.clone(), submissions.clone(), logger.clone()));
@@ -131,17 +134,26 @@
             submissions,
             job_pause,
             readiness,
+            max_body_bytes,
             is_candidate,
             state: CoreState::new(&settings, clock.now()),
         };
         tasks.spawn_local(core_task.run());
-        let logger = logger.clone();
-        Self { platform, settings, core, readiness: is_ready, logger, membership, _tasks: tasks }
+        Self {
+            platform,
+            settings,
+            core,
+            readiness: is_ready,
+            max_body_bytes: max_body_receiver,
+            logger: logger.clone(),
+            membership,
+            _tasks: tasks,
+        }
     }
 
     /// Returns a handler for calls of submitters.
     pub fn call_handler(&self) -> CallHandler {
-        CallHandler { core: self.core.clone() }
+        CallHandler { core: self.core.clone(), max_body_bytes: self.max_body_bytes.clone() }
     }
 
     /// Returns a watch on whether the node can answer calls.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod generational_arena;
 pub mod idempotency;
 pub mod ids;
+pub mod intake;
 pub mod invariant;
 pub mod job;
 pub mod job_class;
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -33,6 +33,8 @@
     ReadTimeout,
     /// The body is larger than the limit.
     BodyTooLarge,
+    /// The process needs the memory of the request's body for others.
+    Overloaded,
 }
 
 /// Known state of the first attempt with an idempotency key.
@@ -66,7 +68,8 @@
             | Self::DeadlineTooNear
             | Self::RetryBudget
             | Self::ConnectFailed
-            | Self::WitnessesUnavailable => 503,
+            | Self::WitnessesUnavailable
+            | Self::Overloaded => 503,
         }
     }
 
@@ -87,6 +90,7 @@
             Self::Malformed => "malformed",
             Self::ReadTimeout => "read_timeout",
             Self::BodyTooLarge => "body_too_large",
+            Self::Overloaded => "overloaded",
         }
     }
 
@@ -101,7 +105,8 @@
             | Self::DeadlineTooNear
             | Self::RetryBudget
             | Self::ConnectFailed
-            | Self::WitnessesUnavailable => Some(1000),
+            | Self::WitnessesUnavailable
+            | Self::Overloaded => Some(1000),
             Self::AttemptKnown(FirstAttempt::InProgress) => Some(1000),
             Self::AttemptKnown(FirstAttempt::Completed { .. } | FirstAttempt::Unknown)
             | Self::KeyUnknown
@@ -265,7 +270,8 @@
         | RefusalReason::WitnessesUnavailable
         | RefusalReason::Malformed
         | RefusalReason::ReadTimeout
-        | RefusalReason::BodyTooLarge => None,
+        | RefusalReason::BodyTooLarge
+        | RefusalReason::Overloaded => None,
     }
 }
 
