--- a/daemon/src/node/core_calls.rs
+++ b/daemon/src/node/core_calls.rs
@@ -28,13 +28,7 @@
     P: Platform,
 {
     pub(crate) fn handle_call(&mut self, request: CallRequest, reply: oneshot::Sender<CallAnswer>) {
-        let call = Call {
-            host: &request.host,
-            path: &request.path,
-            key: request.key,
-            action: request.action,
-        };
-        match self.admit(&call) {
+        match self.admit(&call_of(&request)) {
             AdmissionDecision::Answer(answer) => {
                 self.log_refusal(&request, &answer);
                 // The receiver is gone if the caller has disconnected.
@@ -56,6 +50,19 @@
         }
     }
 
+    /// The refusal of a call whose head alone decides it.
+    pub(crate) fn head_refusal(&self, request: &CallRequest) -> Option<CallAnswer> {
+        match self.admit(&call_of(request)) {
+            AdmissionDecision::Answer(answer) if !answer.is_success() => {
+                self.log_refusal(request, &answer);
+                Some(answer)
+            }
+            AdmissionDecision::Answer(_)
+            | AdmissionDecision::Store(_)
+            | AdmissionDecision::StoreCancellation(_) => None,
+        }
+    }
+
     /// Decides what the node does with a call.
     pub(crate) fn admit(&self, call: &Call<'_>) -> AdmissionDecision {
         let state = &self.state;
@@ -154,3 +161,7 @@
         });
     }
 }
+
+fn call_of(request: &CallRequest) -> Call<'_> {
+    Call { host: &request.host, path: &request.path, key: request.key, action: request.action }
+}
--- a/daemon/src/node/messages.rs
+++ b/daemon/src/node/messages.rs
@@ -50,6 +50,8 @@
     Call { request: CallRequest, reply: oneshot::Sender<CallAnswer> },
     /// A question of an operator: what would happen to a job.
     Preview { question: PreviewQuestion, reply: oneshot::Sender<PreviewAnswer> },
+    /// Whether the head of a call suffices to refuse it.
+    CheckHead { request: CallRequest, reply: oneshot::Sender<Option<CallAnswer>> },
     /// The store answered a call to join the group.
     Joined { sent_at: TimeMs, answer: JoinAnswer },
     /// The nodes in the group, which are the candidates for ownership.
