admission: refuse at once what the store or the room cannot serve

Cause: a job whose store call got no answer held its caller to the deadline, also seconds after the store was known to be away, and jobs were never refused for want of room. Change: each node keeps what its calls show of the store and refuses what it has not sent while the store is lost; the owner states the room of pools in its ownership record, and nodes refuse jobs that would be of no value when they end. Both only with scheduling.refuse_late_jobs.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -17,8 +17,10 @@
 use cowslipport_lib::workload::ownership::JoinAnswer;
 use cowslipport_lib::workload::ownership::Ownership;
 use cowslipport_lib::workload::ownership::OwnershipChange;
+use cowslipport_lib::workload::pool_room;
 use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::room_admission::RoomAdmission;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::Logger;
 use slog::info;
@@ -82,6 +84,7 @@
     pub(crate) job_registry: JobRegistry,
     pub(crate) confirmed_at: ConfirmedAt,
     pub(crate) start_delay: StartDelay,
+    pub(crate) room_admission: RoomAdmission,
     pub(crate) data_centres_out: BTreeSet<String>,
     /// Waves by number, each with an estimate of when it was requested.
     pub(crate) waves: BTreeMap<u64, (TimeMs, WaveSpec)>,
@@ -107,6 +110,7 @@
             job_registry: JobRegistry::default(),
             confirmed_at: ConfirmedAt::default(),
             start_delay: StartDelay::default(),
+            room_admission: RoomAdmission::default(),
             data_centres_out: BTreeSet::new(),
             waves: BTreeMap::new(),
             ownership: Ownership::new(settings.membership_ttl_ms()),
@@ -399,6 +403,7 @@
                 state.candidacy.owner_seen(now, &ownership.owner.node);
                 state.start_delay =
                     StartDelay { delay_ms: ownership.start_delay_ms, received_at: now };
+                state.room_admission.rooms_received(now, pool_room::decode_rooms(value)?);
             }
             RecordKey::Node(ref node) if !value.is_empty() => {
                 let NodeRecord { processor_milli, .. } = NodeRecord::decode(value)?;
--- a/daemon/src/node/core_calls.rs
+++ b/daemon/src/node/core_calls.rs
@@ -11,6 +11,7 @@
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::record;
 use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::room_admission::RoomDecision;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::info;
 use tokio::sync::oneshot;
@@ -50,8 +51,8 @@
                 // The receiver is gone if the caller has disconnected.
                 let _ = reply.send(answer);
             }
-            AdmissionDecision::Store(admitted) => match self.job_record(&admitted, request) {
-                Ok(record) => self.store(admitted.job, record, CallAnswer::Accepted, reply),
+            AdmissionDecision::Store(admitted) => match self.job_spec(&admitted, request) {
+                Ok(spec) => self.store_if_room(admitted.job, &spec, reply),
                 Err(answer) => {
                     let _ = reply.send(answer);
                 }
@@ -83,11 +84,11 @@
             "start_delay_ms" => state.start_delay.delay_ms);
     }
 
-    fn job_record(
+    fn job_spec(
         &self,
         admitted: &AdmittedJob,
         request: CallRequest,
-    ) -> Result<KeyedRecord, CallAnswer> {
+    ) -> Result<JobSpec, CallAnswer> {
         let catalog = &self.state.catalog;
         let Some(draft) = request.draft else {
             return Err(CallAnswer::Invalid("the body holds no job".to_owned()));
@@ -107,8 +108,39 @@
             accepted_unix_ms: self.platform.unix_now_ms(),
         };
         spec.check().map_err(|findings| CallAnswer::Invalid(findings.to_string()))?;
-        let key = RecordKey::Submission(admitted.job).encode().into();
-        Ok(KeyedRecord { key, value: spec.encode().into() })
+        Ok(spec)
+    }
+
+    /// Stores a new job, unless its pool has no room for it in time.
+    fn store_if_room(&mut self, job: JobKey, spec: &JobSpec, reply: oneshot::Sender<CallAnswer>) {
+        if let Some(answer) = self.refuse_for_room(job, spec) {
+            // The receiver is gone if the caller has disconnected.
+            let _ = reply.send(answer);
+            return;
+        }
+        let key = RecordKey::Submission(job).encode().into();
+        let record = KeyedRecord { key, value: spec.encode().into() };
+        self.store(job, record, CallAnswer::Accepted, reply);
+    }
+
+    fn refuse_for_room(&mut self, job: JobKey, spec: &JobSpec) -> Option<CallAnswer> {
+        if !self.settings.scheduling.refuse_late_jobs {
+            return None;
+        }
+        let (now, share) = (self.clock.now(), self.state.candidacy.share());
+        match self.state.room_admission.decide(now, spec, share) {
+            RoomDecision::Accept => None,
+            RoomDecision::Refuse { retry_after_ms, inputs } => {
+                let reason = NotRunReason::NoRoom;
+                info!(self.logger, "job refused"; "job" => %job, "reason" => reason.as_str(),
+                    "pool" => &spec.pool, "retry_after_ms" => retry_after_ms,
+                    "view_age_ms" => inputs.view_age_ms,
+                    "free_cpu_milli" => inputs.free_cpu_milli,
+                    "expected_wait_ms" => inputs.expected_wait_ms,
+                    "tolerable_wait_ms" => inputs.tolerable_wait_ms);
+                Some(CallAnswer::NotRun { reason, retry_after_ms })
+            }
+        }
     }
 
     /// Stores a record for a caller, and replies with `answer` once the store
@@ -121,7 +153,8 @@
         reply: oneshot::Sender<CallAnswer>,
     ) {
         let (stored, outcome) = oneshot::channel();
-        if self.submissions.try_send(Submission { record, reply: stored }).is_err() {
+        if self.submissions.try_send(Submission { job: Some(job), record, reply: stored }).is_err()
+        {
             let _ = reply.send(not_run(NotRunReason::TooManyWaiting));
             return;
         }
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -87,6 +87,8 @@
     pub(crate) vms_planned_at: Option<TimeMs>,
     pub(crate) pool_autoscaler: PoolAutoscaler,
     pub(crate) is_listing_vms: bool,
+    /// When the rooms of pools were last measured.
+    pub(crate) rooms_measured_at: Option<TimeMs>,
     pub(crate) vm_handover: VmHandover,
     /// Orders that are sent once the store has the names of their VMs.
     pub(crate) vm_orders: Vec<QueuedVmOrder>,
@@ -174,6 +176,7 @@
             vms_planned_at: None,
             pool_autoscaler: PoolAutoscaler::default(),
             is_listing_vms: false,
+            rooms_measured_at: None,
             vm_handover: VmHandover::new(settings.vm_handover_ms, VM_ORDER_AGE_MAX_MS),
             vm_orders: Vec::new(),
             vm_order_limiter: OrderRateLimiter::new(gained_at, settings.vm_orders_per_second),
@@ -333,6 +336,7 @@
             self.request_advice(view);
         }
         self.plan_vm_orders(view);
+        self.measure_rooms(view);
         self.store_changes(view.now);
         self.update_connections();
         self.send_orders(view);
--- a/daemon/src/node/owner_tasks.rs
+++ b/daemon/src/node/owner_tasks.rs
@@ -67,6 +67,7 @@
         clock,
         core: mailbox().core,
         pause,
+        outcomes: None,
         logger: logger(),
     };
     tasks.spawn_local(reader.run());
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -20,6 +20,9 @@
 /// Interval between plans of VM orders. Under load the owner reconciles
 /// hundreds of times a second, far more often than the demand of pools changes.
 const VM_PLAN_INTERVAL_MS: u64 = 50;
+/// Interval between measurements of rooms, which look at all jobs and workers. The
+/// record that states them is written once a second.
+const ROOM_INTERVAL_MS: u64 = 250;
 /// Maximum age of the list of VMs with which the owner plans orders.
 const VM_LIST_AGE_MAX_MS: u64 = 1_500;
 
@@ -86,6 +89,24 @@
         self.vm_orders.extend(queued);
     }
 
+    /// Measures what new jobs have to expect, for the ownership record.
+    pub(crate) fn measure_rooms(&mut self, view: &mut OwnerView<'_>) {
+        let age_ms = self.rooms_measured_at.map(|measured_at| view.now.since(measured_at));
+        if !self.dispatcher.refuses_late_jobs()
+            || age_ms.is_some_and(|age_ms| age_ms < ROOM_INTERVAL_MS)
+        {
+            return;
+        }
+        self.rooms_measured_at = Some(view.now);
+        let vms = self.vms.as_ref();
+        let coming = vms.map(|vms| self.pool_autoscaler.coming_vms(vms, view.catalog));
+        // Without a list of VMs, any number may be on the way.
+        let rooms = coming.map_or_else(Vec::new, |coming| {
+            self.dispatcher.measure_rooms(view.now, view.now_unix_ms, view.catalog, &coming)
+        });
+        self.dispatcher.set_rooms(rooms);
+    }
+
     pub(crate) fn handle_vm_list(&mut self, view: &mut OwnerView<'_>, vms: VmList) {
         self.is_listing_vms = false;
         self.maintenance.vms_listed(&vms, &mut self.dispatcher);
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -4,6 +4,7 @@
 
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::store_health::StoreHealth;
 use slog::Logger;
 use slog::o;
 use slog::warn;
@@ -30,6 +31,7 @@
 use crate::node::submissions;
 use crate::node::submissions::StoreOutcome;
 use crate::node::submissions::Submission;
+use crate::node::submissions::SubmissionTask;
 use crate::node::topic_reader::TopicReader;
 
 /// How long a node that shuts down waits until the owner has stored the release
@@ -53,7 +55,7 @@
     };
     loop {
         let (reply, outcome) = oneshot::channel();
-        let submission = Submission { record: record.clone(), reply };
+        let submission = Submission { job: None, record: record.clone(), reply };
         if submissions.send(submission).await.is_err() {
             return;
         }
@@ -96,7 +98,18 @@
         let (_, no_pause) = watch::channel(Duration::ZERO);
         let (readiness, is_ready) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(submissions::run(platform.store(), submission_mailbox));
+        let (read_outcomes, read_outcome_mailbox) =
+            mpsc::channel(submissions::READ_OUTCOME_CAPACITY);
+        let health = settings.scheduling.refuse_late_jobs.then(StoreHealth::default);
+        let submission_task = SubmissionTask::new(
+            platform.store(),
+            submission_mailbox,
+            read_outcome_mailbox,
+            health,
+            clock,
+            logger.new(o!("target" => "store")),
+        );
+        tasks.spawn_local(submission_task.run());
         tasks.spawn_local(store_node_record(settings.clone(), submissions.clone(), logger.clone()));
         for (topic, pause) in [(Topic::Operator, no_pause), (Topic::Jobs, job_pause_receiver)] {
             let reader = TopicReader {
@@ -105,6 +118,7 @@
                 clock,
                 core: core.clone(),
                 pause,
+                outcomes: Some(read_outcomes.clone()),
                 logger: logger.new(o!("target" => "store")),
             };
             tasks.spawn_local(reader.run());
--- a/daemon/src/node/topic_reader.rs
+++ b/daemon/src/node/topic_reader.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cowslipport_lib::time::TimeMs;
+use cowslipport_lib::workload::store_health::StoreCallOutcome;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -34,6 +35,8 @@
     pub(crate) core: mpsc::Sender<CoreMessage>,
     /// Pause after a read that returned records.
     pub(crate) pause: watch::Receiver<Duration>,
+    /// Told of failed reads, and of the first answer after them.
+    pub(crate) outcomes: Option<mpsc::Sender<StoreCallOutcome>>,
     pub(crate) logger: Logger,
 }
 
@@ -123,8 +126,17 @@
         self.core.send(message).await.map_err(|_| CoreEnded)
     }
 
+    /// Reports a failed read, or the first answer after failed ones.
+    fn report(&self, outcome: StoreCallOutcome) {
+        if let Some(outcomes) = &self.outcomes {
+            // A task that is behind, or that ends, needs no more of them.
+            let _ = outcomes.try_send(outcome);
+        }
+    }
+
     fn log_failure(&self, is_unavailable: &mut bool, error: &ReadError) {
         metrics::counter!("cowslipport_store_read_failures_total").increment(1);
+        self.report(StoreCallOutcome::NoAnswer);
         if !*is_unavailable {
             *is_unavailable = true;
             warn!(self.logger, "store unreachable; retrying"; "topic" => self.topic.as_str(),
@@ -135,6 +147,7 @@
     fn log_recovery(&self, is_unavailable: &mut bool) {
         if *is_unavailable {
             *is_unavailable = false;
+            self.report(StoreCallOutcome::Answered);
             info!(self.logger, "store reachable again"; "topic" => self.topic.as_str());
         }
     }
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -185,6 +185,39 @@
     /// answer it. Without witnesses it does so in any case.
     #[prost(message, repeated, tag = "7")]
     pub witnesses: ::prost::alloc::vec::Vec<Witness>,
+    /// What a new job of each pool has to expect, where the owner states it.
+    #[prost(message, repeated, tag = "8")]
+    pub rooms: ::prost::alloc::vec::Vec<PoolRoom>,
+}
+/// Room of a pool, rounded so that small changes don't change the record.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PoolRoom {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    /// CPU of workers that can get tasks, of VMs on the way and of VMs on standby, in
+    /// thousandths of a core.
+    #[prost(uint64, tag = "2")]
+    pub capacity_cpu_milli: u64,
+    /// CPU that placed tasks take.
+    #[prost(uint64, tag = "3")]
+    pub used_cpu_milli: u64,
+    /// The part of it that long-running tasks take.
+    #[prost(uint64, tag = "4")]
+    pub long_running_cpu_milli: u64,
+    /// Work of the tasks that wait, in the order in which jobs are placed.
+    #[prost(message, repeated, tag = "5")]
+    pub waiting: ::prost::alloc::vec::Vec<WaitingWork>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WaitingWork {
+    #[prost(uint32, tag = "1")]
+    pub priority: u32,
+    /// Binary logarithm of the work of a job, in core-milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub size_class: u32,
+    /// Work of all waiting tasks of these jobs, in core-milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub work_core_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FormerOwner {
--- a/lib/src/workload/admission.rs
+++ b/lib/src/workload/admission.rs
@@ -191,6 +191,10 @@
     StaleJobs,
     /// The store refused the record.
     StoreRefused,
+    /// The store did not answer earlier calls, and the record was not sent.
+    StoreAway,
+    /// The pool has no room in time for the job to be of value to its caller.
+    NoRoom,
     /// Too many calls are waiting for the store.
     TooManyWaiting,
     /// The owner cannot start the tasks of the job soon, because its link is
@@ -206,6 +210,8 @@
             Self::StaleConfiguration => "stale_configuration",
             Self::StaleJobs => "stale_jobs",
             Self::StoreRefused => "store_refused",
+            Self::StoreAway => "store_away",
+            Self::NoRoom => "no_room",
             Self::TooManyWaiting => "too_many_waiting",
             Self::OwnerBusy => "owner_busy",
         }
@@ -214,9 +220,12 @@
     fn retry_after_ms(self) -> u64 {
         match self {
             Self::NoConfiguration | Self::StaleConfiguration => NOT_READY_RETRY_MS,
-            Self::StaleJobs | Self::StoreRefused | Self::TooManyWaiting | Self::OwnerBusy => {
-                STORE_UNAVAILABLE_RETRY_MS
-            }
+            Self::StaleJobs
+            | Self::StoreRefused
+            | Self::StoreAway
+            | Self::NoRoom
+            | Self::TooManyWaiting
+            | Self::OwnerBusy => STORE_UNAVAILABLE_RETRY_MS,
         }
     }
 }
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -21,6 +21,7 @@
 use crate::workload::order::Order;
 use crate::workload::order::StartOrder;
 use crate::workload::order::WorkerOrder;
+use crate::workload::pool_room;
 use crate::workload::record::JobStatus;
 use crate::workload::record::RecordKey;
 use crate::workload::worker::Reachability;
@@ -71,7 +72,11 @@
         let mut reachable_again = Vec::new();
         self.unreachable_records(now, &mut records, &mut reachable_again);
         let ownership = self.ownership_record(now);
-        records.extend(ownership.map(|record| (RecordKey::Ownership, record.encode())));
+        if let Some(ownership) = ownership {
+            let mut value = ownership.encode();
+            value.extend(pool_room::encode_rooms(&self.rooms));
+            records.insert(RecordKey::Ownership, value);
+        }
         for id in std::mem::take(&mut self.dirty) {
             records.extend(self.job_records(id));
         }
--- a/lib/src/workload/candidacy.rs
+++ b/lib/src/workload/candidacy.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use crate::time::TimeMs;
+use crate::workload::return_schedule::ReturnShare;
 
 /// A node with at least this part of the largest node's processor, in percent,
 /// counts as large and is always a candidate.
@@ -52,6 +53,15 @@
         self.processors_milli.insert(node.to_owned(), processor_milli);
     }
 
+    /// Number of nodes that have ever started, this one included, and the number of
+    /// this node among them.
+    pub fn share(&self) -> ReturnShare {
+        let others = self.processors_milli.keys().filter(|name| **name != self.node);
+        let before = others.clone().filter(|name| **name < self.node).count();
+        let count = |nodes: usize| u64::try_from(nodes).unwrap_or(u64::MAX);
+        ReturnShare { nodes: count(others.count() + 1), index: count(before) }
+    }
+
     /// Applies the ownership record of an owner.
     pub fn owner_seen(&mut self, now: TimeMs, node: &str) {
         if node != self.node {
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -36,6 +36,7 @@
 use crate::workload::owner_record::NodeIncarnation;
 use crate::workload::pace::Pacer;
 use crate::workload::pool_load::Arrivals;
+use crate::workload::pool_room::PoolRoom;
 use crate::workload::record::JobOutcome;
 use crate::workload::record::Progress;
 use crate::workload::record::RecordKey;
@@ -98,6 +99,8 @@
     pub(crate) arrivals: Arrivals,
     pub(crate) start_budget: StartBudget,
     pub(crate) features: SchedulingFeatures,
+    /// What the next ownership record states of the pools.
+    pub(crate) rooms: Vec<PoolRoom>,
     /// Time until the budget allows a start that is requested now, as of the
     /// last placement round.
     pub(crate) start_delay_ms: u64,
@@ -152,6 +155,7 @@
             arrivals: Arrivals::default(),
             start_budget: StartBudget::default(),
             features: SchedulingFeatures::default(),
+            rooms: Vec::new(),
             start_delay_ms: 0,
             unlisted_by_vms: BTreeSet::new(),
             activity_changes: BTreeSet::new(),
@@ -177,6 +181,11 @@
         self.features = features;
     }
 
+    /// Whether new jobs that cannot be served in time are refused.
+    pub fn refuses_late_jobs(&self) -> bool {
+        self.features.refuse_late_jobs
+    }
+
     /// Sets the time of day for the recovery. The jobs that are applied before
     /// [`Self::recovered`] keep the age that they had under former owners.
     pub fn begin_recovery(&mut self, now_unix_ms: u64) {
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -19,11 +19,15 @@
 pub mod pace;
 pub mod pool_autoscaler;
 pub mod pool_load;
+pub mod pool_room;
 pub mod record;
 pub mod report;
+pub mod return_schedule;
+pub mod room_admission;
 pub mod scheduling;
 pub mod spec;
 pub mod start_budget;
+pub mod store_health;
 pub mod vm;
 pub mod vm_handover;
 
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -122,6 +122,7 @@
             former: former.collect(),
             start_delay_ms: self.start_delay_ms,
             witnesses: self.witnesses.iter().map(Witness::to_raw).collect(),
+            rooms: Vec::new(),
         }
         .encode_to_vec()
     }
--- a/lib/src/workload/pool_autoscaler.rs
+++ b/lib/src/workload/pool_autoscaler.rs
@@ -15,6 +15,7 @@
 use crate::workload::key::WorkerId;
 use crate::workload::pool_load::PoolLoad;
 use crate::workload::pool_load::PoolLoads;
+use crate::workload::pool_room::ComingVms;
 use crate::workload::vm::VmAction;
 use crate::workload::vm::VmEntry;
 use crate::workload::vm::VmList;
@@ -188,6 +189,25 @@
         orders
     }
 
+    /// CPU of the VMs that pools get or could get, but that are not workers yet.
+    pub fn coming_vms(&self, vms: &VmList, catalog: &mut Catalog) -> ComingVms {
+        let mut coming = ComingVms::default();
+        for entry in vms.iter() {
+            let size = entry.capacity.cpu_milli;
+            if let Some(pending) = self.moves.get(&entry.vm) {
+                let sum = coming.moving_cpu_milli.entry(pending.to).or_default();
+                *sum = sum.saturating_add(size);
+                continue;
+            }
+            let pool = catalog.pool_id(&entry.pool);
+            let is_standby = catalog.pool(pool).is_some_and(|spec| spec.is_standby);
+            if is_standby && entry.state != VmState::Down {
+                coming.standby_cpu_milli = coming.standby_cpu_milli.saturating_add(size);
+            }
+        }
+        coming
+    }
+
     fn add_incoming_vms(&self, vms: &VmList, loads: &mut PoolLoads) {
         for (vm, pending) in &self.moves {
             let size = vms.get(vm).map_or(0, |entry| entry.capacity.cpu_milli);
--- a/lib/src/workload/pool_load.rs
+++ b/lib/src/workload/pool_load.rs
@@ -142,7 +142,11 @@
 
     /// CPU that an organisation may take in addition to what its tasks take, over
     /// all pools.
-    fn unused_limit_cpu_milli(&self, catalog: &Catalog, organisation: OrganisationId) -> u64 {
+    pub(crate) fn unused_limit_cpu_milli(
+        &self,
+        catalog: &Catalog,
+        organisation: OrganisationId,
+    ) -> u64 {
         let limit = catalog.organisation(organisation).and_then(|spec| spec.limit.cpu_milli);
         let used = self.used_by_organisation.get(&organisation).copied().unwrap_or_default();
         limit.map_or(u64::MAX, |limit| limit.saturating_sub(used.cpu_milli))
--- a/lib/src/workload/rank.rs
+++ b/lib/src/workload/rank.rs
@@ -8,7 +8,7 @@
 
 /// A job whose age exceeds this multiple of its objective has no value left for
 /// its submitter. The platform's rules set the multiple.
-const OVERDUE_FACTOR: u64 = 3;
+pub(crate) const OVERDUE_FACTOR: u64 = 3;
 
 /// Rank of a waiting job; jobs are placed in ascending rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -78,6 +78,5 @@
 
 /// Time from acceptance within which a job should be completed.
 fn objective_ms(job: &Job) -> u64 {
-    let slack = job.critical_path_ms.saturating_mul(job.rules.slack_milli) / 1_000;
-    slack.saturating_add(job.rules.target_latency_ms)
+    job.rules.objective_ms(job.critical_path_ms)
 }
--- a/lib/src/workload/spec.rs
+++ b/lib/src/workload/spec.rs
@@ -99,6 +99,15 @@
     pub max_unavailable: Option<u32>,
 }
 
+impl QueueRules {
+    /// Time from acceptance within which a job with this critical path should be
+    /// completed.
+    pub(crate) fn objective_ms(&self, critical_path_ms: u64) -> u64 {
+        let slack = critical_path_ms.saturating_mul(self.slack_milli) / 1_000;
+        slack.saturating_add(self.target_latency_ms)
+    }
+}
+
 impl StepSpec {
     /// Resources that a task takes of the capacity of its worker. A task that
     /// uses spare CPU takes no CPU.
@@ -132,6 +141,15 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Declared work of one occurrence.
+    pub(crate) fn work_core_ms(&self) -> u64 {
+        let work = self.steps.iter().map(|step| {
+            let core_ms = step.request.cpu_milli.saturating_mul(step.estimate_ms) / 1_000;
+            u64::from(step.task_count).saturating_mul(core_ms)
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
     /// Number of occurrences; one without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
