admission: the work before a job includes the later steps of others

Cause: jobs that wait go before others with all their steps, but only the tasks that could start were counted; and a function of the node's start was too long for the linter. Change: the rooms state the work of all tasks that are not placed of jobs that wait.

--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -31,6 +31,7 @@
 use crate::node::submissions;
 use crate::node::submissions::StoreOutcome;
 use crate::node::submissions::Submission;
+use crate::node::submissions::SubmissionInputs;
 use crate::node::submissions::SubmissionTask;
 use crate::node::topic_reader::TopicReader;
 
@@ -98,18 +99,13 @@
         let (_, no_pause) = watch::channel(Duration::ZERO);
         let (readiness, is_ready) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        let (read_outcomes, read_outcome_mailbox) =
-            mpsc::channel(submissions::READ_OUTCOME_CAPACITY);
+        let (read_outcomes, reads) = mpsc::channel(submissions::READ_OUTCOME_CAPACITY);
         let health = settings.scheduling.refuse_late_jobs.then(StoreHealth::default);
-        let submission_task = SubmissionTask::new(
-            platform.store(),
-            submission_mailbox,
-            read_outcome_mailbox,
-            health,
-            clock,
-            logger.new(o!("target" => "store")),
-        );
-        tasks.spawn_local(submission_task.run());
+        let store_logger = logger.new(o!("target" => "store"));
+        let calls = SubmissionInputs { mailbox: submission_mailbox, reads };
+        let store = platform.store();
+        let task = SubmissionTask::new(store, calls, health, clock, store_logger.clone());
+        tasks.spawn_local(task.run());
         tasks.spawn_local(store_node_record(settings.clone(), submissions.clone(), logger.clone()));
         for (topic, pause) in [(Topic::Operator, no_pause), (Topic::Jobs, job_pause_receiver)] {
             let reader = TopicReader {
@@ -119,7 +115,7 @@
                 core: core.clone(),
                 pause,
                 outcomes: Some(read_outcomes.clone()),
-                logger: logger.new(o!("target" => "store")),
+                logger: store_logger.clone(),
             };
             tasks.spawn_local(reader.run());
         }
--- a/daemon/src/node/submissions.rs
+++ b/daemon/src/node/submissions.rs
@@ -60,6 +60,13 @@
     Unknown,
 }
 
+/// What the task receives.
+pub(crate) struct SubmissionInputs {
+    pub(crate) mailbox: mpsc::Receiver<Submission>,
+    /// Outcomes of the reads of topics.
+    pub(crate) reads: mpsc::Receiver<StoreCallOutcome>,
+}
+
 /// The task and its state.
 pub(crate) struct SubmissionTask<S> {
     store: S,
@@ -82,12 +89,12 @@
 {
     pub(crate) fn new(
         store: S,
-        mailbox: mpsc::Receiver<Submission>,
-        reads: mpsc::Receiver<StoreCallOutcome>,
+        inputs: SubmissionInputs,
         health: Option<StoreHealth>,
         clock: Clock,
         logger: Logger,
     ) -> Self {
+        let SubmissionInputs { mailbox, reads } = inputs;
         let timeout = AppendTimeout::new(append_timeout::CALLER_MAX);
         let logged_state = StoreState::Available;
         Self { store, mailbox, reads, health, timeout, clock, logger, logged_state }
--- a/lib/src/workload/pool_room.rs
+++ b/lib/src/workload/pool_room.rs
@@ -193,8 +193,8 @@
             if !is_competing || rank::is_overdue(now, job) {
                 continue;
             }
-            let (cpu_milli, work_core_ms) = startable_work(id, job, now_unix_ms);
-            if work_core_ms == 0 {
+            let cpu_milli = startable_cpu_milli(id, job, now_unix_ms);
+            if cpu_milli == 0 {
                 continue;
             }
             if let Some(organisation) = job.organisation {
@@ -208,7 +208,7 @@
             }
             let place = OrderPlace::new(job.rules.priority, job.remaining_work());
             let sum = waiting.entry(job.pool).or_default().entry(place).or_default();
-            *sum = sum.saturating_add(work_core_ms);
+            *sum = sum.saturating_add(unplaced_work_core_ms(id, job, now_unix_ms));
         }
         waiting
     }
@@ -229,17 +229,29 @@
     }
 }
 
-/// CPU and declared work of the tasks of a job that could start now.
-fn startable_work(id: JobId, job: &Job, now_unix_ms: u64) -> (u64, u64) {
-    let (mut cpu_milli, mut work_core_ms) = (0_u64, 0_u64);
-    for (step, state) in job.startable_steps(id, now_unix_ms) {
+/// CPU that the tasks of a job request that could start now.
+fn startable_cpu_milli(id: JobId, job: &Job, now_unix_ms: u64) -> u64 {
+    let steps = job.startable_steps(id, now_unix_ms);
+    let cpu = steps.map(|(step, state)| {
+        let request = job.step_spec(step.step).effective_request();
+        request.cpu_milli.saturating_mul(state.waiting().into())
+    });
+    cpu.fold(0, u64::saturating_add)
+}
+
+/// Declared work of the tasks of a job that are not placed, in the occurrences that are
+/// due. Its later steps go before other jobs, too.
+fn unplaced_work_core_ms(id: JobId, job: &Job, now_unix_ms: u64) -> u64 {
+    let due = job.steps(id).filter(|(step, _)| {
+        job.spec.due_unix_ms(step.occurrence).is_none_or(|due| due <= now_unix_ms)
+    });
+    let work = due.map(|(step, state)| {
         let spec = job.step_spec(step.step);
         let request = spec.effective_request().cpu_milli;
-        let cpu = request.saturating_mul(state.waiting().into());
-        cpu_milli = cpu_milli.saturating_add(cpu);
-        work_core_ms = work_core_ms.saturating_add(cpu.saturating_mul(spec.estimate_ms) / 1_000);
-    }
-    (cpu_milli, work_core_ms)
+        let core_ms = request.saturating_mul(spec.estimate_ms) / 1_000;
+        core_ms.saturating_mul(state.waiting().into())
+    });
+    work.fold(0, u64::saturating_add)
 }
 
 /// Rounds down to a few binary digits.
--- a/lib/src/workload/room_admission.rs
+++ b/lib/src/workload/room_admission.rs
@@ -44,8 +44,7 @@
     place: OrderPlace,
     /// CPU of the tasks that start first.
     first_cpu_milli: u64,
-    /// Work of the tasks that start first.
-    first_work_core_ms: u64,
+    work_core_ms: u64,
 }
 
 /// A decision on a new job.
@@ -131,7 +130,7 @@
             return 0;
         }
         let accepted = self.accepted_in(room).filter(|job| job.place <= place);
-        let accepted = accepted.map(|job| job.first_work_core_ms);
+        let accepted = accepted.map(|job| job.work_core_ms);
         let ahead = accepted.fold(known, u64::saturating_add);
         time_for_ms(ahead, room.shared_cpu_milli()).saturating_sub(view_age_ms)
     }
@@ -140,16 +139,15 @@
 impl AcceptedJob {
     fn new(now: TimeMs, spec: &JobSpec) -> Self {
         let first = spec.steps.iter().filter(|step| step.depends_on.is_empty());
-        let (mut first_cpu_milli, mut first_work_core_ms) = (0_u64, 0_u64);
-        for step in first {
-            let request = step.effective_request().cpu_milli;
-            let cpu = request.saturating_mul(step.task_count.into());
-            first_cpu_milli = first_cpu_milli.saturating_add(cpu);
-            let work = cpu.saturating_mul(step.estimate_ms) / 1_000;
-            first_work_core_ms = first_work_core_ms.saturating_add(work);
+        let first_cpu = first
+            .map(|step| step.effective_request().cpu_milli.saturating_mul(step.task_count.into()));
+        Self {
+            at: now,
+            pool: spec.pool.clone(),
+            place: OrderPlace::of_new_job(spec),
+            first_cpu_milli: first_cpu.fold(0, u64::saturating_add),
+            work_core_ms: spec.work_core_ms(),
         }
-        let place = OrderPlace::of_new_job(spec);
-        Self { at: now, pool: spec.pool.clone(), place, first_cpu_milli, first_work_core_ms }
     }
 }
 
