--- a/daemon/src/node/preview.rs
+++ b/daemon/src/node/preview.rs
@@ -5,12 +5,14 @@
 use cowslipport_lib::workload::admission::AdmissionDecision;
 use cowslipport_lib::workload::admission::Call;
 use cowslipport_lib::workload::admission::CallAnswer;
+use cowslipport_lib::workload::admission::NotRunReason;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::preview::OrganisationView;
 use cowslipport_lib::workload::preview::PlacementPreview;
 use cowslipport_lib::workload::preview::PreviewAnswer;
 use cowslipport_lib::workload::preview::PreviewError;
 use cowslipport_lib::workload::preview::PreviewQuestion;
+use cowslipport_lib::workload::room_admission::RoomDecision;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::info;
 use tokio::sync::oneshot;
@@ -82,6 +84,16 @@
                 return answer;
             }
         };
+        if self.settings.scheduling.refuse_late_jobs {
+            // A copy, so that the job does not count as accepted.
+            let mut room_admission = self.state.room_admission.clone();
+            let decision = room_admission.decide(now, &spec, self.state.candidacy.share());
+            if let RoomDecision::Refuse { retry_after_ms, .. } = decision {
+                answer.admission = NotRunReason::NoRoom.as_str();
+                answer.retry_after_ms = retry_after_ms;
+                return answer;
+            }
+        }
         let is_too_soon =
             self.state.previewed_at.is_some_and(|last| now.since(last) < MIN_INTERVAL_MS);
         answer.placement = match is_too_soon {
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -4,6 +4,7 @@
 
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::store_health::StoreHealth;
 use slog::Logger;
 use slog::o;
 use slog::warn;
@@ -31,6 +32,8 @@
 use crate::node::submissions;
 use crate::node::submissions::StoreOutcome;
 use crate::node::submissions::Submission;
+use crate::node::submissions::SubmissionInputs;
+use crate::node::submissions::SubmissionTask;
 use crate::node::topic_reader::TopicReader;
 
 /// How long a node that shuts down waits until the owner has stored the release
@@ -54,7 +57,7 @@
     };
     loop {
         let (reply, outcome) = oneshot::channel();
-        let submission = Submission { record: record.clone(), reply };
+        let submission = Submission { job: None, record: record.clone(), reply };
         if submissions.send(submission).await.is_err() {
             return;
         }
@@ -99,7 +102,13 @@
         let (readiness, is_ready) = watch::channel(false);
         let (max_body_bytes, max_body_receiver) = watch::channel(MAX_BODY_BYTES);
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(submissions::run(platform.store(), submission_mailbox));
+        let (read_outcomes, reads) = mpsc::channel(submissions::READ_OUTCOME_CAPACITY);
+        let health = settings.scheduling.refuse_late_jobs.then(StoreHealth::default);
+        let store_logger = logger.new(o!("target" => "store"));
+        let calls = SubmissionInputs { mailbox: submission_mailbox, reads };
+        let store = platform.store();
+        let task = SubmissionTask::new(store, calls, health, clock, store_logger.clone());
+        tasks.spawn_local(task.run());
         tasks.spawn_local(store_node_record(settings.clone(), submissions.clone(), logger.clone()));
         for (topic, pause) in [(Topic::Operator, no_pause), (Topic::Jobs, job_pause_receiver)] {
             let reader = TopicReader {
@@ -108,7 +117,8 @@
                 clock,
                 core: core.clone(),
                 pause,
-                logger: logger.new(o!("target" => "store")),
+                outcomes: Some(read_outcomes.clone()),
+                logger: store_logger.clone(),
             };
             tasks.spawn_local(reader.run());
         }
