--- a/daemon/src/node/calls.rs
+++ b/daemon/src/node/calls.rs
@@ -68,23 +68,26 @@
     /// The refusal of a call that its head alone decides, so that its body need not be
     /// read. The call may still be refused later.
     pub async fn check_head(&self, request: CallRequest) -> Option<CallAnswer> {
-        let (reply, answer) = oneshot::channel();
-        if self.core.try_send(CoreMessage::CheckHead { request, reply }).is_err() {
-            return Some(not_run(NotRunReason::TooManyWaiting));
-        }
-        match timeout(ANSWER_TIMEOUT, answer).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) | Err(_) => Some(not_run(NotRunReason::TooManyWaiting)),
+        let action = request.action.as_str();
+        let (reply, refusal) = oneshot::channel();
+        let refusal = match self.core.try_send(CoreMessage::CheckHead { request, reply }) {
+            Ok(()) => match timeout(ANSWER_TIMEOUT, refusal).await {
+                Ok(Ok(refusal)) => refusal,
+                Ok(Err(_)) | Err(_) => Some(not_run(NotRunReason::TooManyWaiting)),
+            },
+            Err(_) => Some(not_run(NotRunReason::TooManyWaiting)),
+        };
+        if let Some(refusal) = &refusal {
+            count_call(action, refusal);
         }
+        refusal
     }
 
     /// Handles a call and returns its answer.
     pub async fn handle(&self, request: CallRequest) -> CallAnswer {
         let (action, began_at) = (request.action.as_str(), Instant::now());
         let answer = self.call_core(request).await;
-        metrics::counter!("cowslipport_calls_total", "action" => action,
-            "answer" => answer.as_str())
-        .increment(1);
+        count_call(action, &answer);
         metrics::histogram!("cowslipport_call_seconds", "action" => action)
             .record(began_at.elapsed());
         answer
@@ -106,3 +109,8 @@
         }
     }
 }
+
+fn count_call(action: &'static str, answer: &CallAnswer) {
+    metrics::counter!("cowslipport_calls_total", "action" => action, "answer" => answer.as_str())
+        .increment(1);
+}
