workload: learned run times

Cause: the order of jobs, their objective and the need of pools follow the declared run time, which is wrong by up to nine tenths on the users' new deployments, and three tasks of a hundred take seven times as long.

Change: with scheduling.learn_run_times the owner learns the error of declared times from finished runs, from general to particular sources, as a regression and a distribution of ratios. Stopped and lost runs, resumed runs, slow workers and tasks far from their data are told apart. The state is bounded and kept in one record for a successor. Off by default; without it nothing changes.

--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -9,6 +9,8 @@
 use cowslipport_lib::workload::pool_load::PoolLoad;
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::report::TaskEnd;
+use cowslipport_lib::workload::run_time::CalibrationReport;
+use cowslipport_lib::workload::run_time::QUANTILES_MILLI;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -18,10 +20,7 @@
     for event in dispatcher.take_events() {
         match event {
             DispatcherEvent::Placed { task, attempt, worker, waited_ms } => {
-                metrics::counter!("cowslipport_tasks_placed_total").increment(1);
-                metrics::histogram!("cowslipport_task_wait_ms").record(as_float(waited_ms));
-                info!(logger, "task placed"; "task" => %task, "attempt" => attempt,
-                    "worker" => dispatcher.worker_name(worker), "waited_ms" => waited_ms);
+                log_placement(logger, task, attempt, dispatcher.worker_name(worker), waited_ms);
             }
             DispatcherEvent::WorkerRestarted {
                 worker,
@@ -39,8 +38,7 @@
                 log_long_lease(logger, dispatcher.worker_name(worker), remaining_ms);
             }
             DispatcherEvent::FormerOwnerEnding { node, remaining_ms, earlier_ms } => {
-                info!(logger, "witnesses of a former owner have answered"; "node" => node,
-                    "remaining_ms" => remaining_ms, "earlier_ms" => earlier_ms);
+                log_former_owner(logger, &node, remaining_ms, earlier_ms);
             }
             DispatcherEvent::Ended { task, attempt, worker, end } => {
                 log_end(logger, task, attempt, dispatcher.worker_name(worker), end);
@@ -56,12 +54,14 @@
                     "worker" => dispatcher.worker_name(worker), "until" => %until);
             }
             DispatcherEvent::CheckpointsNotStored { job, bytes } => {
-                warn!(logger, "checkpoints not stored"; "job" => %job, "bytes" => bytes,
-                    "effect" => "tasks that a successor starts again begin anew");
+                log_left_out_checkpoints(logger, job, bytes);
             }
             DispatcherEvent::PoolMeasured { pool, load } => {
                 log_pool(logger, catalog.pool_name(pool), &load);
             }
+            DispatcherEvent::RunTimesCompared { report, sources } => {
+                log_run_times(logger, &report, sources);
+            }
             DispatcherEvent::StepWaiting { job, occurrence, step, tasks, waited_ms, blockers } => {
                 info!(logger, "tasks wait for a worker"; "job" => %job,
                     "occurrence" => occurrence, "step" => step, "tasks" => tasks,
@@ -77,6 +77,23 @@
     }
 }
 
+fn log_placement(logger: &Logger, task: TaskName, attempt: u32, worker: &str, waited_ms: u64) {
+    metrics::counter!("cowslipport_tasks_placed_total").increment(1);
+    metrics::histogram!("cowslipport_task_wait_ms").record(as_float(waited_ms));
+    info!(logger, "task placed"; "task" => %task, "attempt" => attempt,
+        "worker" => worker, "waited_ms" => waited_ms);
+}
+
+fn log_former_owner(logger: &Logger, node: &str, remaining_ms: u64, earlier_ms: u64) {
+    info!(logger, "witnesses of a former owner have answered"; "node" => node,
+        "remaining_ms" => remaining_ms, "earlier_ms" => earlier_ms);
+}
+
+fn log_left_out_checkpoints(logger: &Logger, job: JobKey, bytes: usize) {
+    warn!(logger, "checkpoints not stored"; "job" => %job, "bytes" => bytes,
+        "effect" => "tasks that a successor starts again begin anew");
+}
+
 fn log_restart(
     logger: &Logger,
     worker: &str,
@@ -154,6 +171,26 @@
         "spread_workers" => load.spread_workers);
 }
 
+fn log_run_times(logger: &Logger, report: &CalibrationReport, sources: usize) {
+    let CalibrationReport { queue, runs, declared_error_milli, learned_error_milli, .. } = report;
+    let queue_label = || queue.clone();
+    metrics::counter!("cowslipport_run_times_compared_total", "queue" => queue_label())
+        .increment(*runs);
+    let gauge = |estimate: &'static str, value: u64| {
+        let name = "cowslipport_run_time_error_milli";
+        metrics::gauge!(name, "queue" => queue_label(), "estimate" => estimate)
+            .set(as_float(value));
+    };
+    gauge("declared", *declared_error_milli);
+    gauge("learned", *learned_error_milli);
+    metrics::gauge!("cowslipport_run_time_sources").set(as_float(sources as u64));
+    info!(logger, "run times compared"; "queue" => queue, "runs" => runs,
+        "quantiles_milli" => format!("{QUANTILES_MILLI:?}"),
+        "seen_milli" => format!("{:?}", report.seen_milli),
+        "declared_error_milli" => declared_error_milli,
+        "learned_error_milli" => learned_error_milli, "sources" => sources);
+}
+
 /// Converts a count to the value of a metric. The value is exact below 2^52,
 /// far above real waits and pools.
 #[expect(clippy::cast_precision_loss, reason = "waits and pools are far below 2^52")]
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -14,6 +14,7 @@
 use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::run_time::RunTimesRecord;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::info;
 use slog::warn;
@@ -91,6 +92,7 @@
                 | RecordKey::Wave(_)
                 | RecordKey::Unreachable(_)
                 | RecordKey::VmOrders
+                | RecordKey::RunTimes
                 | RecordKey::Ownership => {}
             }
         }
@@ -163,6 +165,7 @@
                             "findings" => findings.to_string());
                     }
                 },
+                Some(RecordKey::RunTimes) => self.restore_run_times(view, &record.value),
                 Some(RecordKey::Ownership) => match OwnershipRecord::decode(&record.value) {
                     Ok(decoded) => stored.ownership = Some(decoded),
                     Err(findings) => {
@@ -189,6 +192,17 @@
         stored
     }
 
+    fn restore_run_times(&mut self, view: &OwnerView<'_>, value: &[u8]) {
+        match RunTimesRecord::decode(value) {
+            Ok(learned) => self.dispatcher.restore_run_times(view.now, learned),
+            Err(findings) => {
+                // This owner learns anew.
+                warn!(self.logger, "decoding the learned run times failed";
+                    "findings" => findings.to_string());
+            }
+        }
+    }
+
     /// Applies the progress of a wave, or deletes it if the wave was withdrawn.
     fn restore_wave(&mut self, view: &OwnerView<'_>, wave: u64, value: &[u8]) {
         let progress = match WaveProgress::decode(value) {
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -246,6 +246,42 @@
     #[prost(string, repeated, tag = "3")]
     pub removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+/// What the owner has learned of the run times of tasks. Sums are over runs, weighted in
+/// thousandths of a run, of natural logarithms in thousandths.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunTimes {
+    #[prost(message, repeated, tag = "1")]
+    pub sources: ::prost::alloc::vec::Vec<RunTimeSource>,
+    /// Runs away from their data, and the sum of the logarithms of the factors by which
+    /// they took longer.
+    #[prost(int64, tag = "2")]
+    pub far_runs: i64,
+    #[prost(sint64, tag = "3")]
+    pub far_log_sum_milli: i64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunTimeSource {
+    /// Hash of what the tasks of the source have in common.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    #[prost(int64, tag = "2")]
+    pub weight_milli: i64,
+    /// Of actual over declared run time.
+    #[prost(sint64, tag = "3")]
+    pub error_sum: i64,
+    /// Of the declared run time.
+    #[prost(sint64, tag = "4")]
+    pub declared_sum: i64,
+    #[prost(int64, tag = "5")]
+    pub declared_squared_sum: i64,
+    #[prost(sint64, tag = "6")]
+    pub product_sum: i64,
+    /// Ratios of actual to expected run time in thousandths, and how often each was seen.
+    #[prost(uint32, repeated, tag = "7")]
+    pub ratios_milli: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "8")]
+    pub runs: ::prost::alloc::vec::Vec<u32>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -23,6 +23,7 @@
 use crate::workload::order::WorkerOrder;
 use crate::workload::record::JobStatus;
 use crate::workload::record::RecordKey;
+use crate::workload::run_time::RunProgress;
 use crate::workload::worker::Reachability;
 
 /// Maximum size of a progress record. The store refuses records over 256 KiB with
@@ -75,6 +76,12 @@
         for id in std::mem::take(&mut self.dirty) {
             records.extend(self.job_records(id));
         }
+        // Run times are no reason for an append of their own.
+        if !records.is_empty()
+            && let Some(run_times) = self.run_times_record(now)
+        {
+            records.insert(RecordKey::RunTimes, run_times.encode());
+        }
         let acknowledged = std::mem::take(&mut self.to_acknowledge).into_iter();
         let acknowledged = acknowledged.map(|(worker, number)| {
             let started_unix_ms =
@@ -162,6 +169,7 @@
             };
         }
         placement.state = AttemptState::Ordered;
+        placement.run = RunProgress::new(checkpoint.is_some());
         placement.since = now;
         placement.progressed_at = now;
         let start = StartOrder { key, task, attempt, payload, checkpoint, is_long_running, ticket };
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -41,6 +41,7 @@
 use crate::workload::record::RecordKey;
 use crate::workload::renewal::Renewals;
 use crate::workload::report::WorkerEntry;
+use crate::workload::run_time::RunTimes;
 use crate::workload::scheduling::SchedulingFeatures;
 use crate::workload::spec::JobSpec;
 use crate::workload::start_budget::StartBudget;
@@ -98,6 +99,7 @@
     pub(crate) arrivals: Arrivals,
     pub(crate) start_budget: StartBudget,
     pub(crate) features: SchedulingFeatures,
+    pub(crate) run_times: RunTimes,
     /// Time until the budget allows a start that is requested now, as of the
     /// last placement round.
     pub(crate) start_delay_ms: u64,
@@ -152,6 +154,7 @@
             arrivals: Arrivals::default(),
             start_budget: StartBudget::default(),
             features: SchedulingFeatures::default(),
+            run_times: RunTimes::default(),
             start_delay_ms: 0,
             unlisted_by_vms: BTreeSet::new(),
             activity_changes: BTreeSet::new(),
@@ -218,10 +221,13 @@
             self.ended.insert(key, job.is_cancelled);
             return;
         }
-        if self.is_recovered && !job.spec.is_long_running() && job.spec.schedule.is_none() {
+        let is_arrival =
+            self.is_recovered && !job.spec.is_long_running() && job.spec.schedule.is_none();
+        let id = self.jobs.insert(job);
+        self.refresh_expected(id);
+        if let Some(job) = self.jobs.get(id).filter(|_| is_arrival) {
             self.arrivals.add(now, pool, job.remaining_work());
         }
-        let id = self.jobs.insert(job);
         self.by_key.insert(key, id);
         self.reserve_restored_placements(id);
         self.refresh_job(catalog, id);
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -8,6 +8,7 @@
 use crate::workload::pool_load::PoolLoad;
 use crate::workload::record::JobOutcome;
 use crate::workload::report::TaskEnd;
+use crate::workload::run_time::CalibrationReport;
 
 /// A decision or an observation of the dispatcher, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -110,6 +111,13 @@
         /// Its capacity and demand.
         load: PoolLoad,
     },
+    /// Run times of a queue were compared with what was expected of them.
+    RunTimesCompared {
+        /// The comparison.
+        report: CalibrationReport,
+        /// Number of sources of tasks that are told apart.
+        sources: usize,
+    },
     /// Tasks of a step are ready to start, and no worker can take them.
     StepWaiting {
         /// The job.
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -45,6 +45,7 @@
             return;
         }
         self.waits.checked_at = Some(now);
+        self.report_run_times(now);
         for (pool, load) in self.pool_loads(now, now_unix_ms, catalog) {
             self.events.push(DispatcherEvent::PoolMeasured { pool, load });
         }
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -17,6 +17,9 @@
 use crate::workload::order::StopReason;
 use crate::workload::record::JobOutcome;
 use crate::workload::record::JobStatus;
+use crate::workload::run_time::RunProgress;
+use crate::workload::run_time::SourceChain;
+use crate::workload::run_time::StepRuns;
 use crate::workload::spec::JobSpec;
 use crate::workload::spec::QueueRules;
 use crate::workload::spec::StepSpec;
@@ -34,8 +37,17 @@
     known_at: TimeMs,
     /// Age of the job when this process learned of it.
     known_at_age_ms: u64,
-    /// Declared run time of the critical path through the steps.
+    /// Expected run time of the critical path through the steps: the declared one while
+    /// nothing else is known.
     pub(crate) critical_path_ms: u64,
+    /// Expected run time of a task of each step: the declared one while nothing else is
+    /// known.
+    expected_run_ms: Vec<u64>,
+    /// What the tasks of each step have in common with others; empty while run times
+    /// are not learned.
+    pub(crate) run_sources: Vec<SourceChain>,
+    /// Runs of the tasks of each step.
+    step_runs: Vec<StepRuns>,
     pub(crate) is_cancelled: bool,
     pub(crate) outcome: Option<JobOutcome>,
     /// Steps of each occurrence.
@@ -98,6 +110,8 @@
     pub(crate) progressed_at: TimeMs,
     /// Why a stop was requested; none if none was.
     pub(crate) stop: Option<StopReason>,
+    /// When the attempt ran, as far as it was seen.
+    pub(crate) run: RunProgress,
     pub(crate) lease: AttemptLease,
     /// Whether the store holds that the lease is known.
     pub(crate) is_lease_recorded: bool,
@@ -229,6 +243,9 @@
             known_at,
             known_at_age_ms,
             critical_path_ms: spec.critical_path_ms(),
+            expected_run_ms: spec.steps.iter().map(|step| step.estimate_ms).collect(),
+            run_sources: Vec::new(),
+            step_runs: vec![StepRuns::default(); spec.steps.len()],
             is_cancelled: false,
             outcome: None,
             occurrences: vec![steps; spec.occurrences() as usize],
@@ -344,12 +361,43 @@
         tasks.into_iter().all(|task| task.placement().is_none())
     }
 
-    /// Declared work of the tasks that are not done, in core-milliseconds.
+    /// Expected run time of a task of a step.
+    pub(crate) fn expected_run_ms(&self, step: u32) -> u64 {
+        self.expected_run_ms.get(step as usize).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn step_runs_mut(&mut self, step: u32) -> &mut StepRuns {
+        &mut self.step_runs[step as usize]
+    }
+
+    /// Computes the expected run times anew. `predict` tells what is expected of the
+    /// tasks of a step by their sources and what was declared.
+    pub(crate) fn expect<F>(&mut self, predict: F)
+    where
+        F: Fn(&SourceChain, u64) -> u64,
+    {
+        if self.run_sources.is_empty() {
+            let steps = self.spec.steps.iter();
+            self.run_sources = steps.map(|step| SourceChain::new(&self.spec, step)).collect();
+        }
+        let mut path_ms = Vec::with_capacity(self.run_sources.len());
+        for (index, (chain, spec)) in self.run_sources.iter().zip(&self.spec.steps).enumerate() {
+            let runs = self.step_runs[index];
+            let expected_ms = runs.expected_ms(predict(chain, spec.estimate_ms));
+            self.expected_run_ms[index] = expected_ms;
+            let is_done = self.occurrences.iter().all(|steps| steps[index].is_done());
+            path_ms.push(runs.longest_expected_ms(expected_ms, is_done));
+        }
+        self.critical_path_ms = self.spec.longest_chain_ms(&path_ms);
+    }
+
+    /// Expected work of the tasks that are not done, in core-milliseconds.
     pub(crate) fn remaining_work(&self) -> u64 {
-        let steps = self.occurrences.iter().flat_map(|steps| steps.iter().zip(&self.spec.steps));
-        let work = steps.map(|(step, spec)| {
+        let specs = || self.spec.steps.iter().zip(&self.expected_run_ms);
+        let steps = self.occurrences.iter().flat_map(|steps| steps.iter().zip(specs()));
+        let work = steps.map(|(step, (spec, run_ms))| {
             let left = u64::from(spec.task_count - step.done());
-            let core_ms = spec.request.cpu_milli.saturating_mul(spec.estimate_ms) / 1_000;
+            let core_ms = spec.request.cpu_milli.saturating_mul(*run_ms) / 1_000;
             left.saturating_mul(core_ms)
         });
         work.fold(0, u64::saturating_add)
--- a/lib/src/workload/job_record.rs
+++ b/lib/src/workload/job_record.rs
@@ -14,6 +14,7 @@
 use crate::workload::record::RecordedPlacement;
 use crate::workload::record::StepProgress;
 use crate::workload::record::TaskProgress;
+use crate::workload::run_time::RunProgress;
 
 /// The progress record of a job. Steps without an attempt are left out.
 pub(crate) fn progress_of<F>(job: &Job, epoch: u64, recorded: F) -> Progress
@@ -96,6 +97,8 @@
         percent: 0,
         progressed_at: now,
         stop: None,
+        // Neither when it began is known, nor whether it resumed.
+        run: RunProgress::new(true),
         lease: AttemptLease::restored(recorded),
         is_lease_recorded: recorded.is_lease_known,
     }
--- a/lib/src/workload/maintenance.rs
+++ b/lib/src/workload/maintenance.rs
@@ -421,7 +421,7 @@
             .vms
             .iter()
             .filter(|vm| !excluded.contains(*vm) && self.is_due(now, vm, vms))
-            .map(|vm| (drain_cost(vm, vms, dispatcher), vm))
+            .map(|vm| (drain_cost(now, vm, vms, dispatcher), vm))
             .collect();
         due.sort();
         for (_, vm) in due.into_iter().take(free_slots) {
--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -21,6 +21,7 @@
 pub mod pool_load;
 pub mod record;
 pub mod report;
+pub mod run_time;
 pub mod scheduling;
 pub mod spec;
 pub mod start_budget;
--- a/lib/src/workload/placements.rs
+++ b/lib/src/workload/placements.rs
@@ -17,6 +17,7 @@
 use crate::workload::order::Order;
 use crate::workload::order::StopReason;
 use crate::workload::order::WorkerOrder;
+use crate::workload::run_time::RunProgress;
 
 impl Dispatcher {
     /// The placement of a task of an open job, if it has one.
@@ -94,6 +95,7 @@
             percent: 0,
             progressed_at: now,
             stop: None,
+            run: RunProgress::default(),
             lease: AttemptLease::planned(incarnation_unix_ms),
             is_lease_recorded: false,
         };
@@ -148,6 +150,7 @@
         let Some(placement) = state.placement() else { return };
         let (attempt, worker) = (state.attempt, placement.worker);
         self.events.push(DispatcherEvent::PlacementReleased { task, attempt, worker, reason });
+        self.learn_from_lost(key);
         self.clear_placement(key, Phase::Waiting);
         self.break_gang(key);
         self.close_if_finished(key.step.job);
--- a/lib/src/workload/spec.rs
+++ b/lib/src/workload/spec.rs
@@ -124,10 +124,16 @@
     /// Declared run time of the critical path: the longest chain of steps that
     /// depend on each other.
     pub(crate) fn critical_path_ms(&self) -> u64 {
+        let declared: Vec<u64> = self.steps.iter().map(|step| step.estimate_ms).collect();
+        self.longest_chain_ms(&declared)
+    }
+
+    /// The longest chain of steps that depend on each other, with these run times.
+    pub(crate) fn longest_chain_ms(&self, run_ms: &[u64]) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (step, run_ms) in self.steps.iter().zip(run_ms) {
             let before = step.depends_on.iter().map(|before| ends[*before as usize]).max();
-            ends.push(before.unwrap_or(0).saturating_add(step.estimate_ms));
+            ends.push(before.unwrap_or(0).saturating_add(*run_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/lib/src/workload/stall.rs
+++ b/lib/src/workload/stall.rs
@@ -5,6 +5,7 @@
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::job::AttemptState;
 use crate::workload::job::FULL_PERCENT;
+use crate::workload::job::Job;
 use crate::workload::key::TaskKey;
 use crate::workload::key::WorkerId;
 use crate::workload::order::StopReason;
@@ -13,6 +14,10 @@
 /// reports the progress at least every 1.2 s, and the longest known tasks take
 /// some 50 ms for each percent.
 const STALLED_MS: u64 = 2_400;
+/// A task whose run time is learned has stalled only if it could have done this percentage
+/// of its work meanwhile. One whose work takes over four minutes does less than one
+/// percent in [`STALLED_MS`].
+const STALLED_PERCENTS: u64 = 3;
 /// A long-running task that is not available this long after its start has
 /// stalled: such tasks become available within about one second.
 const LONG_RUNNING_STALLED_MS: u64 = 4_000;
@@ -34,6 +39,16 @@
         }
     }
 
+    /// Time within which the progress of a task should have changed, by its expected run
+    /// time; zero while run times are not learned.
+    fn percent_limit_ms(&self, job: &Job, task: TaskKey) -> u64 {
+        if !self.features.learn_run_times {
+            return 0;
+        }
+        let percent_ms = self.expected_run_ms(job, task.step.step) / u64::from(FULL_PERCENT);
+        percent_ms.saturating_mul(STALLED_PERCENTS)
+    }
+
     fn is_stalled(&self, now: TimeMs, task: TaskKey) -> bool {
         let Some(job) = self.jobs.get(task.step.job) else { return false };
         let spec = job.step_spec(task.step.step);
@@ -44,7 +59,7 @@
             // spare CPU may be throttled to a standstill.
             (true, _, _) | (_, true, _) => return false,
             (false, false, true) => LONG_RUNNING_STALLED_MS,
-            (false, false, false) => STALLED_MS,
+            (false, false, false) => STALLED_MS.max(self.percent_limit_ms(job, task)),
         };
         is_running
             && placement.stop.is_none()
--- a/lib/src/workload/vm_drain.rs
+++ b/lib/src/workload/vm_drain.rs
@@ -1,6 +1,7 @@
 //! How the VM of a maintenance wave is drained: which of its tasks are stopped,
 //! and what that costs.
 
+use crate::time::TimeMs;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::event::PlacementReleaseReason;
 use crate::workload::job::Task;
@@ -10,10 +11,16 @@
 use crate::workload::vm::VmList;
 
 /// Cost of draining a VM: the number of its long-running tasks, which have to
-/// start elsewhere one after the other, and the CPU that its tasks take.
+/// start elsewhere one after the other, and the CPU that its tasks take, where run times
+/// are learned only that of the work which is left.
 pub(crate) type DrainCost = (usize, u64);
 
-pub(crate) fn drain_cost(vm: &str, vms: &VmList, dispatcher: &mut Dispatcher) -> DrainCost {
+pub(crate) fn drain_cost(
+    now: TimeMs,
+    vm: &str,
+    vms: &VmList,
+    dispatcher: &mut Dispatcher,
+) -> DrainCost {
     let Some(worker) = vms.get(vm).and_then(|entry| entry.worker.as_deref()) else {
         return (0, 0);
     };
@@ -23,7 +30,11 @@
         job.is_some_and(|job| job.step_spec(task.step.step).long_running)
     });
     let long_running = long_running.count();
-    (long_running, dispatcher.workers.get(id).map_or(0, |worker| worker.used.cpu_milli))
+    let cost = match dispatcher.features.learn_run_times {
+        true => dispatcher.work_left_on(now, id),
+        false => dispatcher.workers.get(id).map_or(0, |worker| worker.used.cpu_milli),
+    };
+    (long_running, cost)
 }
 
 impl Dispatcher {
@@ -74,6 +85,19 @@
         self.release_ordered(id, PlacementReleaseReason::VmDown);
     }
 
+    /// Work that is left of the tasks on a worker which end by themselves, in
+    /// core-milliseconds.
+    fn work_left_on(&self, now: TimeMs, id: WorkerId) -> u64 {
+        self.tasks_on(id).into_iter().fold(0, |work, task| {
+            let job = self.jobs.get(task.step.job);
+            let spec = job.map(|job| job.step_spec(task.step.step));
+            let Some(spec) = spec.filter(|spec| !spec.long_running) else { return work };
+            let cpu_milli = spec.effective_request().cpu_milli;
+            let left = cpu_milli.saturating_mul(self.remaining_run_ms(now, task)) / 1_000;
+            left.saturating_add(work)
+        })
+    }
+
     fn tasks_on(&self, id: WorkerId) -> Vec<TaskKey> {
         self.workers.get(id).map_or_else(Vec::new, |worker| worker.tasks.iter().copied().collect())
     }
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -8,6 +8,7 @@
 use crate::workload::key::JobId;
 use crate::workload::key::TaskKey;
 use crate::workload::lease::LeaseTracker;
+use crate::workload::run_time::Slowness;
 use crate::workload::spec::StepSpec;
 
 /// Failures in a row, of different jobs, after which a worker is avoided. On a
@@ -54,6 +55,11 @@
     /// Whether the worker gets no new tasks, because its VM is to be maintained
     /// or moved.
     pub(crate) is_cordoned: bool,
+    /// By how much the worker is slower than others.
+    pub(crate) slowness: Slowness,
+    /// Whether the worker answered the call before the last report, so that the ends in
+    /// the report have just come.
+    pub(crate) reports_are_timely: bool,
     failed_jobs: BTreeSet<JobId>,
     avoided_in_a_row: u32,
     pub(crate) avoided_until: TimeMs,
@@ -122,6 +128,8 @@
             restarted_at: None,
             last_end_number: 0,
             is_cordoned: false,
+            slowness: Slowness::default(),
+            reports_are_timely: false,
             failed_jobs: BTreeSet::new(),
             avoided_in_a_row: 0,
             avoided_until: TimeMs::default(),
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -313,7 +313,7 @@
         round.candidates.iter().filter_map(|id| self.rack(*id)).map(str::to_owned).collect()
     }
 
-    fn rack(&self, id: WorkerId) -> Option<&str> {
+    pub(crate) fn rack(&self, id: WorkerId) -> Option<&str> {
         self.workers.get(id)?.listing.as_ref()?.rack.as_deref()
     }
 
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -60,6 +60,7 @@
             (None, _) | (_, None) => None,
         };
         let is_first_report = worker.started_unix_ms.is_none();
+        worker.reports_are_timely = worker.reachability == Reachability::Reachable;
         worker.reachability = Reachability::Reachable;
         // The call that returned the report may have renewed the leases.
         worker.leases.granted(self.lease_times.expires_at(report.sent_at));
@@ -147,6 +148,7 @@
     }
 
     fn apply_end(&mut self, now: TimeMs, id: WorkerId, key: TaskKey, ended: &EndedTask) {
+        self.learn_from_end(now, id, key, ended.end);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let spec = job.step_spec(key.step.step);
         let (long_running, gang) = (spec.long_running, spec.gang);
@@ -222,6 +224,7 @@
             placement.progressed_at = now;
         }
         placement.percent = running.percent;
+        placement.run.reported(now, running.percent);
         placement.state = match placement.state {
             AttemptState::Unknown { fenced_at: None, .. }
             | AttemptState::Ordered
@@ -320,6 +323,7 @@
     ) {
         self.lease_granted(now, id, lease);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
+        let is_gang = job.step_spec(key.step.step).gang;
         let state = job.task_mut(key);
         if state.attempt != attempt {
             return;
@@ -331,6 +335,7 @@
         match answer {
             StartAnswer::Started => {
                 placement.state = AttemptState::Running { confirmed_at: now };
+                placement.run.started(now, is_gang);
                 if matches!(lease, LeaseGrant::Remaining { .. }) {
                     placement.lease = AttemptLease::Known;
                 }
--- a/lib/src/workload/worker_restart.rs
+++ b/lib/src/workload/worker_restart.rs
@@ -12,6 +12,7 @@
 use crate::workload::job::Placement;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
+use crate::workload::run_time::Slowness;
 
 impl Dispatcher {
     /// Handles the first report of an incarnation that follows the one that this owner
@@ -20,6 +21,8 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.last_end_number = 0;
         worker.restarted_at = Some(now);
+        // A restarted worker may be of another kind.
+        worker.slowness = Slowness::default();
         if let Some(unanswered_at) = worker.unanswered_renewal_at.take() {
             worker.leases.granted(self.lease_times.late_call_expires_at(unanswered_at));
         }
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -128,6 +128,8 @@
     pub(crate) tickets: Vec<(String, Option<String>)>,
     /// Ticket with which workers refuse starts.
     pub(crate) refused_ticket: Option<String>,
+    /// New owners learn run times.
+    pub(crate) learns_run_times: bool,
 }
 
 pub(crate) fn cores(cores: u64) -> Resources {
@@ -195,6 +197,7 @@
             is_queue_removed: false,
             tickets: Vec::new(),
             refused_ticket: None,
+            learns_run_times: false,
         };
         for index in 0..count {
             let data_centre = if index % 2 == 0 { "a" } else { "b" };
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -17,6 +17,8 @@
 use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerEntry;
+use cowslipport_lib::workload::run_time::RunTimesRecord;
+use cowslipport_lib::workload::scheduling::SchedulingFeatures;
 use cowslipport_lib::workload::spec::JobSpec;
 
 use super::FakeWorker;
@@ -52,6 +54,14 @@
         let times = LEASE_TIMES;
         let mut owner =
             Dispatcher::new(self.epoch, incarnation, now.minus(read_ms), times, STATUS_KEPT_MS);
+        owner.set_features(SchedulingFeatures {
+            learn_run_times: self.learns_run_times,
+            ..SchedulingFeatures::default()
+        });
+        if let Some(record) = self.store.get(&RecordKey::RunTimes) {
+            let learned = RunTimesRecord::decode(record).expect("a valid record");
+            owner.restore_run_times(now, learned);
+        }
         // The clock of the fleet also serves as the time of day.
         owner.begin_recovery(self.now);
         let ownership = self.store.get(&RecordKey::Ownership);
