stall: a task with a long expected run time is given at most 30 s without progress

Cause: a declared time that is wrong by a large factor, before anything was learned, would have kept a stalled task in its place for as long.

--- a/lib/src/workload/stall.rs
+++ b/lib/src/workload/stall.rs
@@ -18,6 +18,9 @@
 /// of its work meanwhile. One whose work takes over four minutes does less than one
 /// percent in [`STALLED_MS`].
 const STALLED_PERCENTS: u64 = 3;
+/// Longest time without progress that a task is given whose run time is learned or
+/// declared as long: what is declared may be wrong, and a stalled task holds its room.
+const LONGEST_STALLED_MS: u64 = 30_000;
 /// A long-running task that is not available this long after its start has
 /// stalled: such tasks become available within about one second.
 const LONG_RUNNING_STALLED_MS: u64 = 4_000;
@@ -46,7 +49,7 @@
             return 0;
         }
         let percent_ms = self.expected_run_ms(job, task.step.step) / u64::from(FULL_PERCENT);
-        percent_ms.saturating_mul(STALLED_PERCENTS)
+        percent_ms.saturating_mul(STALLED_PERCENTS).min(LONGEST_STALLED_MS)
     }
 
     fn is_stalled(&self, now: TimeMs, task: TaskKey) -> bool {
