--- a/lib/src/workload/mod.rs
+++ b/lib/src/workload/mod.rs
@@ -25,6 +25,7 @@
 pub mod report;
 pub mod return_schedule;
 pub mod room_admission;
+pub mod run_time;
 pub mod scheduling;
 pub mod spec;
 pub mod start_budget;
