shares: order starts by weighted use while a pool is full

Cause: the weight of an organisation was decoded and used by no decision, so an organisation that sends many times its due took the room of a full pool. Change: with scheduling.share_by_weight, organisations below their due share of a full pool go first, then those beyond it, by what they have of their share; jobs beyond weight a second and jobs without value go behind the others.

--- a/lib/src/workload/catalog.rs
+++ b/lib/src/workload/catalog.rs
@@ -87,6 +87,16 @@
             && self.memory_bytes.is_none_or(|limit| used.memory_bytes <= limit)
             && self.accelerators.is_none_or(|limit| used.accelerators <= limit)
     }
+
+    /// What the limit leaves beside `used`.
+    pub(crate) fn left(&self, used: Resources) -> Resources {
+        let limit = Resources {
+            cpu_milli: self.cpu_milli.unwrap_or(u64::MAX),
+            memory_bytes: self.memory_bytes.unwrap_or(u64::MAX),
+            accelerators: self.accelerators.unwrap_or(u32::MAX),
+        };
+        limit.saturating_sub(used)
+    }
 }
 
 /// One version of the configuration.
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::workload::ended::EndedJobs;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::explain::WaitTracker;
+use crate::workload::fair_share::FairShares;
 use crate::workload::former_owners::FormerOwners;
 use crate::workload::job::Job;
 use crate::workload::job_record;
@@ -98,6 +99,7 @@
     pub(crate) arrivals: Arrivals,
     pub(crate) start_budget: StartBudget,
     pub(crate) features: SchedulingFeatures,
+    pub(crate) shares: FairShares,
     /// Time until the budget allows a start that is requested now, as of the
     /// last placement round.
     pub(crate) start_delay_ms: u64,
@@ -152,6 +154,7 @@
             arrivals: Arrivals::default(),
             start_budget: StartBudget::default(),
             features: SchedulingFeatures::default(),
+            shares: FairShares::default(),
             start_delay_ms: 0,
             unlisted_by_vms: BTreeSet::new(),
             activity_changes: BTreeSet::new(),
@@ -220,6 +223,10 @@
         }
         if self.is_recovered && !job.spec.is_long_running() && job.spec.schedule.is_none() {
             self.arrivals.add(now, pool, job.remaining_work());
+            if self.features.share_by_weight {
+                let shares = &mut self.shares;
+                job.is_beyond_rate = shares.is_beyond_rate(now, catalog, organisation);
+            }
         }
         let id = self.jobs.insert(job);
         self.by_key.insert(key, id);
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -37,6 +37,9 @@
     /// Declared run time of the critical path through the steps.
     pub(crate) critical_path_ms: u64,
     pub(crate) is_cancelled: bool,
+    /// When the job arrived, its organisation had submitted more jobs a second
+    /// than its weight.
+    pub(crate) is_beyond_rate: bool,
     pub(crate) outcome: Option<JobOutcome>,
     /// Steps of each occurrence.
     pub(crate) occurrences: Vec<Vec<Step>>,
@@ -180,6 +183,11 @@
         self.waiting
     }
 
+    /// Number of tasks that are placed on workers.
+    pub(crate) fn placed(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX) - self.waiting - self.done
+    }
+
     /// Number of tasks that are done.
     pub(crate) fn done(&self) -> u32 {
         self.done
@@ -230,6 +238,7 @@
             known_at_age_ms,
             critical_path_ms: spec.critical_path_ms(),
             is_cancelled: false,
+            is_beyond_rate: false,
             outcome: None,
             occurrences: vec![steps; spec.occurrences() as usize],
             is_dirty: false,
--- a/lib/src/workload/rank.rs
+++ b/lib/src/workload/rank.rs
@@ -22,6 +22,11 @@
 }
 
 impl Rank {
+    /// True if the job runs until it is cancelled.
+    pub(crate) fn is_long_running(self) -> bool {
+        self.value_class == ValueClass::LongRunning
+    }
+
     /// The rank of a job while the link of the owner is the limit. New jobs are
     /// then refused while too many starts wait, so that every job that was
     /// accepted can start soon if all are served in the order of their arrival.
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -16,6 +16,9 @@
 use crate::workload::key::StepKey;
 use crate::workload::key::TaskKey;
 use crate::workload::key::WorkerId;
+use crate::workload::placement_round::Candidates;
+use crate::workload::placement_round::PlacementRound;
+use crate::workload::placement_round::PlacementRounds;
 use crate::workload::rank;
 use crate::workload::spec::StepSpec;
 use crate::workload::start_budget::start_bytes;
@@ -27,43 +30,6 @@
 /// workloads.
 const OTHER_WORKER_WAIT_MS: u64 = 2_000;
 
-/// Workers of one pool that may get tasks in a placement round.
-type Candidates = Vec<WorkerId>;
-
-/// One round of placement decisions in one pool.
-struct PlacementRound {
-    now: TimeMs,
-    now_unix_ms: u64,
-    candidates: Candidates,
-    /// Workers that are reserved for a long-running task that could not be
-    /// placed.
-    reserved_workers: BTreeSet<WorkerId>,
-    /// Whether the job that is being placed runs only on workers that the
-    /// advice service allows.
-    needs_advice: bool,
-    /// Requests that fit on no candidate. Under overload most waiting jobs
-    /// request at least as much as one of these and need no search.
-    too_large_requests: Vec<Resources>,
-}
-
-impl PlacementRound {
-    /// True if the job needs no advice or holds a ticket for this worker.
-    fn allows(&self, dispatcher: &Dispatcher, step: StepKey, worker: WorkerId) -> bool {
-        !self.needs_advice || dispatcher.ticket(self.now, step, worker).is_some()
-    }
-
-    fn is_too_large(&self, request: Resources) -> bool {
-        self.too_large_requests.iter().any(|known| known.fits_in(request))
-    }
-
-    /// Records a request that fits on no candidate. The record is valid for the
-    /// whole round, because free capacity only shrinks within a round.
-    fn add_too_large(&mut self, request: Resources) {
-        self.too_large_requests.retain(|known| !request.fits_in(*known));
-        self.too_large_requests.push(request);
-    }
-}
-
 impl Dispatcher {
     /// Places all tasks that may start and for which a worker has capacity.
     pub fn place_tasks(&mut self, now: TimeMs, now_unix_ms: u64, catalog: &Catalog) {
@@ -72,25 +38,16 @@
         }
         self.start_budget.refill(now);
         self.tickets.round_started();
-        let mut rounds: BTreeMap<PoolId, PlacementRound> = BTreeMap::new();
+        let mut rounds = PlacementRounds::new(now, now_unix_ms);
         // All pools share the link of the owner, so their jobs are in one order.
-        for (_, pool, id) in self.waiting_jobs(now, now_unix_ms) {
-            if !self.start_budget.is_available() {
-                break;
-            }
-            let round = rounds.entry(pool).or_insert_with(|| PlacementRound {
-                now,
-                now_unix_ms,
-                candidates: self.schedulable_workers(now, pool),
-                reserved_workers: BTreeSet::new(),
-                needs_advice: false,
-                too_large_requests: Vec::new(),
-            });
-            if round.candidates.is_empty() {
-                continue;
+        let waiting = self.waiting_jobs(now, now_unix_ms);
+        // While the link is the limit, jobs start in the order of their arrival.
+        if self.features.share_by_weight && self.start_delay_ms == 0 {
+            self.place_by_share(&mut rounds, catalog, waiting);
+        } else {
+            for (_, pool, id) in waiting {
+                rounds.place(self, catalog, pool, id);
             }
-            round.needs_advice = self.jobs.get(id).is_some_and(|job| job.rules.needs_advice);
-            self.place_job(round, catalog, id);
         }
         self.start_delay_ms = self.estimate_start_delay_ms(now, now_unix_ms);
     }
@@ -146,8 +103,16 @@
         candidates
     }
 
-    fn place_job(&mut self, round: &mut PlacementRound, catalog: &Catalog, id: JobId) {
-        let Some(job) = self.jobs.get(id) else { return };
+    /// Places the waiting tasks of a job. Returns the first step that found no
+    /// worker although the limit of its organisation allows it.
+    pub(crate) fn place_job(
+        &mut self,
+        round: &mut PlacementRound,
+        catalog: &Catalog,
+        id: JobId,
+    ) -> Option<StepKey> {
+        let job = self.jobs.get(id)?;
+        let mut unplaced = None;
         let steps = job.startable_steps(id, round.now_unix_ms);
         let steps: Vec<StepKey> = steps.map(|(step, _)| step).collect();
         let specs = Rc::clone(&job.spec);
@@ -164,10 +129,12 @@
             if round.needs_advice {
                 self.tickets.not_placed(step);
             }
+            unplaced = unplaced.or(Some(step));
             if spec.long_running {
                 self.reserve_worker(round, spec, step);
             }
         }
+        unplaced
     }
 
     /// Places the waiting tasks of a step. Returns false if some could not be
@@ -401,10 +368,14 @@
         attempts.max().unwrap_or(0) + 1
     }
 
-    /// Reserves a worker for a long-running task that could not be placed. The
-    /// worker must have the capacity once its other tasks have ended; of these
+    /// Reserves a worker for a task that could not be placed. The worker must have the capacity once its other tasks have ended; of these
     /// the one with the smallest shortfall is chosen.
-    fn reserve_worker(&self, round: &mut PlacementRound, spec: &StepSpec, step: StepKey) {
+    pub(crate) fn reserve_worker(
+        &self,
+        round: &mut PlacementRound,
+        spec: &StepSpec,
+        step: StepKey,
+    ) {
         let Some(job) = self.jobs.get(step.job) else { return };
         let state = job.step(step);
         let may_run = |id: &&WorkerId| {
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -27,6 +27,7 @@
 use cowslipport_lib::workload::report::StartAnswer;
 use cowslipport_lib::workload::report::StartReply;
 use cowslipport_lib::workload::report::TaskEnd;
+use cowslipport_lib::workload::scheduling::SchedulingFeatures;
 use cowslipport_lib::workload::spec::JobSpec;
 use cowslipport_lib::workload::spec::QueueRules;
 use cowslipport_lib::workload::spec::StepSpec;
@@ -121,6 +122,9 @@
     /// The poll of this worker waits for its answer, while orders are answered.
     pub(crate) unpolled_worker: Option<String>,
     pub(crate) limit: ResourceLimit,
+    /// Weights of the organisations.
+    pub(crate) weights: BTreeMap<String, u64>,
+    pub(crate) features: SchedulingFeatures,
     pub(crate) needs_advice: bool,
     /// The configuration no longer contains the queue.
     pub(crate) is_queue_removed: bool,
@@ -191,6 +195,8 @@
             mute_worker: None,
             unpolled_worker: None,
             limit: ResourceLimit::default(),
+            weights: BTreeMap::from([(ORGANISATION.to_owned(), 1)]),
+            features: SchedulingFeatures::default(),
             needs_advice: false,
             is_queue_removed: false,
             tickets: Vec::new(),
@@ -243,12 +249,7 @@
             version,
             queues: if self.is_queue_removed { Vec::new() } else { vec![queue] },
             pools: vec![PoolSpec { name: POOL.to_owned(), is_standby: false }],
-            organisations: vec![OrganisationSpec {
-                name: ORGANISATION.to_owned(),
-                keys: vec!["key".to_owned()],
-                weight: 1,
-                limit: self.limit,
-            }],
+            organisations: self.organisations(),
             max_body_bytes: 1_000,
         };
         self.catalog.apply(spec);
@@ -257,6 +258,16 @@
         }
     }
 
+    fn organisations(&self) -> Vec<OrganisationSpec> {
+        let organisations = self.weights.iter().map(|(name, weight)| OrganisationSpec {
+            name: name.clone(),
+            keys: vec![format!("key of {name}")],
+            weight: *weight,
+            limit: self.limit,
+        });
+        organisations.collect()
+    }
+
     pub(crate) fn time(&self) -> TimeMs {
         TimeMs(self.now)
     }
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -52,6 +52,7 @@
         let times = LEASE_TIMES;
         let mut owner =
             Dispatcher::new(self.epoch, incarnation, now.minus(read_ms), times, STATUS_KEPT_MS);
+        owner.set_features(self.features);
         // The clock of the fleet also serves as the time of day.
         owner.begin_recovery(self.now);
         let ownership = self.store.get(&RecordKey::Ownership);
