shares: value classes in front of shares; one pass over workers a round

Cause: with shares in front of the value class, jobs that had missed their objective went before jobs of others that could still meet theirs, and each pool with waiting jobs scanned all workers of the fleet.

--- a/lib/src/workload/placement_round.rs
+++ b/lib/src/workload/placement_round.rs
@@ -53,12 +53,24 @@
 pub(crate) struct PlacementRounds {
     pub(crate) now: TimeMs,
     pub(crate) now_unix_ms: u64,
+    /// Workers of the pools in which no job was placed before.
+    candidates: BTreeMap<PoolId, Candidates>,
     pools: BTreeMap<PoolId, PlacementRound>,
 }
 
 impl PlacementRounds {
-    pub(crate) fn new(now: TimeMs, now_unix_ms: u64) -> Self {
-        Self { now, now_unix_ms, pools: BTreeMap::new() }
+    /// Begins a round in pools that get tasks from these workers.
+    pub(crate) fn new(
+        now: TimeMs,
+        now_unix_ms: u64,
+        candidates: BTreeMap<PoolId, Candidates>,
+    ) -> Self {
+        Self { now, now_unix_ms, candidates, pools: BTreeMap::new() }
+    }
+
+    /// Workers of the pools, before the first job is placed.
+    pub(crate) fn candidates(&self) -> &BTreeMap<PoolId, Candidates> {
+        &self.candidates
     }
 
     /// The round in a pool in which a job was placed before.
@@ -79,10 +91,11 @@
             return None;
         }
         let (now, now_unix_ms) = (self.now, self.now_unix_ms);
+        let candidates = &mut self.candidates;
         let round = self.pools.entry(pool).or_insert_with(|| PlacementRound {
             now,
             now_unix_ms,
-            candidates: dispatcher.schedulable_workers(now, pool),
+            candidates: candidates.remove(&pool).unwrap_or_default(),
             reserved_workers: BTreeSet::new(),
             needs_advice: false,
             too_large_requests: Vec::new(),
--- a/lib/src/workload/rank.rs
+++ b/lib/src/workload/rank.rs
@@ -27,6 +27,11 @@
         self.value_class == ValueClass::LongRunning
     }
 
+    /// True if the job has missed its objective and still has part of its value.
+    pub(crate) fn is_late(self) -> bool {
+        self.value_class == ValueClass::Late
+    }
+
     /// The rank of a job while the link of the owner is the limit. New jobs are
     /// then refused while too many starts wait, so that every job that was
     /// accepted can start soon if all are served in the order of their arrival.
--- a/lib/src/workload/share_order.rs
+++ b/lib/src/workload/share_order.rs
@@ -22,7 +22,6 @@
 use crate::workload::placement_round::PlacementRounds;
 use crate::workload::rank;
 use crate::workload::rank::Rank;
-use crate::workload::worker::Reachability;
 
 /// A waiting job, and its place in the order without shares.
 type WaitingJob = (Rank, PoolId, JobId);
@@ -35,16 +34,21 @@
     is_overdue: bool,
     /// The organisation submitted more jobs a second than its weight.
     is_beyond_rate: bool,
+    /// The job has missed its objective.
+    is_late: bool,
     /// Tenths of its due share that the organisation has.
     filled_tenths: u64,
     rank: Rank,
 }
 
+/// Jobs of one organisation in one pool that are passed over.
+type LentJobs = BinaryHeap<Reverse<(LentPlace, JobId)>>;
+
 /// The jobs of one placement round that get what the others leave.
 #[derive(Debug, Default)]
 struct SharedRound {
     /// By pool and organisation.
-    lent: BTreeMap<(PoolId, Option<OrganisationId>), BinaryHeap<Reverse<(LentPlace, JobId)>>>,
+    lent: BTreeMap<(PoolId, Option<OrganisationId>), LentJobs>,
     /// The first step in each pool that found no worker although a share is due
     /// to it.
     unplaced: BTreeMap<PoolId, StepKey>,
@@ -62,8 +66,7 @@
         mut waiting: Vec<WaitingJob>,
     ) {
         let now = rounds.now;
-        let pools: BTreeSet<PoolId> = waiting.iter().map(|(_, pool, _)| *pool).collect();
-        let rooms = self.pool_rooms(now, rounds.now_unix_ms, catalog, &pools);
+        let rooms = self.pool_rooms(rounds, catalog);
         self.shares.measure(now, &rooms);
         let aged = self.aged_jobs(now, &waiting);
         // The order is stable, so that the rank decides among the others.
@@ -104,7 +107,7 @@
         &self,
         pool: PoolId,
         organisation: Option<OrganisationId>,
-        jobs: &mut BinaryHeap<Reverse<(LentPlace, JobId)>>,
+        jobs: &mut LentJobs,
     ) -> Option<(LentPlace, JobId)> {
         let Reverse((place, id)) = jobs.pop()?;
         let share = self.shares.pool(pool).map(|shares| shares.organisation(organisation));
@@ -130,10 +133,13 @@
         let share = self.shares.pool_mut(pool);
         let is_aged = aged.contains(&id);
         let is_overdue = rank::is_overdue(rounds.now, job);
-        let is_later = share.is_beyond(organisation) || job.is_beyond_rate || is_overdue;
+        let is_beyond = share.is_beyond(organisation) || job.is_beyond_rate;
+        let is_late = rank.is_late();
+        let is_later = is_beyond || is_late || is_overdue;
         if share.is_full() && is_later && !is_aged {
             let is_beyond_rate = job.is_beyond_rate;
-            let place = LentPlace { is_overdue, is_beyond_rate, filled_tenths: 0, rank };
+            let filled_tenths = 0;
+            let place = LentPlace { is_overdue, is_beyond_rate, is_late, filled_tenths, rank };
             shared.lent.entry((pool, organisation)).or_default().push(Reverse((place, id)));
             return;
         }
@@ -208,21 +214,14 @@
     /// way to others.
     fn pool_rooms(
         &self,
-        now: TimeMs,
-        now_unix_ms: u64,
+        rounds: &PlacementRounds,
         catalog: &Catalog,
-        pools: &BTreeSet<PoolId>,
     ) -> BTreeMap<PoolId, PoolRoom> {
-        let mut rooms: BTreeMap<PoolId, PoolRoom> =
-            pools.iter().map(|pool| (*pool, PoolRoom::default())).collect();
-        for (_, worker) in self.workers.iter() {
-            let Some(listing) = &worker.listing else { continue };
-            let Some(room) = rooms.get_mut(&listing.pool) else { continue };
-            let in_service = !self.data_centres_out.contains(&listing.data_centre);
-            let is_reachable = worker.reachability == Reachability::Reachable;
-            if in_service && is_reachable && worker.is_schedulable(now) {
-                room.capacity = room.capacity.saturating_add(listing.capacity);
-            }
+        let mut rooms: BTreeMap<PoolId, PoolRoom> = BTreeMap::new();
+        for (pool, workers) in rounds.candidates() {
+            let sizes = workers.iter().map(|id| self.capacity(*id));
+            let capacity = sizes.fold(Resources::ZERO, Resources::saturating_add);
+            rooms.insert(*pool, PoolRoom { capacity, ..PoolRoom::default() });
         }
         let mut long_running: BTreeMap<PoolId, Resources> = BTreeMap::new();
         for (id, job) in self.jobs.iter() {
@@ -235,7 +234,8 @@
             let load = room.organisations.entry(job.organisation).or_default();
             load.used = load.used.saturating_add(placed_resources(job));
             if !job.is_closing() {
-                load.waiting = load.waiting.saturating_add(waiting_resources(id, job, now_unix_ms));
+                load.waiting =
+                    load.waiting.saturating_add(waiting_resources(id, job, rounds.now_unix_ms));
             }
         }
         for (pool, taken) in long_running {
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -38,9 +38,11 @@
         }
         self.start_budget.refill(now);
         self.tickets.round_started();
-        let mut rounds = PlacementRounds::new(now, now_unix_ms);
         // All pools share the link of the owner, so their jobs are in one order.
         let waiting = self.waiting_jobs(now, now_unix_ms);
+        let pools: BTreeSet<PoolId> = waiting.iter().map(|(_, pool, _)| *pool).collect();
+        let candidates = self.schedulable_workers_of(now, &pools);
+        let mut rounds = PlacementRounds::new(now, now_unix_ms, candidates);
         // While the link is the limit, jobs start in the order of their arrival.
         if self.features.share_by_weight && self.start_delay_ms == 0 {
             self.place_by_share(&mut rounds, catalog, waiting);
@@ -91,13 +93,28 @@
     }
 
     pub(crate) fn schedulable_workers(&self, now: TimeMs, pool: PoolId) -> Candidates {
-        let mut candidates = Vec::new();
+        let workers = self.schedulable_workers_of(now, &BTreeSet::from([pool]));
+        workers.into_values().next().unwrap_or_default()
+    }
+
+    /// Workers of these pools that may get tasks, in one pass over the fleet.
+    fn schedulable_workers_of(
+        &self,
+        now: TimeMs,
+        pools: &BTreeSet<PoolId>,
+    ) -> BTreeMap<PoolId, Candidates> {
+        let mut candidates: BTreeMap<PoolId, Candidates> =
+            pools.iter().map(|pool| (*pool, Candidates::new())).collect();
+        if candidates.is_empty() {
+            return candidates;
+        }
         for (id, worker) in self.workers.iter() {
             let Some(listing) = &worker.listing else { continue };
+            let Some(of_pool) = candidates.get_mut(&listing.pool) else { continue };
             let in_service = !self.data_centres_out.contains(&listing.data_centre);
             let is_reachable = worker.reachability == Reachability::Reachable;
-            if listing.pool == pool && in_service && is_reachable && worker.is_schedulable(now) {
-                candidates.push(id);
+            if in_service && is_reachable && worker.is_schedulable(now) {
+                of_pool.push(id);
             }
         }
         candidates
