--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::workload::ended::EndedJobs;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::explain::WaitTracker;
+use crate::workload::fair_share::FairShares;
 use crate::workload::former_owners::FormerOwners;
 use crate::workload::job::Job;
 use crate::workload::job_record;
@@ -103,6 +104,7 @@
     /// What the next ownership record states of the pools.
     pub(crate) rooms: Vec<PoolRoom>,
     pub(crate) run_times: RunTimes,
+    pub(crate) shares: FairShares,
     /// Time until the budget allows a start that is requested now, as of the
     /// last placement round.
     pub(crate) start_delay_ms: u64,
@@ -159,6 +161,7 @@
             features: SchedulingFeatures::default(),
             rooms: Vec::new(),
             run_times: RunTimes::default(),
+            shares: FairShares::default(),
             start_delay_ms: 0,
             unlisted_by_vms: BTreeSet::new(),
             activity_changes: BTreeSet::new(),
@@ -234,8 +237,12 @@
             self.is_recovered && !job.spec.is_long_running() && job.spec.schedule.is_none();
         let id = self.jobs.insert(job);
         self.refresh_expected(id);
-        if let Some(job) = self.jobs.get(id).filter(|_| is_arrival) {
+        if let Some(job) = self.jobs.get_mut(id).filter(|_| is_arrival) {
             self.arrivals.add(now, pool, job.remaining_work());
+            if self.features.share_by_weight {
+                let shares = &mut self.shares;
+                job.is_beyond_rate = shares.is_beyond_rate(now, catalog, organisation);
+            }
         }
         self.by_key.insert(key, id);
         self.reserve_restored_placements(id);
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -49,6 +49,9 @@
     /// Runs of the tasks of each step.
     step_runs: Vec<StepRuns>,
     pub(crate) is_cancelled: bool,
+    /// When the job arrived, its organisation had submitted more jobs a second
+    /// than its weight.
+    pub(crate) is_beyond_rate: bool,
     pub(crate) outcome: Option<JobOutcome>,
     /// Steps of each occurrence.
     pub(crate) occurrences: Vec<Vec<Step>>,
@@ -194,6 +197,11 @@
         self.waiting
     }
 
+    /// Number of tasks that are placed on workers.
+    pub(crate) fn placed(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX) - self.waiting - self.done
+    }
+
     /// Number of tasks that are done.
     pub(crate) fn done(&self) -> u32 {
         self.done
@@ -247,6 +255,7 @@
             run_sources: Vec::new(),
             step_runs: vec![StepRuns::default(); spec.steps.len()],
             is_cancelled: false,
+            is_beyond_rate: false,
             outcome: None,
             occurrences: vec![steps; spec.occurrences() as usize],
             is_dirty: false,
--- a/lib/tests/test_workload_run_times.rs
+++ b/lib/tests/test_workload_run_times.rs
@@ -36,7 +36,7 @@
 /// A fleet whose owner learns run times.
 fn learning_fleet(count: usize) -> Fleet {
     let mut fleet = Fleet::new(count, cores(8));
-    fleet.learns_run_times = true;
+    fleet.features.learn_run_times = true;
     fleet.replace_owner(true);
     fleet.advance(100);
     fleet
@@ -317,7 +317,7 @@
 fn long_task_with_slow_progress_is_not_stopped_as_stalled() {
     for (learns, stalls) in [(true, false), (false, true)] {
         let mut fleet = Fleet::new(1, cores(8));
-        fleet.learns_run_times = learns;
+        fleet.features.learn_run_times = learns;
         fleet.replace_owner(true);
         fleet.worker("w0").is_stalled = true;
         fleet.submit(1, job(vec![declared(600_000)]), work(600_000));
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -18,7 +18,6 @@
 use cowslipport_lib::workload::report::TaskEnd;
 use cowslipport_lib::workload::report::WorkerEntry;
 use cowslipport_lib::workload::run_time::RunTimesRecord;
-use cowslipport_lib::workload::scheduling::SchedulingFeatures;
 use cowslipport_lib::workload::spec::JobSpec;
 
 use super::FakeWorker;
@@ -54,10 +53,7 @@
         let times = LEASE_TIMES;
         let mut owner =
             Dispatcher::new(self.epoch, incarnation, now.minus(read_ms), times, STATUS_KEPT_MS);
-        owner.set_features(SchedulingFeatures {
-            learn_run_times: self.learns_run_times,
-            ..SchedulingFeatures::default()
-        });
+        owner.set_features(self.features);
         if let Some(record) = self.store.get(&RecordKey::RunTimes) {
             let learned = RunTimesRecord::decode(record).expect("a valid record");
             owner.restore_run_times(now, learned);
