--- a/bench/src/bin/rounds/main.rs
+++ b/bench/src/bin/rounds/main.rs
@@ -55,21 +55,21 @@
 fn main() -> Result<(), Error> {
     for share_by_weight in [false, true] {
         let mut catalog = catalog();
+        let region = Region::new(GLOBAL);
         let mut owner = owner(&mut catalog, share_by_weight);
         // The first round fills all pools.
         let first = round(&mut owner, &catalog, 1_000);
         submit(&mut owner, &mut catalog);
-        let region = Region::new(GLOBAL);
         let second = round(&mut owner, &catalog, 1_100);
-        owner.take_events();
-        let held = region.change();
         let mut rounds: Vec<Duration> =
             (0..ROUNDS).map(|number| round(&mut owner, &catalog, 1_200 + number as u64)).collect();
         rounds.sort_unstable();
+        owner.take_events();
+        let held = region.change();
         writeln!(
             std::io::stdout(),
             "shares {share_by_weight}: filling round {first:?}, next {second:?}, full rounds \
-             {:?} to {:?}, median {:?}; {} open jobs; {} B held since the jobs arrived",
+             {:?} to {:?}, median {:?}; {} open jobs; {} B on the heap",
             rounds[0],
             rounds[ROUNDS - 1],
             rounds[ROUNDS / 2],
--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -1,9 +1,13 @@
 //! Log lines and metrics of the owner's decisions.
 
+use cowslipport_lib::ids::OrganisationId;
+use cowslipport_lib::ids::PoolId;
 use cowslipport_lib::workload::catalog::Catalog;
 use cowslipport_lib::workload::dispatcher::Dispatcher;
 use cowslipport_lib::workload::event::DispatcherEvent;
+use cowslipport_lib::workload::event::PlacementBlockers;
 use cowslipport_lib::workload::event::PlacementReleaseReason;
+use cowslipport_lib::workload::fair_share::OrganisationUse;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::pool_load::PoolLoad;
@@ -62,21 +66,43 @@
             DispatcherEvent::PoolMeasured { pool, load } => {
                 log_pool(logger, catalog.pool_name(pool), &load);
             }
+            DispatcherEvent::ShareMeasured { pool, organisation, share } => {
+                log_share(logger, catalog, pool, organisation, &share);
+            }
             DispatcherEvent::StepWaiting { job, occurrence, step, tasks, waited_ms, blockers } => {
-                info!(logger, "tasks wait for a worker"; "job" => %job,
+                let logger = logger.new(slog::o!("job" => job.to_string(),
                     "occurrence" => occurrence, "step" => step, "tasks" => tasks,
-                    "waited_ms" => waited_ms,
-                    "over_limit" => blockers.over_limit, "leaving" => blockers.leaving,
-                    "unreached" => blockers.unreached, "restarted" => blockers.restarted,
-                    "cordoned" => blockers.cordoned,
-                    "avoided" => blockers.avoided, "unsuited" => blockers.unsuited,
-                    "spread" => blockers.spread, "without_ticket" => blockers.without_ticket,
-                    "full" => blockers.full, "kept" => blockers.kept);
+                    "waited_ms" => waited_ms));
+                log_waiting(&logger, &blockers);
             }
         }
     }
 }
 
+fn log_waiting(logger: &Logger, blockers: &PlacementBlockers) {
+    info!(logger, "tasks wait for a worker";
+        "over_limit" => blockers.over_limit, "leaving" => blockers.leaving,
+        "unreached" => blockers.unreached, "restarted" => blockers.restarted,
+        "cordoned" => blockers.cordoned,
+        "avoided" => blockers.avoided, "unsuited" => blockers.unsuited,
+        "spread" => blockers.spread, "without_ticket" => blockers.without_ticket,
+        "full" => blockers.full, "kept" => blockers.kept);
+}
+
+fn log_share(
+    logger: &Logger,
+    catalog: &Catalog,
+    pool: PoolId,
+    organisation: Option<OrganisationId>,
+    share: &OrganisationUse,
+) {
+    let organisation = organisation.and_then(|id| catalog.organisation(id));
+    info!(logger, "share measured"; "pool" => catalog.pool_name(pool),
+        "organisation" => organisation.map_or("", |spec| spec.name.as_str()),
+        "used_ppm" => share.used_ppm, "due_ppm" => share.due_ppm,
+        "surplus_ppm" => share.surplus_ppm);
+}
+
 fn log_restart(
     logger: &Logger,
     worker: &str,
--- a/lib/src/workload/event.rs
+++ b/lib/src/workload/event.rs
@@ -1,7 +1,9 @@
 //! Events that report the dispatcher's decisions and observations.
 
+use crate::ids::OrganisationId;
 use crate::ids::PoolId;
 use crate::time::TimeMs;
+use crate::workload::fair_share::OrganisationUse;
 use crate::workload::key::JobKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
@@ -110,6 +112,15 @@
         /// Its capacity and demand.
         load: PoolLoad,
     },
+    /// The use of a full pool by an organisation was computed.
+    ShareMeasured {
+        /// The pool.
+        pool: PoolId,
+        /// The organisation; none for jobs of public queues.
+        organisation: Option<OrganisationId>,
+        /// Its use and its due share.
+        share: OrganisationUse,
+    },
     /// Tasks of a step are ready to start, and no worker can take them.
     StepWaiting {
         /// The job.
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -1,6 +1,7 @@
 //! Periodic events that tell an operator why tasks wait, and what capacity and
 //! demand pools have.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::time::TimeMs;
@@ -22,6 +23,9 @@
 /// overload thousands of steps wait, mostly for the same reason.
 const MAX_REPORTED_STEPS: usize = 8;
 
+/// Organisations that one check reports over all full pools.
+const MAX_REPORTED_SHARES: usize = 8;
+
 /// Steps with waiting tasks, and the time of the next report on each.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WaitTracker {
@@ -48,6 +52,7 @@
         for (pool, load) in self.pool_loads(now, now_unix_ms, catalog) {
             self.events.push(DispatcherEvent::PoolMeasured { pool, load });
         }
+        self.report_shares();
         let waiting = self.waiting_steps(now_unix_ms);
         self.waits.steps.retain(|step, _| waiting.contains_key(step));
         for step in waiting.keys() {
@@ -70,6 +75,24 @@
         }
     }
 
+    /// Emits an event for each organisation whose use of a full pool differs most
+    /// from its due share.
+    fn report_shares(&mut self) {
+        let mut shares = Vec::new();
+        for (pool, of_pool) in self.shares.pools().filter(|(_, of_pool)| of_pool.is_full()) {
+            for (organisation, share) in of_pool.organisations() {
+                let difference_ppm = share.used_ppm.abs_diff(share.due_ppm);
+                shares.push((Reverse(difference_ppm), pool, organisation, share));
+            }
+        }
+        shares.sort_unstable_by_key(|(difference, pool, organisation, _)| {
+            (*difference, *pool, *organisation)
+        });
+        for (_, pool, organisation, share) in shares.into_iter().take(MAX_REPORTED_SHARES) {
+            self.events.push(DispatcherEvent::ShareMeasured { pool, organisation, share });
+        }
+    }
+
     /// Number of waiting tasks, by step that may start.
     fn waiting_steps(&self, now_unix_ms: u64) -> BTreeMap<StepKey, u32> {
         let mut waiting = BTreeMap::new();
--- a/lib/src/workload/fair_share.rs
+++ b/lib/src/workload/fair_share.rs
@@ -247,6 +247,10 @@
         self.pools.get(&pool)
     }
 
+    pub(crate) fn pools(&self) -> impl Iterator<Item = (PoolId, &PoolShares)> {
+        self.pools.iter().map(|(pool, shares)| (*pool, shares))
+    }
+
     pub(crate) fn pool_mut(&mut self, pool: PoolId) -> &mut PoolShares {
         self.pools.entry(pool).or_default()
     }
