pools: forecast the demand of each pool (switch forecast_demand)

VMs came two to three seconds after the tasks of a rise and stayed after its end. With the switch the owner learns rate, work and turns of each queue, forecasts the load of a pool for the end of a move, lends idle VMs of pools whose load falls directly, returns others sooner, and keeps a small record of what it learned for a successor. Without the switch nothing changes.

--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -410,6 +410,7 @@
             | RecordKey::Wave(_)
             | RecordKey::Unreachable(_)
             | RecordKey::VmOrders
+            | RecordKey::Demand
             | RecordKey::Ownership
             | RecordKey::Node(_) => {}
         }
--- a/daemon/src/node/core_log.rs
+++ b/daemon/src/node/core_log.rs
@@ -145,12 +145,16 @@
     gauge("cowslipport_pool_used_cpu_milli", load.used_cpu_milli);
     gauge("cowslipport_pool_waiting_cpu_milli", load.waiting_cpu_milli);
     gauge("cowslipport_pool_need_cpu_milli", load.need_cpu_milli);
+    gauge("cowslipport_pool_keep_cpu_milli", load.keep_cpu_milli);
+    gauge("cowslipport_pool_forecast", u64::from(load.is_forecast));
     info!(logger, "pool load measured"; "pool" => pool, "workers" => load.workers,
         "capacity_cpu_milli" => load.capacity_cpu_milli,
         "used_cpu_milli" => load.used_cpu_milli,
         "waiting_cpu_milli" => load.waiting_cpu_milli,
         "arriving_cpu_milli" => load.arriving_cpu_milli,
         "need_cpu_milli" => load.need_cpu_milli,
+        "keep_cpu_milli" => load.keep_cpu_milli,
+        "forecast" => load.is_forecast, "falling" => load.is_falling,
         "spread_workers" => load.spread_workers);
 }
 
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -319,7 +319,7 @@
             return;
         }
         if self.release != Release::None {
-            self.store_changes(view.now);
+            self.store_changes(view);
             return;
         }
         self.dispatcher.set_confirmed(view.is_confirmed);
@@ -333,7 +333,7 @@
             self.request_advice(view);
         }
         self.plan_vm_orders(view);
-        self.store_changes(view.now);
+        self.store_changes(view);
         self.update_connections();
         self.send_orders(view);
         self.dispatcher.explain(view.now, view.now_unix_ms, view.catalog);
@@ -376,7 +376,8 @@
     }
 
     /// Sends changed records to the writer, if no batch is in flight.
-    fn store_changes(&mut self, now: TimeMs) {
+    fn store_changes(&mut self, view: &OwnerView<'_>) {
+        let now = view.now;
         self.write_wave_status();
         if self.in_flight.is_some() {
             return;
@@ -409,6 +410,7 @@
             }
             return;
         }
+        self.record_demand(view, &mut records);
         self.in_flight = Some(InFlight { batch, wave_status, vm_orders });
         if self.release == Release::Begun {
             self.release = Release::Storing { batch: records.batch };
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use cowslipport_lib::workload::demand_record::DemandRecord;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::owner_record::NodeRecord;
@@ -91,6 +92,7 @@
                 | RecordKey::Wave(_)
                 | RecordKey::Unreachable(_)
                 | RecordKey::VmOrders
+                | RecordKey::Demand
                 | RecordKey::Ownership => {}
             }
         }
@@ -125,7 +127,7 @@
     /// returns what the records of jobs are compared with.
     fn restore_owner_records(
         &mut self,
-        view: &OwnerView<'_>,
+        view: &mut OwnerView<'_>,
         records: &[KeyedRecord],
     ) -> StoredState {
         let mut stored = StoredState::default();
@@ -163,6 +165,7 @@
                             "findings" => findings.to_string());
                     }
                 },
+                Some(RecordKey::Demand) => self.restore_demand(view, &record.value),
                 Some(RecordKey::Ownership) => match OwnershipRecord::decode(&record.value) {
                     Ok(decoded) => stored.ownership = Some(decoded),
                     Err(findings) => {
@@ -189,6 +192,21 @@
         stored
     }
 
+    /// Takes over what a former owner learned of the demand of pools. It only
+    /// improves decisions, so a record that cannot be read is left out.
+    fn restore_demand(&mut self, view: &mut OwnerView<'_>, value: &[u8]) {
+        match DemandRecord::decode(value) {
+            Ok(demand) => {
+                let (now, now_unix_ms) = (view.now, view.now_unix_ms);
+                self.dispatcher.restore_demand(now, now_unix_ms, view.catalog, &demand);
+            }
+            Err(findings) => {
+                warn!(self.logger, "decoding the record of the demand failed";
+                    "findings" => findings.to_string());
+            }
+        }
+    }
+
     /// Applies the progress of a wave, or deletes it if the wave was withdrawn.
     fn restore_wave(&mut self, view: &OwnerView<'_>, wave: u64, value: &[u8]) {
         let progress = match WaveProgress::decode(value) {
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -2,6 +2,7 @@
 
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::owner_record::VmOrders;
+use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
@@ -11,6 +12,7 @@
 
 use crate::node::owner::Owner;
 use crate::node::owner::OwnerView;
+use crate::node::owner_writer::OwnerRecords;
 use crate::node::platform::Platform;
 use crate::node::vm_task::QueuedVmOrder;
 use crate::node::vm_task::ReadList;
@@ -109,6 +111,16 @@
         Some(VmOrders { vms, open: self.maintenance.open_orders() })
     }
 
+    /// Adds what was learned of the demand of pools to a batch that is stored
+    /// anyway, once in a few seconds.
+    pub(crate) fn record_demand(&mut self, view: &OwnerView<'_>, records: &mut OwnerRecords) {
+        let (now, now_unix_ms) = (view.now, view.now_unix_ms);
+        let record = self.dispatcher.take_demand_record(now, now_unix_ms, view.catalog);
+        if let Some(record) = record {
+            records.push(&RecordKey::Demand, record.encode());
+        }
+    }
+
     /// Sends orders, once the store has the names of their VMs.
     pub(crate) fn send_vm_orders(&mut self, view: &OwnerView<'_>, orders: Vec<QueuedVmOrder>) {
         for queued in orders {
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -246,6 +246,39 @@
     #[prost(string, repeated, tag = "3")]
     pub removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+/// What the owner has learned of the demand of queues. A successor without it
+/// decides by what waits and arrives.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Demand {
+    #[prost(uint64, tag = "1")]
+    pub recorded_unix_ms: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub queues: ::prost::alloc::vec::Vec<QueueDemand>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QueueDemand {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(string, tag = "9")]
+    pub queue: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub work_core_us: u64,
+    #[prost(uint64, tag = "3")]
+    pub residence_ms: u64,
+    /// Rates in thousandths of a job a second.
+    #[prost(uint64, tag = "4")]
+    pub turn_level_milli: u64,
+    #[prost(uint64, tag = "5")]
+    pub turn_low_milli: u64,
+    #[prost(uint64, tag = "6")]
+    pub turn_length_ms: u64,
+    /// Zero if the turns are not regular.
+    #[prost(uint64, tag = "7")]
+    pub turn_period_ms: u64,
+    /// Times from the beginnings of the last turns to the record, newest first.
+    #[prost(uint64, repeated, tag = "8")]
+    pub turn_ages_ms: ::prost::alloc::vec::Vec<u64>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Outcome {
--- a/lib/src/workload/catalog.rs
+++ b/lib/src/workload/catalog.rs
@@ -249,6 +249,11 @@
         self.queue_names.intern(name)
     }
 
+    /// Name of a queue; empty if the key is unknown.
+    pub fn queue_name(&self, queue: QueueId) -> &str {
+        self.queue_names.names.get(queue).map_or("", String::as_str)
+    }
+
     /// Key of a queue's name, if some version of the configuration or some job
     /// has named the queue.
     pub fn find_queue_id(&self, name: &str) -> Option<QueueId> {
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::time::TimeMs;
 use crate::workload::advice::Tickets;
 use crate::workload::catalog::Catalog;
+use crate::workload::demand_plan::LearnedDemand;
 use crate::workload::ended::EndedJobs;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::explain::WaitTracker;
@@ -96,6 +97,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) waits: WaitTracker,
     pub(crate) arrivals: Arrivals,
+    pub(crate) demand: LearnedDemand,
     pub(crate) start_budget: StartBudget,
     pub(crate) features: SchedulingFeatures,
     /// Time until the budget allows a start that is requested now, as of the
@@ -150,6 +152,7 @@
             tickets: Tickets::default(),
             waits: WaitTracker::default(),
             arrivals: Arrivals::default(),
+            demand: LearnedDemand::default(),
             start_budget: StartBudget::default(),
             features: SchedulingFeatures::default(),
             start_delay_ms: 0,
@@ -219,7 +222,13 @@
             return;
         }
         if self.is_recovered && !job.spec.is_long_running() && job.spec.schedule.is_none() {
-            self.arrivals.add(now, pool, job.remaining_work());
+            let work_core_ms = job.remaining_work();
+            self.arrivals.add(now, pool, work_core_ms);
+            if self.features.forecast_demand {
+                let queue = catalog.queue_id(&job.spec.queue);
+                let residence_ms = job.critical_path_ms;
+                self.demand.forecast.add(now, (pool, queue), work_core_ms, residence_ms);
+            }
         }
         let id = self.jobs.insert(job);
         self.by_key.insert(key, id);
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -45,7 +45,9 @@
             return;
         }
         self.waits.checked_at = Some(now);
-        for (pool, load) in self.pool_loads(now, now_unix_ms, catalog) {
+        let mut loads = self.pool_loads(now, now_unix_ms, catalog);
+        self.apply_forecasts(now, &mut loads);
+        for (pool, load) in loads {
             self.events.push(DispatcherEvent::PoolMeasured { pool, load });
         }
         let waiting = self.waiting_steps(now_unix_ms);
--- a/lib/src/workload/pool_autoscaler.rs
+++ b/lib/src/workload/pool_autoscaler.rs
@@ -27,8 +27,6 @@
 /// A pool gets another VM if it lacks at least this part of one, in
 /// thousandths. A smaller shortage is over before the VM arrives.
 const MIN_SHORTAGE_MILLI: u64 = 400;
-/// Capacity that a pool keeps when it gives a VM away, in percent of its need.
-const HEADROOM_PERCENT: u64 = 130;
 /// A pool gives no VM to standby until it has had an idle one for this time. A
 /// move to standby and back costs as much as some two seconds of a VM, and a
 /// demand peak lasts for several.
@@ -118,7 +116,10 @@
             match pending.progress(now, vms.requested_at, vms.get(vm), catalog) {
                 MoveProgress::Pending => true,
                 // The former worker has ended, but may still be registered.
-                MoveProgress::CarriedOut => false,
+                MoveProgress::CarriedOut => {
+                    dispatcher.move_completed(vms.requested_at.since(pending.ordered_at));
+                    false
+                }
                 MoveProgress::TimedOut => {
                     pending.lift_cordon(dispatcher);
                     false
@@ -160,6 +161,9 @@
         let VmPlanInput { vms, max_orders, .. } = input;
         let mut loads = dispatcher.pool_loads(now, now_unix_ms, catalog);
         self.add_incoming_vms(vms, &mut loads);
+        dispatcher.learn_demand(now, &loads);
+        dispatcher.apply_forecasts(now, &mut loads);
+        dispatcher.choose_emptying(&loads);
         let mut orders = Vec::new();
         let mut missing_vms = shortages(vms, &loads);
         let uses_standby = !missing_vms.is_empty();
@@ -182,6 +186,9 @@
         for vm in out_of_service.iter().take(max_orders - orders.len()) {
             orders.push(self.order_move(now, catalog, vm.entry, standby, dispatcher));
         }
+        for (vm, pool) in take_lent(max_orders - orders.len(), &mut spare, &mut loads) {
+            orders.push(self.order_move(now, catalog, &vm, pool, dispatcher));
+        }
         for vm in self.take_long_idle(now, max_orders - orders.len(), &mut spare, &mut loads) {
             orders.push(self.order_move(now, catalog, &vm, standby, dispatcher));
         }
@@ -192,7 +199,7 @@
         for (vm, pending) in &self.moves {
             let size = vms.get(vm).map_or(0, |entry| entry.capacity.cpu_milli);
             let Some(load) = loads.get_mut(&pending.to) else { continue };
-            load.add_capacity(size);
+            load.add_incoming(size);
         }
     }
 
@@ -270,7 +277,7 @@
                 continue;
             }
             let since = *self.idle_since.entry(pool).or_insert(now);
-            if now.since(since) < IDLE_MS {
+            if now.since(since) < loads.get(&pool).map_or(IDLE_MS, PoolLoad::idle_ms) {
                 continue;
             }
             while idle.len() < max {
@@ -302,8 +309,13 @@
     /// size.
     fn can_spare(&self, size: u64) -> bool {
         let left = self.capacity_cpu_milli.saturating_sub(size);
-        self.workers > MIN_POOL_WORKERS.max(self.spread_workers)
-            && left.saturating_mul(100) >= self.need_cpu_milli.saturating_mul(HEADROOM_PERCENT)
+        self.workers > MIN_POOL_WORKERS.max(self.spread_workers) && left >= self.keep_cpu_milli
+    }
+
+    /// Time for which a pool has had an idle VM before it gives VMs to standby.
+    /// A forecast that the load falls says that they will not be needed.
+    fn idle_ms(&self) -> u64 {
+        if self.is_forecast && self.is_falling { 0 } else { IDLE_MS }
     }
 
     fn remove_vm(&mut self, size: u64) {
@@ -350,6 +362,41 @@
     loads[&pool].can_spare(spare[index].entry.capacity.cpu_milli).then_some(index)
 }
 
+/// Takes the idle VMs that pools would soon give to standby, for pools that will
+/// need VMs soon. One move less is worth more than the time for which the VMs
+/// come too early.
+fn take_lent(
+    max: usize,
+    spare: &mut Vec<SpareVm<'_>>,
+    loads: &mut PoolLoads,
+) -> Vec<(VmEntry, PoolId)> {
+    let mut lent = Vec::new();
+    while lent.len() < max {
+        let missing = |(pool, load): (&PoolId, &PoolLoad)| {
+            let missing = load.soon_cpu_milli.saturating_sub(load.capacity_cpu_milli);
+            (missing > 0).then_some((missing, *pool))
+        };
+        let Some((missing, to)) = loads.iter().filter_map(missing).max() else { break };
+        let index = spare.iter().position(|vm| {
+            let size = vm.entry.capacity.cpu_milli;
+            let is_giving =
+                |load: &PoolLoad| load.is_forecast && load.is_falling && load.can_spare(size);
+            vm.pool != to && size <= missing && loads.get(&vm.pool).is_some_and(is_giving)
+        });
+        let Some(index) = index else { break };
+        let vm = spare.remove(index);
+        let size = vm.entry.capacity.cpu_milli;
+        if let Some(load) = loads.get_mut(&vm.pool) {
+            load.remove_vm(size);
+        }
+        if let Some(load) = loads.get_mut(&to) {
+            load.add_capacity(size);
+        }
+        lent.push((vm.entry.clone(), to));
+    }
+    lent
+}
+
 /// Takes a VM for a pool: an idle one of a pool that can spare it, else one on
 /// standby.
 fn take_spare_vm(
--- a/lib/src/workload/pool_load.rs
+++ b/lib/src/workload/pool_load.rs
@@ -19,6 +19,8 @@
 /// A small number of arrivals raises the need to at most this multiple of the
 /// present one.
 const MAX_NEED_FACTOR: u64 = 2;
+/// Capacity that a pool keeps when it gives a VM away, in percent of its need.
+const HEADROOM_PERCENT: u64 = 130;
 
 /// Capacity and load of a pool, with CPU in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -32,8 +34,25 @@
     pub waiting_cpu_milli: u64,
     /// CPU that the pool should have, as far as known now.
     pub need_cpu_milli: u64,
+    /// CPU that the pool needs somewhat later; zero without a forecast.
+    pub soon_cpu_milli: u64,
+    /// CPU that the pool keeps when it gives VMs away.
+    pub keep_cpu_milli: u64,
     /// CPU that is needed to keep up with the work that arrives.
     pub arriving_cpu_milli: u64,
+    /// CPU of long-running tasks, which do not end by themselves; zero while no
+    /// demand is forecast.
+    pub lasting_cpu_milli: u64,
+    /// Capacity of VMs that are moving to the pool, which also counts as
+    /// capacity when moves are planned.
+    pub incoming_cpu_milli: u64,
+    /// CPU that the pool would need without a forecast; zero while no demand is
+    /// forecast.
+    pub unforecast_cpu_milli: u64,
+    /// Whether the need is a forecast.
+    pub is_forecast: bool,
+    /// Whether the forecast is that the load falls.
+    pub is_falling: bool,
     /// Workers that can get tasks.
     pub workers: usize,
     /// Workers that the long-running tasks of one step must be spread over.
@@ -88,6 +107,12 @@
 }
 
 impl PoolLoad {
+    /// Adds a VM that is moving to the pool.
+    pub(crate) fn add_incoming(&mut self, cpu_milli: u64) {
+        self.incoming_cpu_milli = self.incoming_cpu_milli.saturating_add(cpu_milli);
+        self.add_capacity(cpu_milli);
+    }
+
     /// Adds a worker. Sizes come from outside, so that sums saturate.
     pub(crate) fn add_capacity(&mut self, cpu_milli: u64) {
         self.capacity_cpu_milli = self.capacity_cpu_milli.saturating_add(cpu_milli);
@@ -119,6 +144,10 @@
         for (id, job) in self.jobs.iter().filter(|(_, job)| !job.is_closing()) {
             let Some(load) = loads.get_mut(&job.pool) else { continue };
             load.spread_workers = load.spread_workers.max(spread_workers(job));
+            if self.features.forecast_demand && job.spec.is_long_running() {
+                let lasting_cpu_milli = lasting_cpu_milli(id, job);
+                load.lasting_cpu_milli = load.lasting_cpu_milli.saturating_add(lasting_cpu_milli);
+            }
             let mut waiting_cpu_milli = waiting_cpu_milli(id, job, now_unix_ms);
             if let Some(organisation) = job.organisation {
                 let left = allowances
@@ -136,6 +165,8 @@
             load.arriving_cpu_milli =
                 self.arrivals.expected_cpu_milli(now, *pool, load.need_cpu_milli);
             load.need_cpu_milli = load.need_cpu_milli.max(load.arriving_cpu_milli);
+            load.keep_cpu_milli =
+                load.need_cpu_milli.saturating_mul(HEADROOM_PERCENT).div_ceil(100);
         }
         loads
     }
@@ -160,6 +191,16 @@
     workers.max().unwrap_or(0)
 }
 
+/// CPU that placed tasks of the long-running steps of a job take.
+fn lasting_cpu_milli(id: JobId, job: &Job) -> u64 {
+    let steps = job.steps(id).filter(|(step, _)| job.step_spec(step.step).long_running);
+    let cpu_milli = steps.map(|(step, state)| {
+        let placed = state.tasks.iter().filter(|task| task.placement().is_some()).count() as u64;
+        job.step_spec(step.step).effective_request().cpu_milli.saturating_mul(placed)
+    });
+    cpu_milli.fold(0, u64::saturating_add)
+}
+
 /// CPU that the tasks of a job request that could start now.
 fn waiting_cpu_milli(id: JobId, job: &Job, now_unix_ms: u64) -> u64 {
     let mut need: u64 = 0;
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -34,6 +34,8 @@
     Ownership,
     /// VMs that were ordered recently. Only the owner writes it.
     VmOrders,
+    /// Learned demand of the pools. Only the owner writes it.
+    Demand,
     /// The present incarnation of the node with this name, which writes it.
     Node(String),
 }
@@ -50,6 +52,7 @@
             Self::Unreachable(worker) => f.debug_tuple("Silence").field(worker).finish(),
             Self::Ownership => f.write_str("Tenure"),
             Self::VmOrders => f.write_str("VmOrders"),
+            Self::Demand => f.write_str("Demand"),
             Self::Node(node) => f.debug_tuple("Life").field(node).finish(),
         }
     }
@@ -64,6 +67,7 @@
 const OWNERSHIP: u8 = b't';
 const NODE: u8 = b'n';
 const VM_ORDERS: u8 = b'v';
+const DEMAND: u8 = b'd';
 
 /// The nodes that read a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -85,9 +89,11 @@
             | Self::Status(_)
             | Self::Ownership
             | Self::Node(_) => Audience::AllNodes,
-            Self::Progress(_) | Self::Wave(_) | Self::Unreachable(_) | Self::VmOrders => {
-                Audience::Owner
-            }
+            Self::Progress(_)
+            | Self::Wave(_)
+            | Self::Unreachable(_)
+            | Self::VmOrders
+            | Self::Demand => Audience::Owner,
         }
     }
 
@@ -103,6 +109,7 @@
             Self::Node(node) => return encode_named(NODE, node),
             Self::Ownership => return vec![OWNERSHIP],
             Self::VmOrders => return vec![VM_ORDERS],
+            Self::Demand => return vec![DEMAND],
         };
         let mut bytes = vec![kind];
         bytes.extend_from_slice(&number.to_be_bytes());
@@ -118,6 +125,7 @@
             NODE => return name().map(Self::Node),
             OWNERSHIP => return Some(Self::Ownership),
             VM_ORDERS => return Some(Self::VmOrders),
+            DEMAND => return Some(Self::Demand),
             _ => {}
         }
         let number = u64::from_be_bytes(rest.try_into().ok()?);
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -54,6 +54,9 @@
     /// Whether the worker gets no new tasks, because its VM is to be maintained
     /// or moved.
     pub(crate) is_cordoned: bool,
+    /// Whether other workers of the pool get tasks first, because the pool has
+    /// too many and this one is nearly empty.
+    pub(crate) is_emptying: bool,
     failed_jobs: BTreeSet<JobId>,
     avoided_in_a_row: u32,
     pub(crate) avoided_until: TimeMs,
@@ -122,6 +125,7 @@
             restarted_at: None,
             last_end_number: 0,
             is_cordoned: false,
+            is_emptying: false,
             failed_jobs: BTreeSet::new(),
             avoided_in_a_row: 0,
             avoided_until: TimeMs::default(),
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -373,14 +373,16 @@
     fn score(&self, id: WorkerId, spec: &StepSpec, tasks_of_step: u32) -> Score {
         let is_far = spec.data_rack.as_deref().is_some_and(|rack| self.rack(id) != Some(rack));
         let left = self.free_capacity(id).saturating_sub(spec.effective_request()).cpu_milli;
-        let task_counts = self.workers.get(id).map(|worker| worker.task_counts).unwrap_or_default();
+        let worker = self.workers.get(id);
+        let is_emptying = worker.is_some_and(|worker| worker.is_emptying);
+        let task_counts = worker.map(|worker| worker.task_counts).unwrap_or_default();
         let TaskCounts { serving, spare_cpu } = task_counts;
         if spec.uses_spare_cpu {
-            Score(is_far, serving, 0, false, u64::MAX - left)
+            Score(is_far, is_emptying, serving, 0, false, u64::MAX - left)
         } else if spec.long_running {
-            Score(is_far, spare_cpu, tasks_of_step, serving == 0, u64::MAX - left)
+            Score(is_far, is_emptying, spare_cpu, tasks_of_step, serving == 0, u64::MAX - left)
         } else {
-            Score(is_far, 0, 0, false, left)
+            Score(is_far, is_emptying, 0, 0, false, left)
         }
     }
 
@@ -438,11 +440,11 @@
 }
 
 /// Compared field by field; the lowest score is best. The fields are: the
-/// worker is outside the rack of the data, tasks to avoid on the worker, tasks
-/// of the same step there, no long-running task to share the worker with, and a
+/// worker is outside the rack of the data, its pool has no need of it, tasks to
+/// avoid on the worker, tasks of the same step there, no long-running task to share the worker with, and a
 /// measure of the CPU that stays free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Score(bool, u32, u32, bool, u64);
+struct Score(bool, bool, u32, u32, bool, u64);
 
 fn waiting_tasks(job: &Job, step: StepKey) -> Vec<TaskKey> {
     let tasks = (0..).zip(&job.step(step).tasks);
