--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -426,6 +426,7 @@
             | RecordKey::Unreachable(_)
             | RecordKey::VmOrders
             | RecordKey::RunTimes
+            | RecordKey::Demand
             | RecordKey::Ownership
             | RecordKey::Node(_) => {}
         }
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::time::TimeMs;
 use crate::workload::advice::Tickets;
 use crate::workload::catalog::Catalog;
+use crate::workload::demand_plan::LearnedDemand;
 use crate::workload::ended::EndedJobs;
 use crate::workload::event::DispatcherEvent;
 use crate::workload::explain::WaitTracker;
@@ -99,6 +100,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) waits: WaitTracker,
     pub(crate) arrivals: Arrivals,
+    pub(crate) demand: LearnedDemand,
     pub(crate) start_budget: StartBudget,
     pub(crate) features: SchedulingFeatures,
     /// What the next ownership record states of the pools.
@@ -157,6 +159,7 @@
             tickets: Tickets::default(),
             waits: WaitTracker::default(),
             arrivals: Arrivals::default(),
+            demand: LearnedDemand::default(),
             start_budget: StartBudget::default(),
             features: SchedulingFeatures::default(),
             rooms: Vec::new(),
@@ -238,7 +241,13 @@
         let id = self.jobs.insert(job);
         self.refresh_expected(id);
         if let Some(job) = self.jobs.get_mut(id).filter(|_| is_arrival) {
-            self.arrivals.add(now, pool, job.remaining_work());
+            let work_core_ms = job.remaining_work();
+            self.arrivals.add(now, pool, work_core_ms);
+            if self.features.forecast_demand {
+                let queue = catalog.queue_id(&job.spec.queue);
+                let residence_ms = job.critical_path_ms;
+                self.demand.forecast.add(now, (pool, queue), work_core_ms, residence_ms);
+            }
             if self.features.share_by_weight {
                 let shares = &mut self.shares;
                 job.is_beyond_rate = shares.is_beyond_rate(now, catalog, organisation);
--- a/lib/src/workload/explain.rs
+++ b/lib/src/workload/explain.rs
@@ -51,7 +51,9 @@
         }
         self.waits.checked_at = Some(now);
         self.report_run_times(now);
-        for (pool, load) in self.pool_loads(now, now_unix_ms, catalog) {
+        let mut loads = self.pool_loads(now, now_unix_ms, catalog);
+        self.apply_forecasts(now, &mut loads);
+        for (pool, load) in loads {
             self.events.push(DispatcherEvent::PoolMeasured { pool, load });
         }
         self.report_shares();
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -36,6 +36,8 @@
     VmOrders,
     /// What was learned of the run times of tasks. Only the owner writes it.
     RunTimes,
+    /// Learned demand of the pools. Only the owner writes it.
+    Demand,
     /// The present incarnation of the node with this name, which writes it.
     Node(String),
 }
@@ -53,6 +55,7 @@
             Self::Ownership => f.write_str("Tenure"),
             Self::VmOrders => f.write_str("VmOrders"),
             Self::RunTimes => f.write_str("RunTimes"),
+            Self::Demand => f.write_str("Demand"),
             Self::Node(node) => f.debug_tuple("Life").field(node).finish(),
         }
     }
@@ -68,6 +71,7 @@
 const NODE: u8 = b'n';
 const VM_ORDERS: u8 = b'v';
 const RUN_TIMES: u8 = b'r';
+const DEMAND: u8 = b'd';
 
 /// The nodes that read a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -93,7 +97,8 @@
             | Self::Wave(_)
             | Self::Unreachable(_)
             | Self::VmOrders
-            | Self::RunTimes => Audience::Owner,
+            | Self::RunTimes
+            | Self::Demand => Audience::Owner,
         }
     }
 
@@ -110,6 +115,7 @@
             Self::Ownership => return vec![OWNERSHIP],
             Self::VmOrders => return vec![VM_ORDERS],
             Self::RunTimes => return vec![RUN_TIMES],
+            Self::Demand => return vec![DEMAND],
         };
         let mut bytes = vec![kind];
         bytes.extend_from_slice(&number.to_be_bytes());
@@ -126,6 +132,7 @@
             OWNERSHIP => return Some(Self::Ownership),
             VM_ORDERS => return Some(Self::VmOrders),
             RUN_TIMES => return Some(Self::RunTimes),
+            DEMAND => return Some(Self::Demand),
             _ => {}
         }
         let number = u64::from_be_bytes(rest.try_into().ok()?);
--- a/lib/src/workload/worker.rs
+++ b/lib/src/workload/worker.rs
@@ -60,6 +60,9 @@
     /// Whether the worker answered the call before the last report, so that the ends in
     /// the report have just come.
     pub(crate) reports_are_timely: bool,
+    /// Whether other workers of the pool get tasks first, because the pool has
+    /// too many and this one is nearly empty.
+    pub(crate) is_emptying: bool,
     failed_jobs: BTreeSet<JobId>,
     avoided_in_a_row: u32,
     pub(crate) avoided_until: TimeMs,
@@ -130,6 +133,7 @@
             is_cordoned: false,
             slowness: Slowness::default(),
             reports_are_timely: false,
+            is_emptying: false,
             failed_jobs: BTreeSet::new(),
             avoided_in_a_row: 0,
             avoided_until: TimeMs::default(),
