shares: an organisation that has all it wants is not beyond its share

Cause: a job that fits on no worker makes its pool count as full, and an organisation without waiting jobs uses just its due share there, so that is_beyond_share was true with room free, which admission asks. Change: beyond its share is only who wants more than it. Measured: test_workload_shares (10 tests, one new), test_workload_explain and test_workload_pools pass.

--- a/lib/src/workload/fair_share.rs
+++ b/lib/src/workload/fair_share.rs
@@ -26,6 +26,8 @@
 /// Weights are divided in thousandths.
 const WEIGHT_MILLI: u64 = 1_000;
 const MILLI: u64 = 1_000;
+/// A whole pool, in millionths.
+const WHOLE_PPM: u64 = 1_000_000;
 
 /// Use and request of one organisation in one pool.
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,6 +54,8 @@
 pub struct OrganisationUse {
     /// Dominant share of its placed tasks.
     pub used_ppm: u64,
+    /// Dominant share of its placed tasks and of those that could start now.
+    pub wanted_ppm: u64,
     /// Share that weighted fairness gives it of what all request now.
     pub due_ppm: u64,
     /// Mean of use minus due share while the pool was full, with recent times
@@ -67,8 +71,16 @@
         self.used_ppm.saturating_add_signed(self.surplus_ppm)
     }
 
+    /// True if it wants more than its due share and has at least that.
     fn is_beyond(&self) -> bool {
-        self.balance_ppm() >= self.due_ppm
+        self.wanted_ppm > self.due_ppm && self.balance_ppm() >= self.due_ppm
+    }
+
+    fn measure(&mut self, load: OrganisationLoad, due_ppm: u64, capacity: Resources) {
+        let wanted = load.used.saturating_add(load.waiting);
+        self.used_ppm = load.used.dominant_share_ppm(capacity);
+        self.wanted_ppm = wanted.dominant_share_ppm(capacity).min(WHOLE_PPM);
+        self.due_ppm = due_ppm;
     }
 
     /// Tenths of its due share that an organisation has. Smaller differences
@@ -112,15 +124,13 @@
         self.is_full = self.lacked_room || !demand.fits_in(room.capacity);
         self.lacked_room = false;
         let due = due_shares(room);
+        for organisation in room.organisations.keys() {
+            self.organisations.entry(*organisation).or_default();
+        }
         for (organisation, share) in &mut self.organisations {
             let load = room.organisations.get(organisation).copied().unwrap_or_default();
-            share.used_ppm = load.used.dominant_share_ppm(room.capacity);
-            share.due_ppm = due.get(organisation).copied().unwrap_or_default();
-        }
-        for (organisation, load) in &room.organisations {
-            let share = self.organisations.entry(*organisation).or_default();
-            share.used_ppm = load.used.dominant_share_ppm(room.capacity);
-            share.due_ppm = due.get(organisation).copied().unwrap_or_default();
+            let due_ppm = due.get(organisation).copied().unwrap_or_default();
+            share.measure(load, due_ppm, room.capacity);
         }
         self.organisations.retain(|_, share| !share.has_faded(now));
     }
@@ -147,7 +157,8 @@
         self.organisations.iter().map(|(organisation, share)| (*organisation, *share))
     }
 
-    /// True if the pool is full and the organisation has its due share.
+    /// True if the pool is full and the organisation has its due share and wants
+    /// more.
     pub(crate) fn is_beyond(&self, organisation: Option<OrganisationId>) -> bool {
         self.is_full && self.organisation(organisation).is_beyond()
     }
--- a/lib/src/workload/share_order.rs
+++ b/lib/src/workload/share_order.rs
@@ -267,7 +267,7 @@
     }
 
     /// True while a pool is full and an organisation has at least its due share
-    /// of it. Its further jobs wait for room that the others leave.
+    /// of it and wants more. Its further jobs wait for room that the others leave.
     pub fn is_beyond_share(&self, organisation: Option<OrganisationId>, pool: PoolId) -> bool {
         self.shares.pool(pool).is_some_and(|shares| shares.is_beyond(organisation))
     }
--- a/lib/tests/test_workload_shares.rs
+++ b/lib/tests/test_workload_shares.rs
@@ -230,6 +230,23 @@
     assert!(!owner.is_pool_full(pool) && !owner.is_beyond_share(a, pool));
 }
 
+/// Guards against a job that fits on no worker and makes its pool count as full
+/// for organisations that have all that they want.
+#[test]
+fn job_without_a_worker_puts_nobody_beyond_their_share() {
+    let mut fleet = fleet(&[("a", 1), ("b", 1)], true);
+    let pool = fleet.catalog.pool_id(POOL);
+    let a = Some(fleet.catalog.organisation_id("a"));
+    let mut spec = job_of("b", 1, cores(1));
+    spec.steps[0].required_label = Some("missing".to_owned());
+    fleet.submit(1, spec, RUN);
+    flood(&mut fleet, "a", 10, 8, RUN);
+    fleet.advance(200);
+    assert_eq!(running(&fleet)["a"], 8);
+    assert!(!fleet.owner.as_ref().expect("an owner").is_beyond_share(a, pool));
+    fleet.assert_no_violations();
+}
+
 /// Weighted max-min fairness in cores, by filling all organisations at the same
 /// pace in small amounts.
 fn reference(organisations: &[(u64, u64)]) -> Vec<f64> {
