--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -102,7 +102,7 @@
         let (readiness, is_ready) = watch::channel(false);
         let (max_body_bytes, max_body_receiver) = watch::channel(MAX_BODY_BYTES);
         let mut tasks = JoinSet::new();
-        let (read_outcomes, reads) = mpsc::channel(submissions::READ_OUTCOME_CAPACITY);
+        let (outcomes, reads) = mpsc::channel(submissions::READ_OUTCOME_CAPACITY);
         let health = settings.scheduling.refuse_late_jobs.then(StoreHealth::default);
         let store_logger = logger.new(o!("target" => "store"));
         let calls = SubmissionInputs { mailbox: submission_mailbox, reads };
@@ -111,19 +111,12 @@
         tasks.spawn_local(task.run());
         tasks.spawn_local(store_node_record(settings.clone(), submissions.clone(), logger.clone()));
         for (topic, pause) in [(Topic::Operator, no_pause), (Topic::Jobs, job_pause_receiver)] {
-            let reader = TopicReader {
-                topic,
-                store: platform.store(),
-                clock,
-                core: core.clone(),
-                pause,
-                outcomes: Some(read_outcomes.clone()),
-                logger: store_logger.clone(),
-            };
+            let (store, core, logger) = (platform.store(), core.clone(), store_logger.clone());
+            let outcomes = Some(outcomes.clone());
+            let reader = TopicReader { topic, store, clock, core, pause, outcomes, logger };
             tasks.spawn_local(reader.run());
         }
         let (is_candidate, is_candidate_receiver) = watch::channel(false);
-        let mut membership = JoinSet::new();
         let membership_task = MembershipTask {
             store: platform.store(),
             member: settings.name.clone(),
@@ -133,6 +126,7 @@
             is_candidate: is_candidate_receiver,
             logger: logger.new(o!("target" => "seat")),
         };
+        let mut membership = JoinSet::new();
         membership.spawn_local(membership_task.run());
         let core_task = Core {
             platform: platform.clone(),
@@ -149,16 +143,9 @@
             state: CoreState::new(&settings, clock.now()),
         };
         tasks.spawn_local(core_task.run());
-        Self {
-            platform,
-            settings,
-            core,
-            readiness: is_ready,
-            max_body_bytes: max_body_receiver,
-            logger: logger.clone(),
-            membership,
-            _tasks: tasks,
-        }
+        let (readiness, max_body_bytes, logger) = (is_ready, max_body_receiver, logger.clone());
+        let _tasks = tasks;
+        Self { platform, settings, core, readiness, max_body_bytes, logger, membership, _tasks }
     }
 
     /// Returns a handler for calls of submitters.
