--- a/daemon/src/node/core.rs
+++ b/daemon/src/node/core.rs
@@ -17,7 +17,6 @@
 use cowslipport_lib::workload::ownership::JoinAnswer;
 use cowslipport_lib::workload::ownership::Ownership;
 use cowslipport_lib::workload::ownership::OwnershipChange;
-use cowslipport_lib::workload::pool_room;
 use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::room_admission::RoomAdmission;
@@ -413,7 +412,7 @@
                 state.candidacy.owner_seen(now, &ownership.owner.node);
                 state.start_delay =
                     StartDelay { delay_ms: ownership.start_delay_ms, received_at: now };
-                state.room_admission.rooms_received(now, pool_room::decode_rooms(value)?);
+                state.room_admission.rooms_received(now, ownership.rooms);
             }
             RecordKey::Node(ref node) if !value.is_empty() => {
                 let NodeRecord { processor_milli, .. } = NodeRecord::decode(value)?;
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -21,7 +21,6 @@
 use crate::workload::order::Order;
 use crate::workload::order::StartOrder;
 use crate::workload::order::WorkerOrder;
-use crate::workload::pool_room;
 use crate::workload::record::JobStatus;
 use crate::workload::record::RecordKey;
 use crate::workload::run_time::RunProgress;
@@ -73,11 +72,7 @@
         let mut reachable_again = Vec::new();
         self.unreachable_records(now, &mut records, &mut reachable_again);
         let ownership = self.ownership_record(now);
-        if let Some(ownership) = ownership {
-            let mut value = ownership.encode();
-            value.extend(pool_room::encode_rooms(&self.rooms));
-            records.insert(RecordKey::Ownership, value);
-        }
+        records.extend(ownership.map(|record| (RecordKey::Ownership, record.encode())));
         for id in std::mem::take(&mut self.dirty) {
             records.extend(self.job_records(id));
         }
--- a/lib/src/workload/fair_share.rs
+++ b/lib/src/workload/fair_share.rs
@@ -43,7 +43,7 @@
 /// Room of a pool for tasks that end, and what organisations use and request of
 /// it. Jobs without an organisation count together, under `None`.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PoolRoom {
+pub(crate) struct PoolContention {
     pub(crate) capacity: Resources,
     pub(crate) organisations: BTreeMap<Option<OrganisationId>, OrganisationLoad>,
 }
@@ -110,7 +110,7 @@
 impl PoolShares {
     /// Takes the present loads and adds the time since the last measurement to
     /// the surplus of each organisation.
-    fn measure(&mut self, now: TimeMs, room: &PoolRoom) {
+    fn measure(&mut self, now: TimeMs, room: &PoolContention) {
         let elapsed_ms = now.since(self.measured_at);
         let counts_use = self.is_full;
         for share in self.organisations.values_mut() {
@@ -206,7 +206,7 @@
 }
 
 /// The due share of each organisation, in millionths of the pool.
-fn due_shares(room: &PoolRoom) -> BTreeMap<Option<OrganisationId>, u64> {
+fn due_shares(room: &PoolContention) -> BTreeMap<Option<OrganisationId>, u64> {
     let weights: Vec<u64> = room
         .organisations
         .iter()
@@ -241,11 +241,11 @@
 
 impl FairShares {
     /// Takes the loads of the pools in which jobs wait. No other pool is full.
-    pub(crate) fn measure(&mut self, now: TimeMs, rooms: &BTreeMap<PoolId, PoolRoom>) {
+    pub(crate) fn measure(&mut self, now: TimeMs, rooms: &BTreeMap<PoolId, PoolContention>) {
         for (pool, room) in rooms {
             self.pools.entry(*pool).or_default().measure(now, room);
         }
-        let idle = PoolRoom::default();
+        let idle = PoolContention::default();
         let others = self.pools.iter_mut().filter(|(pool, _)| !rooms.contains_key(pool));
         for (_, shares) in others {
             shares.measure(now, &idle);
--- a/lib/src/workload/former_owners.rs
+++ b/lib/src/workload/former_owners.rs
@@ -169,6 +169,7 @@
             former,
             start_delay_ms: self.start_delay_ms,
             witnesses,
+            rooms: self.rooms.clone(),
         })
     }
 
--- a/lib/src/workload/owner_record.rs
+++ b/lib/src/workload/owner_record.rs
@@ -8,6 +8,7 @@
 use crate::findings::Findings;
 use crate::protos::workload as raw;
 use crate::wire::control::decode_error;
+use crate::workload::pool_room::PoolRoom;
 
 /// One incarnation of a node, which ends when its process does.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,6 +90,8 @@
     pub start_delay_ms: u64,
     /// Without the store, the owner renews leases only while most of these answer it.
     pub witnesses: Vec<Witness>,
+    /// What new jobs have to expect of each pool; empty if the owner does not say.
+    pub rooms: Vec<PoolRoom>,
 }
 
 /// Prints the name of the stored message, which appears in log lines.
@@ -101,6 +104,7 @@
             .field("former", &self.former)
             .field("start_delay_ms", &self.start_delay_ms)
             .field("witnesses", &self.witnesses)
+            .field("rooms", &self.rooms.len())
             .finish()
     }
 }
@@ -122,7 +126,7 @@
             former: former.collect(),
             start_delay_ms: self.start_delay_ms,
             witnesses: self.witnesses.iter().map(Witness::to_raw).collect(),
-            rooms: Vec::new(),
+            rooms: self.rooms.iter().map(PoolRoom::to_raw).collect(),
         }
         .encode_to_vec()
     }
@@ -143,6 +147,7 @@
             former: former.collect(),
             start_delay_ms: raw.start_delay_ms,
             witnesses: raw.witnesses.into_iter().map(Witness::from_raw).collect(),
+            rooms: raw.rooms.into_iter().map(PoolRoom::from_raw).collect(),
         })
     }
 }
--- a/lib/src/workload/pool_room.rs
+++ b/lib/src/workload/pool_room.rs
@@ -3,13 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use prost::Message;
-
-use crate::findings::Findings;
 use crate::ids::PoolId;
 use crate::protos::workload as raw;
 use crate::time::TimeMs;
-use crate::wire::control::decode_error;
 use crate::workload::catalog::Catalog;
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::job::Job;
@@ -84,7 +80,7 @@
         ahead.map(|waiting| waiting.work_core_ms).fold(0, u64::saturating_add)
     }
 
-    fn to_raw(&self) -> raw::PoolRoom {
+    pub(crate) fn to_raw(&self) -> raw::PoolRoom {
         let waiting = self.waiting.iter().map(|waiting| raw::WaitingWork {
             priority: waiting.place.priority,
             size_class: waiting.place.size_class,
@@ -99,7 +95,7 @@
         }
     }
 
-    fn from_raw(raw: raw::PoolRoom) -> Self {
+    pub(crate) fn from_raw(raw: raw::PoolRoom) -> Self {
         let waiting = raw.waiting.into_iter().map(|waiting| WaitingWork {
             place: OrderPlace { priority: waiting.priority, size_class: waiting.size_class },
             work_core_ms: waiting.work_core_ms,
@@ -114,19 +110,6 @@
     }
 }
 
-/// Encodes rooms as a part of the ownership record, which follows the other parts.
-pub fn encode_rooms(rooms: &[PoolRoom]) -> Vec<u8> {
-    let rooms = rooms.iter().map(PoolRoom::to_raw).collect();
-    raw::Tenure { rooms, ..raw::Tenure::default() }.encode_to_vec()
-}
-
-/// Decodes the rooms in an ownership record; empty if the owner states none.
-pub fn decode_rooms(bytes: &[u8]) -> Result<Vec<PoolRoom>, Findings> {
-    let raw =
-        raw::Tenure::decode(bytes).map_err(|error| decode_error("tenure", error.to_string()))?;
-    Ok(raw.rooms.into_iter().map(PoolRoom::from_raw).collect())
-}
-
 /// CPU of VMs that no worker listing shows yet, in thousandths of a core.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ComingVms {
@@ -239,7 +222,7 @@
     cpu.fold(0, u64::saturating_add)
 }
 
-/// Declared work of the tasks of a job that are not placed, in the occurrences that are
+/// Expected work of the tasks of a job that are not placed, in the occurrences that are
 /// due. Its later steps go before other jobs, too.
 fn unplaced_work_core_ms(id: JobId, job: &Job, now_unix_ms: u64) -> u64 {
     let due = job.steps(id).filter(|(step, _)| {
@@ -248,7 +231,7 @@
     let work = due.map(|(step, state)| {
         let spec = job.step_spec(step.step);
         let request = spec.effective_request().cpu_milli;
-        let core_ms = request.saturating_mul(spec.estimate_ms) / 1_000;
+        let core_ms = request.saturating_mul(job.expected_run_ms(step.step)) / 1_000;
         core_ms.saturating_mul(state.waiting().into())
     });
     work.fold(0, u64::saturating_add)
--- a/lib/src/workload/share_order.rs
+++ b/lib/src/workload/share_order.rs
@@ -15,7 +15,7 @@
 use crate::workload::dispatcher::Dispatcher;
 use crate::workload::fair_share::OrganisationLoad;
 use crate::workload::fair_share::OrganisationUse;
-use crate::workload::fair_share::PoolRoom;
+use crate::workload::fair_share::PoolContention;
 use crate::workload::job::Job;
 use crate::workload::key::JobId;
 use crate::workload::key::StepKey;
@@ -216,12 +216,12 @@
         &self,
         rounds: &PlacementRounds,
         catalog: &Catalog,
-    ) -> BTreeMap<PoolId, PoolRoom> {
-        let mut rooms: BTreeMap<PoolId, PoolRoom> = BTreeMap::new();
+    ) -> BTreeMap<PoolId, PoolContention> {
+        let mut rooms: BTreeMap<PoolId, PoolContention> = BTreeMap::new();
         for (pool, workers) in rounds.candidates() {
             let sizes = workers.iter().map(|id| self.capacity(*id));
             let capacity = sizes.fold(Resources::ZERO, Resources::saturating_add);
-            rooms.insert(*pool, PoolRoom { capacity, ..PoolRoom::default() });
+            rooms.insert(*pool, PoolContention { capacity, ..PoolContention::default() });
         }
         let mut long_running: BTreeMap<PoolId, Resources> = BTreeMap::new();
         for (id, job) in self.jobs.iter() {
--- a/lib/tests/test_workload_renewals.rs
+++ b/lib/tests/test_workload_renewals.rs
@@ -291,6 +291,7 @@
         }],
         start_delay_ms: 0,
         witnesses: vec![witness("w1"), witness("w2")],
+        rooms: Vec::new(),
     };
     assert_eq!(OwnershipRecord::decode(&record.encode()), Ok(record));
 }
--- a/lib/tests/test_workload_room_admission.rs
+++ b/lib/tests/test_workload_room_admission.rs
@@ -4,7 +4,7 @@
 mod workload_fake;
 
 use cowslipport_lib::time::TimeMs;
-use cowslipport_lib::workload::pool_room;
+use cowslipport_lib::workload::owner_record::OwnershipRecord;
 use cowslipport_lib::workload::pool_room::ComingVms;
 use cowslipport_lib::workload::pool_room::OrderPlace;
 use cowslipport_lib::workload::pool_room::PoolRoom;
@@ -73,7 +73,7 @@
     fleet.advance(1_000);
     let stated = |fleet: &Fleet| {
         let record = fleet.store.get(&RecordKey::Ownership).expect("a record");
-        pool_room::decode_rooms(record).expect("a valid record")
+        OwnershipRecord::decode(record).expect("a valid record").rooms
     };
     assert_eq!(stated(&fleet), Vec::new(), "nothing is stated without a measurement");
     let measure = |fleet: &mut Fleet| {
