--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -125,6 +125,7 @@
   jobs         List the jobs of the organisation to which the key belongs
   cancel       Cancel a queued or running job
   explain      Show the last decisions about a job, VM, organisation or wave, with their reasons
+  preview      Show where a job would go now, and why, without submitting it
   wave         Operate a maintenance wave
   completions  Print a completion script for a shell
   help         Print this message or the help of the given subcommand(s)
