--- a/review/standins-3/src/deployment.rs
+++ b/review/standins-3/src/deployment.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,12 +21,17 @@
 pub const KEY: &str = "key-of-tenant";
 pub const HOST: &str = "queues.example";
 pub const SERVICE: &str = "desk";
-pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+pub const ZONES: [&str; 4] = ["zone-a", "zone-b", "zone-c", "zone-d"];
+const FEW_NODES: usize = 3;
 const TIME_BUDGET: Duration = Duration::from_millis(3_000);
 
 pub struct Node {
     pub name: String,
     pub frontend: SocketAddr,
+    /// Number of the zone.
+    pub zone: usize,
+    /// Whether the node is cut off from the store.
+    pub is_cut: Arc<AtomicBool>,
     child: Child,
 }
 
@@ -46,12 +52,26 @@
         kinds: Vec<Kind>,
         routes: Value,
     ) -> Result<Self, String> {
-        let (store, store_address) = Store::start();
+        Self::start_with(root, record, kinds, routes, FEW_NODES, 1_000)
+    }
+
+    /// The same with a number of nodes, and the speed of the minions' clocks in
+    /// thousandths.
+    pub fn start_with(
+        root: &Path,
+        record: Record,
+        kinds: Vec<Kind>,
+        routes: Value,
+        nodes: usize,
+        speed_milli: u64,
+    ) -> Result<Self, String> {
+        let store = Store::start();
         let shared = Shared {
             store: store.clone(),
             record: record.clone(),
             asked: Arc::default(),
             starts: Arc::default(),
+            speed_milli,
         };
         let minions: Vec<Arc<Minion>> = (0..)
             .zip(kinds)
@@ -70,9 +90,11 @@
         fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
         let mut deployment = Self { record, store, minions, nodes: Vec::new(), shared, directory };
         let deploy = DeployFile::read(root)?;
-        for number in 0..ZONES.len() {
-            let node = deployment.start_node(root, &deploy, number, store_address, machines)?;
+        for number in 0..nodes {
+            let node = deployment.start_node(root, &deploy, number, machines)?;
             deployment.nodes.push(node);
+            // Machines start within 0.3 s of each other.
+            thread::sleep(Duration::from_millis(250 / nodes as u64));
         }
         let deadline = Instant::now() + Duration::from_secs(15);
         for node in &deployment.nodes {
@@ -100,7 +122,6 @@
         root: &Path,
         deploy: &DeployFile,
         number: usize,
-        store: SocketAddr,
         machines: SocketAddr,
     ) -> Result<Node, String> {
         let ip = own_address();
@@ -109,9 +130,11 @@
             listener.local_addr().map_err(|error| error.to_string())
         };
         let (frontend, ready, internal) = (port()?, port()?, port()?);
-        let name = format!("edge-{}-1", ZONES[number]);
+        let (store, is_cut) = self.store.listen();
+        let zone = number % ZONES.len();
+        let name = format!("edge-{}-{}", ZONES[zone], number / ZONES.len() + 1);
         let fields = json!({
-            "node_name": name, "zone": ZONES[number], "ip": ip.to_string(),
+            "node_name": name, "zone": ZONES[zone], "ip": ip.to_string(),
             "listen_addrs": {"frontend": frontend.to_string(), "ready": ready.to_string()},
             "internal_ports": [internal.port(), internal.port()],
             "limits": {"cpu_quota": 0.25, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100,
@@ -137,7 +160,15 @@
         let child = command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null()).spawn();
         let child = child.map_err(|error| format!("the node does not start: {error}"))?;
         self.record.line(&format!("{name} starts"));
-        Ok(Node { name, frontend, child })
+        Ok(Node { name, frontend, zone, is_cut, child })
+    }
+
+    /// Sends SIGTERM to a node.
+    pub fn terminate(&self, node: usize) -> Result<(), String> {
+        let node = &self.nodes[node];
+        self.record.line(&format!("SIGTERM to {}", node.name));
+        let status = Command::new("kill").arg("-TERM").arg(node.child.id().to_string()).status();
+        status.map(|_| ()).map_err(|error| error.to_string())
     }
 
     /// Notes what a submission asks for, so that the minions can be checked.
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -10,6 +10,7 @@
 mod avoided;
 mod counts;
 mod reborn;
+mod unrecorded;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -37,6 +38,7 @@
         "reborn" => reborn::run,
         "counts" => counts::run,
         "avoided" => avoided::run,
+        "unrecorded" => unrecorded::run,
         _ => {
             eprintln!("unknown case");
             return ExitCode::from(2);
--- a/review/standins-3/src/minion.rs
+++ b/review/standins-3/src/minion.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -15,6 +16,8 @@
 /// `hold_max_ms`.
 pub const HOLD_MAX_MS: u64 = 10_000;
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// How long a call that gets no answer is left open.
+const SILENCE: Duration = Duration::from_secs(8);
 const TICK: Duration = Duration::from_millis(5);
 const MAX_LISTED_ENDS: usize = 500;
 /// A task that lasts is at work after a short startup.
@@ -35,6 +38,9 @@
     pub minion: String,
     pub kind: &'static str,
     pub task: String,
+    pub at_ms: u64,
+    /// When the run ended; none while it runs.
+    pub ended_at_ms: Option<u64>,
 }
 
 /// What a minion runs, by the submission: label and size that its steps ask for.
@@ -54,6 +60,7 @@
 
 struct Life {
     born: u64,
+    speed_milli: u64,
     began_at: Instant,
     kind: Kind,
     token: u64,
@@ -66,11 +73,12 @@
 }
 
 impl Life {
-    fn new(kind: Kind, former_born: u64) -> Self {
+    fn new(kind: Kind, former_born: u64, speed_milli: u64) -> Self {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
         let now = u64::try_from(now.as_millis()).expect("a time of this era");
         Self {
             born: now.max(former_born + 1),
+            speed_milli,
             began_at: Instant::now(),
             kind,
             token: 0,
@@ -84,7 +92,8 @@
     }
 
     fn clock_ms(&self) -> u64 {
-        u64::try_from(self.began_at.elapsed().as_millis()).expect("a short run")
+        let elapsed = u64::try_from(self.began_at.elapsed().as_millis()).expect("a short run");
+        elapsed * self.speed_milli / 1_000
     }
 
     fn end(&mut self, task: &str, how: &str) {
@@ -103,6 +112,11 @@
     last_born: u64,
     /// The minion answers starts with 503, and says that it is healthy.
     sheds: bool,
+    /// Of the owners only those with such tokens reach the minion; the calls of others are
+    /// lost, and the answers to their earlier ones.
+    reached_by: RangeInclusive<u64>,
+    /// Speed of the clock, in thousandths.
+    speed_milli: u64,
 }
 
 pub struct Minion {
@@ -126,6 +140,8 @@
     /// What each submission asks for.
     pub asked: Arc<Mutex<BTreeMap<String, Asked>>>,
     pub starts: Arc<Mutex<Vec<Start>>>,
+    /// Speed of the clocks of the minions, in thousandths.
+    pub speed_milli: u64,
 }
 
 impl Minion {
@@ -136,7 +152,13 @@
         kind: Kind,
         shared: &Shared,
     ) -> Arc<Self> {
-        let state = State { life: None, last_born: 0, sheds: false };
+        let state = State {
+            life: None,
+            last_born: 0,
+            sheds: false,
+            reached_by: 0..=u64::MAX,
+            speed_milli: shared.speed_milli,
+        };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         // The handler needs the minion, which needs the address.
         let slot: Arc<Mutex<Option<Arc<Minion>>>> = Arc::default();
@@ -179,7 +201,7 @@
     /// Begins a new life, which registers at once.
     pub fn boot(&self, kind: Kind) {
         let mut state = self.state.0.lock().unwrap();
-        let life = Life::new(kind, state.last_born);
+        let life = Life::new(kind, state.last_born, state.speed_milli);
         self.record.line(&format!(
             "minion {} is up: born {}, kind {}, {} cpu",
             self.id, life.born, life.kind.kind, life.kind.cpu
@@ -194,7 +216,9 @@
     /// closed until the next life begins. The entry in the registry stays.
     pub fn crash(&self) {
         let mut state = self.state.0.lock().unwrap();
-        let running = state.life.take().map(|life| life.running.len());
+        let life = state.life.take();
+        let running = life.as_ref().map(|life| life.running.len());
+        self.note_ends(life.iter().flat_map(|life| life.running.keys().map(String::as_str)));
         self.record.line(&format!("minion {} crashes, {running:?} tasks end with it", self.id));
         drop(state);
         self.state.1.notify_all();
@@ -206,6 +230,16 @@
         self.record.line(&format!("minion {} answers starts with 503: {sheds}", self.id));
     }
 
+    /// Cuts the minion off from all owners but those with such tokens.
+    pub fn set_reached_by(&self, tokens: RangeInclusive<u64>) {
+        self.state.0.lock().unwrap().reached_by = tokens;
+    }
+
+    /// Highest token that the present life has seen.
+    pub fn token(&self) -> u64 {
+        self.state.0.lock().unwrap().life.as_ref().map_or(0, |life| life.token)
+    }
+
     pub fn running(&self) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
         state.life.iter().flat_map(|life| life.running.keys().cloned()).collect()
@@ -232,6 +266,20 @@
         json!({"cpu": cpu, "mem_mb": mem_mb, "gpu": 0})
     }
 
+    fn note_ends<'a, I>(&self, tasks: I)
+    where
+        I: Iterator<Item = &'a str>,
+    {
+        let now = self.record.ms();
+        let mut starts = self.starts.lock().unwrap();
+        for task in tasks {
+            let own = starts.iter_mut().rev().find(|one| one.minion == self.id && one.task == task);
+            if let Some(start) = own {
+                start.ended_at_ms = Some(now);
+            }
+        }
+    }
+
     fn register(&self) {
         let mut state = self.state.0.lock().unwrap();
         let Some(life) = &mut state.life else { return };
@@ -266,6 +314,7 @@
             life.end(task, how);
         }
         drop(state);
+        self.note_ends(due.iter().map(|(task, _)| task.as_str()));
         for (task, how) in &due {
             self.record.line(&format!("minion {}: {task} ends {how}", self.id));
         }
@@ -282,10 +331,28 @@
             return self.is_up().then(|| (200, Vec::new()));
         }
         let body = request.json();
+        let token = body["fencing_token"].as_u64().unwrap_or(0);
+        if self.is_lost(token) {
+            return None;
+        }
+        let answer = self.carry_out(request, &body);
+        if self.is_lost(token) { None } else { answer }
+    }
+
+    /// Waits for longer than any caller does, if its calls don't reach the minion.
+    fn is_lost(&self, token: u64) -> bool {
+        let is_lost = !self.state.0.lock().unwrap().reached_by.contains(&token);
+        if is_lost {
+            thread::sleep(SILENCE);
+        }
+        is_lost
+    }
+
+    fn carry_out(&self, request: &Request, body: &Value) -> Answer {
         match request.path.as_str() {
-            "/hold" => self.hold(&body),
-            "/run-start" => self.run_start(&body),
-            "/run-stop" => self.run_stop(&body),
+            "/hold" => self.hold(body),
+            "/run-start" => self.run_start(body),
+            "/run-stop" => self.run_stop(body),
             "/pace" => {
                 let state = self.state.0.lock().unwrap();
                 let now = state.life.as_ref()?.clock_ms();
@@ -381,7 +448,13 @@
             "minion {} (born {born}, kind {kind}): start of {task} {attempt}: 200, {cpu} of {capacity} cpu",
             self.id
         ));
-        let start = Start { minion: self.id.clone(), kind, task };
+        let start = Start {
+            minion: self.id.clone(),
+            kind,
+            task,
+            at_ms: self.record.ms(),
+            ended_at_ms: None,
+        };
         self.starts.lock().unwrap().push(start);
         http::json(200, json!({"clock_ms": now}))
     }
@@ -401,6 +474,7 @@
         *refused = (*refused).max(attempt);
         if life.running.get(task).is_some_and(|run| run.attempt <= attempt) {
             life.end(task, "stopped");
+            self.note_ends([task].into_iter());
             self.record.line(&format!("minion {}: {task} {attempt} is stopped", self.id));
         }
         drop(state);
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -42,6 +43,7 @@
     /// Calls get no answer and are not carried out.
     is_down: bool,
     down_since: Instant,
+    delayed: Option<(String, u64, Duration)>,
 }
 
 impl Default for State {
@@ -53,6 +55,7 @@
             holders: BTreeMap::new(),
             is_down: false,
             down_since: Instant::now(),
+            delayed: None,
         }
     }
 }
@@ -65,11 +68,48 @@
 }
 
 impl Store {
-    pub fn start() -> (Self, SocketAddr) {
-        let store = Self { state: Arc::default(), turns: Arc::default() };
-        let serving = store.clone();
-        let (address, _) = http::serve(move |request| serving.handle(&request));
-        (store, address)
+    pub fn start() -> Self {
+        Self { state: Arc::default(), turns: Arc::default() }
+    }
+
+    /// Listens for one node. While the node is cut off, its calls are lost, and the
+    /// answers to those that came before.
+    pub fn listen(&self) -> (SocketAddr, Arc<AtomicBool>) {
+        let store = self.clone();
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let cut = Arc::clone(&is_cut);
+        let is_lost = move || {
+            let is_lost = cut.load(Ordering::SeqCst);
+            if is_lost {
+                thread::sleep(SILENCE);
+            }
+            is_lost
+        };
+        let (address, _) = http::serve(move |request| {
+            if is_lost() {
+                return None;
+            }
+            let answer = store.handle(&request);
+            if is_lost() { None } else { answer }
+        });
+        (address, is_cut)
+    }
+
+    /// The member that holds the last partition, and the generation of the group.
+    pub fn holder(&self) -> (Option<String>, u64) {
+        let state = self.state.0.lock().unwrap();
+        (state.holders.get(&(PARTS - 1)).cloned(), state.generation)
+    }
+
+    /// Leaves the next append of records to a topic, by a producer of this epoch or a later
+    /// one, without an answer, and carries it out later if its condition still holds.
+    pub fn delay_next_append(&self, topic: &str, epoch: u64, by: Duration) {
+        self.state.0.lock().unwrap().delayed = Some((topic.to_owned(), epoch, by));
+    }
+
+    /// Whether no append is to be delayed any more.
+    pub fn has_delayed(&self) -> bool {
+        self.state.0.lock().unwrap().delayed.is_none()
     }
 
     /// Writes a record as the operator or a minion does.
@@ -127,6 +167,19 @@
         if matches!(topic.as_str(), "keyed.op" | "keyed.servers") {
             return http::json(403, json!({}));
         }
+        let epoch = request.number("epoch").filter(|_| !request.body.is_empty());
+        let delayed = self.state.0.lock().unwrap().delayed.take_if(|(delayed, first, _)| {
+            *delayed == topic && epoch.is_some_and(|epoch| epoch >= *first)
+        });
+        if let Some((_, _, by)) = delayed {
+            thread::sleep(by);
+            self.append_now(request, topic);
+            return None;
+        }
+        self.append_now(request, topic)
+    }
+
+    fn append_now(&self, request: &Request, topic: String) -> Answer {
         let turn = Arc::clone(self.turns.lock().unwrap().entry(topic.clone()).or_default());
         let _turn = turn.lock().unwrap();
         thread::sleep(APPEND_TIME);
@@ -232,11 +285,18 @@
         http::json(200, response)
     }
 
-    fn expire(&mut self) {
+    /// Forgets members whose time is over. A member that asks just then is the first to
+    /// get their partitions.
+    fn expire(&mut self, asking: &str) {
         let now = Instant::now();
         let count = self.members.len();
-        self.members.retain(|_, expires_at| *expires_at > now);
+        self.members.retain(|name, expires_at| *expires_at > now || name == asking);
         if self.members.len() < count {
+            if self.members.contains_key(asking) {
+                let members = &self.members;
+                let free = self.holders.values_mut().filter(|one| !members.contains_key(*one));
+                free.for_each(|holder| *holder = asking.to_owned());
+            }
             self.redistribute();
         }
     }
@@ -273,8 +333,8 @@
     }
 
     fn join(&mut self, body: &Value) -> Answer {
-        self.expire();
         let member = body["member"].as_str().unwrap_or_default().to_owned();
+        self.expire(&member);
         let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
         if self.members.insert(member.clone(), Instant::now() + ttl).is_none() {
             self.redistribute();
@@ -292,7 +352,7 @@
     }
 
     fn owners(&mut self) -> Answer {
-        self.expire();
+        self.expire("");
         let rows = self.holders.iter();
         let rows: Vec<Value> =
             rows.map(|(part, holder)| json!(["seat", part, holder, 0])).collect();
