review: tasks of cut-off minions run twice after an owner without a record (TWICE)

Tried: the owner gets SIGTERM, the first append of its successor to keyed.jobs is done 3 s late and not answered, and the successor's zone is partitioned 0.35 s after it.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 rig=../../target/review-3/release/review-rig-3
 [ -x "$rig" ] || { echo "run review/build-3.sh first" >&2; exit 2; }
-exec "$rig" reborn .
+exec "$rig" unrecorded .
