--- a/review/standins-3/src/unrecorded.rs
+++ b/review/standins-3/src/unrecorded.rs
@@ -22,7 +22,7 @@
 /// The clock of a minion may be 2% slow.
 const SPEED_MILLI: u64 = 980;
 const LATE: Duration = Duration::from_secs(3);
-const CUT: Duration = Duration::from_secs(8);
+const CUT: Duration = Duration::from_millis(5_500);
 
 pub fn run(root: &Path, record: &Record, is_troubled: bool) -> Result<Verdict, String> {
     let kind = |number: usize| Kind {
