renewal: an owner without a stored record renews no leases beside its successor

Cause: an owner whose ownership record was not stored renewed leases for 1.5 s after the store's last confirmation. Its successor, 1.0 s after that confirmation, read the record of the owner before, which had ended, and counted no renewals after its own recovery. The 0.5 s between were counted by neither.

In the trace the last leases were renewed 1.24 s after the owner had been cut off.

Change: until its record is stored, an owner renews leases only for the time to live of its ownership, in which no other node can gain it. A successor counts from its recovery, which is later, so it need not know of such an owner.

--- a/bench/src/bin/rounds/main.rs
+++ b/bench/src/bin/rounds/main.rs
@@ -112,8 +112,13 @@
 
 /// An owner of all workers, with one job in each pool that fills it.
 fn owner(catalog: &mut Catalog, share_by_weight: bool) -> Dispatcher {
-    let times =
-        LeaseTimes { lease_ms: 4_000, longest_ms: 10_000, former_renewal_ms: 0, evidence_ms: 0 };
+    let times = LeaseTimes {
+        lease_ms: 4_000,
+        longest_ms: 10_000,
+        former_renewal_ms: 0,
+        ownership_ttl_ms: 0,
+        evidence_ms: 0,
+    };
     let node = NodeIncarnation { node: "n".to_owned(), incarnation: 1 };
     let mut owner = Dispatcher::new(1, node, TimeMs(0), times, 120_000);
     owner.set_features(SchedulingFeatures { share_by_weight, ..SchedulingFeatures::default() });
--- a/daemon/src/node/settings.rs
+++ b/daemon/src/node/settings.rs
@@ -116,6 +116,7 @@
             lease_ms: LEASE_MS,
             longest_ms: self.worker_lease_max_ms,
             former_renewal_ms: RENEW_WITHOUT_STORE_MS,
+            ownership_ttl_ms: self.membership_ttl_ms(),
             evidence_ms: OWNERSHIP_EVIDENCE_MS,
         }
     }
--- a/lib/src/workload/lease.rs
+++ b/lib/src/workload/lease.rs
@@ -25,6 +25,9 @@
     /// Longest time for which a former owner may go on renewing leases after
     /// its successor has gained the ownership.
     pub former_renewal_ms: u64,
+    /// Time to live of the ownership: for this time after the store confirmed it to an
+    /// owner, no other node can gain it.
+    pub ownership_ttl_ms: u64,
     /// Time for which an owner renews leases after it last had evidence that there is no
     /// later owner: an answer of the store, or of most of its witnesses.
     pub evidence_ms: u64,
--- a/lib/src/workload/renewal.rs
+++ b/lib/src/workload/renewal.rs
@@ -132,9 +132,10 @@
     /// Until when leases may be renewed, if the store last confirmed the ownership at
     /// `confirmed_at`.
     fn until(&self, times: LeaseTimes, confirmed_at: TimeMs) -> TimeMs {
-        // A successor that finds no record of this owner does not count on it.
+        // A successor that finds no record of this owner does not know of it, and counts
+        // only leases that were renewed before it gained the ownership itself.
         if !self.is_record_stored {
-            return confirmed_at.plus(times.evidence_ms);
+            return confirmed_at.plus(times.ownership_ttl_ms);
         }
         let sets = self.recorded.iter().map(|recorded| &recorded.witnesses);
         let witnessed_at = sets.filter(|set| !set.is_empty()).map(WitnessSet::majority_at).min();
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -47,10 +47,13 @@
 pub(crate) const LEASE_MAX_MS: u64 = 10_000;
 pub(crate) const FORMER_RENEWS_MS: u64 = 8_000;
 pub(crate) const EVIDENCE_MS: u64 = 1_500;
+/// Shortest time from the store's last confirmation of an owner to the gain of the next.
+pub(crate) const OWNERSHIP_TTL_MS: u64 = 1_000;
 pub(crate) const LEASE_TIMES: LeaseTimes = LeaseTimes {
     lease_ms: LEASE_MS,
     longest_ms: LEASE_MAX_MS,
     former_renewal_ms: FORMER_RENEWS_MS,
+    ownership_ttl_ms: OWNERSHIP_TTL_MS,
     evidence_ms: EVIDENCE_MS,
 };
 /// The store refuses larger records.
