placement: a start is ordered to the incarnation that it was planned for only

Cause: a worker is chosen, the store records the placement, and then the start is ordered. What the choice relied on was not checked again: if the worker had restarted meanwhile, the order took the incarnation that it had by then, and computed the lease by its clock, so that the check against calls of another incarnation passed.

Change: a start names the incarnation that its worker was chosen for. Once the record is stored, the dispatcher compares it with that of the worker and checks that the worker may still get tasks of the job: reachable, schedulable, in the pool, its data centre in service. Otherwise the placement is released and the task placed anew. A lease is computed by the clock of the named incarnation only.

Tests of lib, platform and daemon passed.

--- a/daemon/src/node/worker_connections.rs
+++ b/daemon/src/node/worker_connections.rs
@@ -163,12 +163,17 @@
         }
     }
 
-    /// Queues an order. Returns false if the order cannot be sent.
+    /// Queues an order. Returns false if the order cannot be sent. A start gets its lease
+    /// by the clock of the incarnation that it is for.
     pub(crate) fn send(&mut self, now: TimeMs, id: WorkerId, order: Order) -> bool {
         let Some(connection) = self.connections.get_mut(&id) else { return false };
         let lease = match (&order, connection.worker_clock) {
-            (Order::Start(_), Some(clock)) => clock.new_lease(now),
-            (Order::Start(_), None) => return false,
+            (Order::Start(start), Some(clock))
+                if clock.incarnation_unix_ms == start.incarnation_unix_ms =>
+            {
+                clock.new_lease(now)
+            }
+            (Order::Start(_), Some(_) | None) => return false,
             (Order::Stop { .. } | Order::Pace { .. }, _) => WorkerLease::default(),
         };
         connection.orders.try_send(QueuedOrder { order, created_at: now, lease }).is_ok()
--- a/lib/src/workload/attempt_lease.rs
+++ b/lib/src/workload/attempt_lease.rs
@@ -34,8 +34,8 @@
     /// Another incarnation of the worker than the owner knew may have carried the start
     /// out, and granted a lease of any length.
     Unknown {
-        /// Start of the incarnation by whose clock the lease was computed, if it is
-        /// known.
+        /// Start of the incarnation that the worker was chosen for, and by whose clock the
+        /// lease was computed, if it is known.
         incarnation_unix_ms: Option<u64>,
         /// When a lease that this owner has granted has expired.
         expires_at: TimeMs,
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Start of the incarnation that the attempt was placed on; `None` if it is not known,
+    /// or no longer matters because the lease is.
+    pub(crate) fn incarnation_unix_ms(self) -> Option<u64> {
+        match self {
+            Self::Unknown { incarnation_unix_ms, .. } => incarnation_unix_ms,
+            Self::Known => None,
+        }
+    }
+
     /// Records that a call without an answer, which ended at `now`, may have granted a
     /// lease.
     fn extend(&mut self, longest_expires_at: TimeMs) {
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -24,7 +24,6 @@
 use crate::workload::record::JobStatus;
 use crate::workload::record::RecordKey;
 use crate::workload::run_time::RunProgress;
-use crate::workload::worker::Reachability;
 
 /// Maximum size of a progress record. The store refuses records over 256 KiB with
 /// their keys. Without checkpoints, a record of `MAX_TASKS` tasks fits.
@@ -137,42 +136,72 @@
     }
 
     fn order_start(&mut self, now: TimeMs, key: TaskKey, may_order: bool) {
-        let planned_on = self.placement(key).map(|placement| placement.worker);
-        let ticket = planned_on.and_then(|worker| self.ticket(now, key.step, worker));
-        let ticket = ticket.map(str::to_owned);
+        let Some(placement) = self.placement(key).copied() else { return };
+        if placement.state != AttemptState::Planned {
+            return;
+        }
+        if let Some(reason) = self.reason_not_to_start(now, key, &placement, may_order) {
+            self.release_placement(key, reason);
+            return;
+        }
+        let worker = placement.worker;
+        let ticket = self.ticket(now, key.step, worker).map(str::to_owned);
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
-        let is_closing = job.is_closing();
-        let lacks_ticket = job.rules.needs_advice && ticket.is_none();
         let (task, payload) = (job.task_name(key), Rc::clone(&job.payload));
         let is_long_running = job.step_spec(key.step.step).long_running;
         let checkpoint = job.step(key.step).checkpoints.get(key.index).cloned();
         let state = job.task_mut(key);
         let attempt = state.attempt;
         let Some(placement) = state.placement_mut() else { return };
-        if placement.state != AttemptState::Planned {
-            return;
-        }
-        let worker = placement.worker;
-        let may_start = self.workers.get(worker).is_some_and(|worker| {
-            worker.reachability == Reachability::Reachable && worker.leases.may_be_renewed()
-        });
-        if is_closing || placement.stop.is_some() || !may_order || !may_start || lacks_ticket {
-            self.release_placement(key, PlacementReleaseReason::NotSent);
-            return;
-        }
+        let incarnation_unix_ms = placement.lease.incarnation_unix_ms();
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.leases.granted(self.lease_times.expires_at(now));
-            // The reply replaces this. None comes if the connections to the worker end.
-            placement.lease = AttemptLease::Unknown {
-                incarnation_unix_ms: worker.started_unix_ms,
-                expires_at: self.lease_times.longest_expires_at(now),
-            };
         }
+        // The reply replaces this. None comes if the connections to the worker end.
+        let expires_at = self.lease_times.longest_expires_at(now);
+        placement.lease = AttemptLease::Unknown { incarnation_unix_ms, expires_at };
         placement.state = AttemptState::Ordered;
         placement.run = RunProgress::new(checkpoint.is_some());
         placement.since = now;
         placement.progressed_at = now;
-        let start = StartOrder { key, task, attempt, payload, checkpoint, is_long_running, ticket };
+        let start = StartOrder {
+            key,
+            task,
+            attempt,
+            incarnation_unix_ms,
+            payload,
+            checkpoint,
+            is_long_running,
+            ticket,
+        };
         self.orders.push(WorkerOrder { worker, order: Order::Start(start) });
     }
+
+    /// Why a planned start must not be ordered; `None` if it may. The worker may have
+    /// changed while the store had no record of the placement: it may have restarted
+    /// with other labels and less capacity, or be leaving.
+    fn reason_not_to_start(
+        &self,
+        now: TimeMs,
+        key: TaskKey,
+        placement: &Placement,
+        may_order: bool,
+    ) -> Option<PlacementReleaseReason> {
+        let (Some(job), Some(worker)) =
+            (self.jobs.get(key.step.job), self.workers.get(placement.worker))
+        else {
+            return Some(PlacementReleaseReason::NotSent);
+        };
+        if placement.lease.incarnation_unix_ms() != worker.started_unix_ms {
+            return Some(PlacementReleaseReason::WorkerRestarted);
+        }
+        let lacks_ticket =
+            job.rules.needs_advice && self.ticket(now, key.step, placement.worker).is_none();
+        let may_start = may_order
+            && !job.is_closing()
+            && placement.stop.is_none()
+            && !lacks_ticket
+            && self.candidate_pool(now, worker) == Some(job.pool);
+        (!may_start).then_some(PlacementReleaseReason::NotSent)
+    }
 }
--- a/lib/src/workload/order.rs
+++ b/lib/src/workload/order.rs
@@ -43,6 +43,9 @@
     pub task: TaskName,
     /// The attempt.
     pub attempt: u32,
+    /// Start of the incarnation of the worker that the start is for, in milliseconds
+    /// since 1970, if it is known.
+    pub incarnation_unix_ms: Option<u64>,
     /// Input of the task.
     pub payload: Rc<str>,
     /// Saved progress from which the task resumes.
--- a/lib/src/workload/worker_choice.rs
+++ b/lib/src/workload/worker_choice.rs
@@ -24,6 +24,7 @@
 use crate::workload::start_budget::start_bytes;
 use crate::workload::worker::Reachability;
 use crate::workload::worker::TaskCounts;
+use crate::workload::worker::Worker;
 
 /// Time for which a failed task waits for free capacity on a worker on which it
 /// has not failed. It is the mean run time of the longer tasks in known
@@ -115,15 +116,21 @@
         for (id, worker) in self.workers.iter() {
             let Some(listing) = &worker.listing else { continue };
             let Some(of_pool) = candidates.get_mut(&listing.pool) else { continue };
-            let in_service = !self.data_centres_out.contains(&listing.data_centre);
-            let is_reachable = worker.reachability == Reachability::Reachable;
-            if in_service && is_reachable && worker.is_schedulable(now) {
+            if self.candidate_pool(now, worker).is_some() {
                 of_pool.push(id);
             }
         }
         candidates
     }
 
+    /// Pool whose tasks a worker may get; none if it may get no tasks.
+    pub(crate) fn candidate_pool(&self, now: TimeMs, worker: &Worker) -> Option<PoolId> {
+        let listing = worker.listing.as_ref()?;
+        let in_service = !self.data_centres_out.contains(&listing.data_centre);
+        let is_reachable = worker.reachability == Reachability::Reachable;
+        (in_service && is_reachable && worker.is_schedulable(now)).then_some(listing.pool)
+    }
+
     /// Places the waiting tasks of a job. Returns the first step that found no
     /// worker although the limit of its organisation allows it.
     pub(crate) fn place_job(
