status: a job has started once a worker has started a task of it

Cause: a job counted as started from its first placement on. The status was stored with the placement, before the start was ordered, and no later one took it back.

Change: the answer to a start, or a report that lists a task as running or ended, makes the job count as started. The progress record states it in a field of its own; a new owner believes either record.

Tests that build progress records name the new field.

--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -103,16 +103,14 @@
     /// Ends the recovery: applies all records of the store, and then the
     /// deferred ones.
     pub(crate) fn finish_recovery(&mut self, view: &mut OwnerView<'_>, records: &[KeyedRecord]) {
-        let StoredState { progress, statuses, submissions, ownership } =
+        let StoredState { mut progress, statuses, submissions, ownership } =
             self.restore_owner_records(view, records);
         info!(self.logger, "record of the former owner read"; "tenure" => format!("{ownership:?}"));
         self.dispatcher.restore_former_owners(view.now, ownership);
         self.dispatcher.begin_recovery(view.now_unix_ms);
-        for (job, progress) in progress.iter().filter(|(job, _)| submissions.contains(job)) {
-            let status = progress.status();
-            if statuses.get(job).copied().unwrap_or_default() != status {
-                self.dispatcher.restate(*job, status);
-            }
+        for (job, progress) in progress.iter_mut().filter(|(job, _)| submissions.contains(job)) {
+            let stored = statuses.get(job).copied().unwrap_or_default();
+            self.dispatcher.restore_status(*job, progress, stored);
         }
         self.apply_records(view, records, &progress);
         let deferred = self.deferred_records.take().unwrap_or_default();
--- a/lib/src/protos/cowslipport.workload.rs
+++ b/lib/src/protos/cowslipport.workload.rs
@@ -107,13 +107,16 @@
     /// Epoch of the owner that wrote the record.
     #[prost(uint64, tag = "4")]
     pub epoch: u64,
+    /// A worker has started a task.
+    #[prost(bool, tag = "6")]
+    pub has_started: bool,
 }
 /// The part of a job's progress that callers see, which all nodes read.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct JobStatus {
     #[prost(enumeration = "Outcome", tag = "1")]
     pub outcome: i32,
-    /// A task has been placed at least once.
+    /// A worker has started a task.
     #[prost(bool, tag = "2")]
     pub has_started: bool,
 }
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -22,6 +22,7 @@
 use crate::workload::order::StartOrder;
 use crate::workload::order::WorkerOrder;
 use crate::workload::record::JobStatus;
+use crate::workload::record::Progress;
 use crate::workload::record::RecordKey;
 use crate::workload::run_time::RunProgress;
 
@@ -54,10 +55,30 @@
         records
     }
 
-    /// Records the status of a job again, because the store lacks it: the former
-    /// owner stored the progress and ended before it stored the status.
-    pub fn restate(&mut self, job: JobKey, status: JobStatus) {
-        self.closed_job_records.push((RecordKey::Status(job), status.encode()));
+    /// The statuses of the jobs that have started since the last batch.
+    fn started_job_records(&mut self) -> Vec<(RecordKey, Vec<u8>)> {
+        let mut records = Vec::new();
+        for id in std::mem::take(&mut self.started) {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            let status = job.status();
+            if status != job.recorded_status {
+                job.recorded_status = status;
+                records.push((RecordKey::Status(job.key), status.encode()));
+            }
+        }
+        records
+    }
+
+    /// Makes the progress and the status that a former owner stored of a job agree. A
+    /// start is stored with the status first, and an outcome with the progress; the owner
+    /// may have ended before it stored the other. The status is recorded again if it lacks
+    /// something.
+    pub fn restore_status(&mut self, job: JobKey, progress: &mut Progress, stored: JobStatus) {
+        progress.has_started |= stored.has_started;
+        let status = progress.status();
+        if status != stored {
+            self.closed_job_records.push((RecordKey::Status(job), status.encode()));
+        }
     }
 
     /// The changes since the last batch, which must be stored now.
@@ -75,11 +96,12 @@
         for id in std::mem::take(&mut self.dirty) {
             records.extend(self.job_records(id));
         }
-        // Run times are no reason for an append of their own.
-        if !records.is_empty()
-            && let Some(run_times) = self.run_times_record(now)
-        {
-            records.insert(RecordKey::RunTimes, run_times.encode());
+        // Neither starts nor run times are a reason for an append of their own. The
+        // ownership record is one soon enough.
+        if !records.is_empty() {
+            records.extend(self.started_job_records());
+            let run_times = self.run_times_record(now);
+            records.extend(run_times.map(|record| (RecordKey::RunTimes, record.encode())));
         }
         let acknowledged = std::mem::take(&mut self.to_acknowledge).into_iter();
         let acknowledged = acknowledged.map(|(worker, number)| {
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -91,6 +91,8 @@
     pub(crate) planned: Vec<TaskKey>,
     pub(crate) to_acknowledge: BTreeMap<WorkerId, u64>,
     pub(crate) dirty: BTreeSet<JobId>,
+    /// Jobs that have started since the last batch.
+    pub(crate) started: BTreeSet<JobId>,
     /// Last progress records of jobs that were removed from the arena.
     pub(crate) closed_job_records: Vec<(RecordKey, Vec<u8>)>,
     /// Jobs whose submissions are deleted in these batches.
@@ -152,6 +154,7 @@
             planned: Vec::new(),
             to_acknowledge: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            started: BTreeSet::new(),
             closed_job_records: Vec::new(),
             unpublished_deletions: VecDeque::new(),
             events: Vec::new(),
@@ -229,7 +232,7 @@
         if let Some(progress) = progress {
             let worker_id = |name: &str| self.worker_id(name);
             job_record::restore(&mut job, now, progress, worker_id);
-            job.recorded_status = progress.status();
+            job.recorded_status = job.status();
         }
         job.is_cancelled = self.early_cancellations.remove(&key);
         if job.is_closing() && job.is_idle() {
@@ -426,6 +429,7 @@
         self.jobs.remove(id);
         self.tickets.forget(id);
         self.dirty.remove(&id);
+        self.started.remove(&id);
         self.by_key.remove(&key);
         self.ended.insert(key, is_cancelled);
     }
--- a/lib/src/workload/job.rs
+++ b/lib/src/workload/job.rs
@@ -53,6 +53,9 @@
     /// than its weight.
     pub(crate) is_beyond_rate: bool,
     pub(crate) outcome: Option<JobOutcome>,
+    /// A worker has answered or reported that it started a task. A placement alone tells
+    /// nothing: the worker may refuse it.
+    pub(crate) has_started: bool,
     /// Steps of each occurrence.
     pub(crate) occurrences: Vec<Vec<Step>>,
     /// The state differs from the last stored record.
@@ -257,6 +260,7 @@
             is_cancelled: false,
             is_beyond_rate: false,
             outcome: None,
+            has_started: false,
             occurrences: vec![steps; spec.occurrences() as usize],
             is_dirty: false,
             leases_recorded_at: None,
@@ -265,6 +269,11 @@
         }
     }
 
+    /// The part of the progress that callers see.
+    pub(crate) fn status(&self) -> JobStatus {
+        JobStatus { outcome: self.outcome, has_started: self.has_started }
+    }
+
     /// Time since the job was accepted.
     pub(crate) fn age_ms(&self, now: TimeMs) -> u64 {
         now.since(self.known_at).saturating_add(self.known_at_age_ms)
--- a/lib/src/workload/job_record.rs
+++ b/lib/src/workload/job_record.rs
@@ -33,7 +33,7 @@
             steps.push(StepProgress { occurrence, step, tasks: tasks.collect() });
         }
     }
-    Progress { outcome: job.outcome, steps, epoch }
+    Progress { outcome: job.outcome, steps, epoch, has_started: job.has_started }
 }
 
 fn is_never_placed(task: &Task) -> bool {
@@ -65,6 +65,7 @@
     F: FnMut(&str) -> WorkerId,
 {
     job.outcome = progress.outcome;
+    job.has_started = progress.has_started;
     for recorded in &progress.steps {
         let steps = job.occurrences.get_mut(recorded.occurrence as usize);
         let Some(step) = steps.and_then(|steps| steps.get_mut(recorded.step as usize)) else {
--- a/lib/src/workload/record.rs
+++ b/lib/src/workload/record.rs
@@ -171,6 +171,8 @@
     pub steps: Vec<StepProgress>,
     /// Epoch of the owner that wrote the record.
     pub epoch: u64,
+    /// A worker has started a task.
+    pub has_started: bool,
 }
 
 /// The part of a job's progress that callers see.
@@ -178,7 +180,7 @@
 pub struct JobStatus {
     /// How the job ended, if it has.
     pub outcome: Option<JobOutcome>,
-    /// A task has been placed at least once.
+    /// A worker has started a task.
     pub has_started: bool,
 }
 
@@ -391,7 +393,7 @@
 impl Progress {
     /// The part that callers see.
     pub fn status(&self) -> JobStatus {
-        JobStatus { outcome: self.outcome, has_started: !self.steps.is_empty() }
+        JobStatus { outcome: self.outcome, has_started: self.has_started }
     }
 
     /// Encodes the progress record.
@@ -404,6 +406,7 @@
             worker_incarnations_unix_ms: workers.iter().map(|(_, started)| *started).collect(),
             steps,
             epoch: self.epoch,
+            has_started: self.has_started,
         }
         .encode_to_vec()
     }
@@ -469,7 +472,7 @@
         let outcome = outcome_of(raw.outcome());
         let steps: Result<Vec<StepProgress>, Findings> =
             raw.steps.iter().map(|step| decode_step(step, raw)).collect();
-        Ok(Self { outcome, steps: steps?, epoch: raw.epoch })
+        Ok(Self { outcome, steps: steps?, epoch: raw.epoch, has_started: raw.has_started })
     }
 }
 
--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -12,6 +12,7 @@
 use crate::workload::job::AttemptState;
 use crate::workload::job::Phase;
 use crate::workload::job::Placement;
+use crate::workload::key::JobKey;
 use crate::workload::key::TaskKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
@@ -106,6 +107,15 @@
         self.adjust_pace(now, id, report);
     }
 
+    /// Notes by the word of a worker that a task of a job has started.
+    fn task_started(&mut self, job: JobKey) {
+        let Some(id) = self.job_id(job) else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if !std::mem::replace(&mut job.has_started, true) {
+            self.started.insert(id);
+        }
+    }
+
     fn handle_end(&mut self, now: TimeMs, id: WorkerId, ended: &EndedTask) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if ended.number <= worker.last_end_number {
@@ -113,6 +123,7 @@
         }
         worker.last_end_number = ended.number;
         self.to_acknowledge.insert(id, ended.number);
+        self.task_started(ended.task.job);
         let Some(key) = self.task_placed_on(id, ended.task, ended.attempt) else {
             self.handle_superseded_end(ended);
             return;
@@ -210,6 +221,7 @@
         sent_at: TimeMs,
         running: &RunningTask,
     ) {
+        self.task_started(running.task.job);
         let Some(key) = self.task_placed_on(id, running.task, running.attempt) else {
             self.order_stop(id, running.task, running.attempt, StopReason::NotAssigned);
             return;
@@ -322,6 +334,10 @@
         StartReply { answer, lease }: StartReply,
     ) {
         self.lease_granted(now, id, lease);
+        let Some(job) = self.jobs.get(key.step.job) else { return };
+        if answer == StartAnswer::Started {
+            self.task_started(job.key);
+        }
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let is_gang = job.step_spec(key.step.step).gang;
         let state = job.task_mut(key);
--- a/lib/tests/test_workload.rs
+++ b/lib/tests/test_workload.rs
@@ -393,7 +393,7 @@
     };
     let tasks = u32::try_from(MAX_TASKS).expect("a small number");
     let steps = (0..tasks).map(occurrence).collect();
-    let progress = Progress { outcome: None, steps, epoch: 1_000 };
+    let progress = Progress { outcome: None, steps, epoch: 1_000, has_started: true };
     let bytes = progress.encode().len();
     assert!(bytes < MAX_RECORD_BYTES, "{bytes} bytes");
 }
--- a/lib/tests/test_workload_calls.rs
+++ b/lib/tests/test_workload_calls.rs
@@ -189,7 +189,7 @@
         checkpoint: Some("saved".to_owned()),
     };
     let steps = vec![StepProgress { occurrence: 0, step: 0, tasks: vec![task] }];
-    Progress { outcome, steps, epoch: 5 }
+    Progress { outcome, steps, epoch: 5, has_started: true }
 }
 
 /// The status that a process reads from the record that belongs to a progress.
--- a/lib/tests/test_workload_evidence.rs
+++ b/lib/tests/test_workload_evidence.rs
@@ -153,7 +153,7 @@
     };
     let tasks = vec![placed("w0", 5), placed("w1", 7)];
     let steps = vec![StepProgress { occurrence: 0, step: 0, tasks }];
-    let mut bytes = Progress { outcome: None, steps, epoch: 1 }.encode();
+    let mut bytes = Progress { outcome: None, steps, epoch: 1, has_started: true }.encode();
     let phases = bytes.windows(3).position(|window| window == [2, 1, 1]).expect("two phases");
     assert!(Progress::decode(&bytes).is_ok());
     bytes[phases + 1] = 9;
--- a/lib/tests/test_workload_gangs.rs
+++ b/lib/tests/test_workload_gangs.rs
@@ -160,7 +160,7 @@
         ..TaskProgress::default()
     });
     let step_progress = StepProgress { occurrence: 0, step: 0, tasks: tasks.collect() };
-    let progress = Progress { outcome: None, steps: vec![step_progress], epoch: 1 };
+    let progress = Progress { steps: vec![step_progress], epoch: 1, ..Progress::default() };
     fleet.store.insert(RecordKey::Progress(key), progress.encode());
     let spec = StepSpec { gang: true, checkpoints: true, ..step(MEMBERS, cores(1)) };
     fleet.jobs.insert(key, job(vec![spec]));
--- a/lib/tests/workload_fake/mod.rs
+++ b/lib/tests/workload_fake/mod.rs
@@ -21,6 +21,7 @@
 use cowslipport_lib::workload::lease::LeaseTimes;
 use cowslipport_lib::workload::order::Batch;
 use cowslipport_lib::workload::order::StartOrder;
+use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::Progress;
 use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::report::LeaseGrant;
@@ -122,6 +123,8 @@
     pub(crate) slow_starts: BTreeSet<TaskName>,
     /// Starts reach this worker, and their answers are lost.
     pub(crate) mute_worker: Option<String>,
+    /// Starts to this worker are refused, as by one that is not healthy.
+    pub(crate) refusing_worker: Option<String>,
     /// The poll of this worker waits for its answer, while orders are answered.
     pub(crate) unpolled_worker: Option<String>,
     pub(crate) limit: ResourceLimit,
@@ -196,6 +199,7 @@
             slow_worker: None,
             slow_starts: BTreeSet::new(),
             mute_worker: None,
+            refusing_worker: None,
             unpolled_worker: None,
             limit: ResourceLimit::default(),
             weights: BTreeMap::from([(ORGANISATION.to_owned(), 1)]),
@@ -443,6 +447,13 @@
         Progress::decode(bytes).expect("a valid record").outcome
     }
 
+    /// What callers are shown of a job, according to the store.
+    pub(crate) fn status(&self, key: JobKey) -> JobStatus {
+        let status = self.store.get(&RecordKey::Status(key));
+        let status = status.map(|bytes| JobStatus::decode(bytes).expect("a valid record"));
+        status.unwrap_or_default()
+    }
+
     /// Number of running tasks.
     pub(crate) fn running(&self) -> usize {
         self.workers.values().filter(|w| w.is_up).map(|w| w.running.len()).sum()
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -76,7 +76,11 @@
         }
         for (key, spec) in &self.jobs {
             let progress = self.store.get(&RecordKey::Progress(*key));
-            let progress = progress.map(|bytes| Progress::decode(bytes).expect("a valid record"));
+            let mut progress =
+                progress.map(|bytes| Progress::decode(bytes).expect("a valid record"));
+            if let Some(progress) = &mut progress {
+                owner.restore_status(*key, progress, self.status(*key));
+            }
             let spec = JobSpec::decode(&spec.encode()).expect("a valid record");
             owner.submitted(now, &mut self.catalog, *key, spec, progress.as_ref());
         }
@@ -265,6 +269,8 @@
                     unanswered
                 } else if self.refused_ticket.is_some() && start.ticket == self.refused_ticket {
                     StartReply::without_lease(StartAnswer::NotAllowed)
+                } else if self.refusing_worker.as_deref() == Some(name) {
+                    StartReply::without_lease(StartAnswer::Unhealthy)
                 } else if reachable {
                     let reply = self.start(name, self.epoch, lease_until, start);
                     let is_lost = self.mute_worker.as_deref() == Some(name);
