status: one function for the start of a task, by its answer and by reports

Cause: start_answered looked the job up twice to pass its key on. Change: task_started takes the id, task_reported the name of a task.

--- a/lib/src/workload/worker_reports.rs
+++ b/lib/src/workload/worker_reports.rs
@@ -12,7 +12,7 @@
 use crate::workload::job::AttemptState;
 use crate::workload::job::Phase;
 use crate::workload::job::Placement;
-use crate::workload::key::JobKey;
+use crate::workload::key::JobId;
 use crate::workload::key::TaskKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
@@ -107,9 +107,15 @@
         self.adjust_pace(now, id, report);
     }
 
-    /// Notes by the word of a worker that a task of a job has started.
-    fn task_started(&mut self, job: JobKey) {
-        let Some(id) = self.job_id(job) else { return };
+    /// Handles that a worker lists a task as running or ended.
+    fn task_reported(&mut self, task: TaskName) {
+        if let Some(id) = self.job_id(task.job) {
+            self.task_started(id);
+        }
+    }
+
+    /// Handles that a worker has started a task of a job.
+    fn task_started(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         if !std::mem::replace(&mut job.has_started, true) {
             self.started.insert(id);
@@ -123,7 +129,7 @@
         }
         worker.last_end_number = ended.number;
         self.to_acknowledge.insert(id, ended.number);
-        self.task_started(ended.task.job);
+        self.task_reported(ended.task);
         let Some(key) = self.task_placed_on(id, ended.task, ended.attempt) else {
             self.handle_superseded_end(ended);
             return;
@@ -221,7 +227,7 @@
         sent_at: TimeMs,
         running: &RunningTask,
     ) {
-        self.task_started(running.task.job);
+        self.task_reported(running.task);
         let Some(key) = self.task_placed_on(id, running.task, running.attempt) else {
             self.order_stop(id, running.task, running.attempt, StopReason::NotAssigned);
             return;
@@ -334,9 +340,8 @@
         StartReply { answer, lease }: StartReply,
     ) {
         self.lease_granted(now, id, lease);
-        let Some(job) = self.jobs.get(key.step.job) else { return };
         if answer == StartAnswer::Started {
-            self.task_started(job.key);
+            self.task_started(key.step.job);
         }
         let Some(job) = self.jobs.get_mut(key.step.job) else { return };
         let is_gang = job.step_spec(key.step.step).gang;
