listener: requests in a row are passed on one at a time, and leave after a turn

Cause: the HTTP library decodes and keeps all requests that it gets. The stream counted the bytes of the present request only, gave 4,096 bytes behind it, and began to count anew with each answer. Besides, a connection with one request after the other never gave its place to another caller.

Change: the stream finds the end of each head and body (Framing), keeps what it has read behind it until the request is answered, and passes nothing on while the caller does not read its answers. While all places are taken, connections that have been open for 2 s leave after their present answer.

--- a/daemon/src/listener/messages.rs
+++ b/daemon/src/listener/messages.rs
@@ -4,6 +4,7 @@
 //! and one question under way, so the number of connections bounds what they hold.
 
 use cowslipport_lib::intake::ConnectionKey;
+use cowslipport_lib::intake::framing::BodyLength;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -27,11 +28,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StreamOrder {
     /// A whole head has arrived.
-    Began { has_body: bool },
+    Began { body: BodyLength },
     /// A whole body has arrived.
     BodyWhole,
     /// The request was answered.
     Ended,
+    /// The connection ends after its present answer.
+    Leave,
     /// The connection may hold this many bytes more.
     Granted { bytes: u64 },
 }
--- a/daemon/src/listener/metered.rs
+++ b/daemon/src/listener/metered.rs
@@ -1,11 +1,21 @@
-//! The stream of a connection, which reads no more than the connection may hold.
+//! The stream of a connection, which reads no more than the connection may hold and
+//! passes on one request at a time.
+//!
+//! The HTTP library decodes all requests that it gets and keeps those that wait. So the
+//! stream keeps what follows a request, at most [`READ_STEP_BYTES`], until it is answered.
 
 use std::io;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
+use std::task::ready;
 
+use bytes::Buf;
+use bytes::Bytes;
 use cowslipport_lib::intake::BASE_BYTES;
+use cowslipport_lib::intake::framing::BodyLength;
+use cowslipport_lib::intake::framing::Framing;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -17,15 +27,12 @@
 use crate::listener::messages::Event;
 use crate::listener::messages::StreamOrder;
 
-/// Bytes that are read before the HTTP library decodes what it has. The library reads up
-/// to 131,072 bytes at once, and lists each chunk in 32 bytes: with chunks of one byte it
-/// would list a megabyte.
-const READ_STEP_BYTES: u64 = 2_048;
+/// Bytes that are passed on before the HTTP library decodes what it has. The library reads
+/// up to 131,072 bytes at once, and lists each chunk in 32 bytes: with chunks of one byte
+/// it would list a megabyte.
+const READ_STEP_BYTES: usize = 2_048;
 /// Longest head, twice what the platform allows.
 const MAX_HEAD_BYTES: u64 = 32_768;
-/// Bytes that are read ahead while a request waits for its answer, so that a caller that
-/// disconnects is noticed.
-const MAX_READ_AHEAD_BYTES: u64 = 4_096;
 /// Bytes of a refused request that are read and dropped, so that its caller reads the
 /// refusal: twice the largest body of the platform.
 const MAX_DROPPED_BYTES: u64 = 524_288;
@@ -35,11 +42,13 @@
 enum Phase {
     /// A head.
     Head,
+    /// A head was passed on whole, which the HTTP library decodes.
+    HeadWhole,
     /// A body.
     Body,
     /// The requests behind one that waits for its answer.
     Ahead,
-    /// The rest of a request that was refused.
+    /// The rest of a request that was refused, after which the connection closes.
     Dropped,
 }
 
@@ -49,15 +58,25 @@
     orders: mpsc::UnboundedReceiver<StreamOrder>,
     handle: ConnectionHandle,
     phase: Phase,
-    /// Bytes that arrived in the present head and body, or in the present phase.
+    framing: Framing,
+    /// Bytes that were read and not passed on.
+    kept: Bytes,
+    /// Bytes of the present head and body that were passed on, or of a refused request
+    /// that were dropped.
     received_bytes: u64,
     /// Bytes of a head and a body that may be held.
     granted_bytes: u64,
     /// Bytes that were received when the stream last asked for more.
     told_bytes: u64,
     has_asked: bool,
-    /// Bytes that may be read before the library decodes.
-    step_bytes: u64,
+    /// Bytes that may be passed on before the library decodes.
+    step_bytes: usize,
+    /// No further request is passed on.
+    is_leaving: bool,
+    /// The caller does not read its answers as fast as they are sent.
+    is_write_blocked: bool,
+    /// Wakes the connection, which waits to read until the caller reads on.
+    blocked_reader: Option<Waker>,
 }
 
 impl MeteredStream {
@@ -71,11 +90,16 @@
             orders,
             handle,
             phase: Phase::Head,
+            framing: Framing::head(),
+            kept: Bytes::new(),
             received_bytes: 0,
             granted_bytes: BASE_BYTES,
             told_bytes: 0,
             has_asked: false,
             step_bytes: READ_STEP_BYTES,
+            is_leaving: false,
+            is_write_blocked: false,
+            blocked_reader: None,
         }
     }
 
@@ -85,21 +109,25 @@
 
     fn apply(&mut self, order: StreamOrder) {
         match order {
-            StreamOrder::Began { has_body: true } => self.phase = Phase::Body,
-            StreamOrder::Began { has_body: false } | StreamOrder::BodyWhole => {
+            StreamOrder::Began { body: BodyLength::None } | StreamOrder::BodyWhole => {
                 self.phase = Phase::Ahead;
-                self.received_bytes = 0;
+            }
+            StreamOrder::Began { body } => {
+                self.phase = Phase::Body;
+                self.framing = Framing::body(body);
             }
             StreamOrder::Ended => {
                 self.phase = match self.phase {
                     Phase::Body | Phase::Dropped => Phase::Dropped,
-                    Phase::Head | Phase::Ahead => Phase::Head,
+                    Phase::Head | Phase::HeadWhole | Phase::Ahead => Phase::Head,
                 };
+                self.framing = Framing::head();
                 self.received_bytes = 0;
                 self.granted_bytes = BASE_BYTES;
                 self.told_bytes = 0;
                 self.has_asked = false;
             }
+            StreamOrder::Leave => self.is_leaving = true,
             StreamOrder::Granted { bytes } => {
                 self.granted_bytes += bytes;
                 self.has_asked = false;
@@ -107,32 +135,113 @@
         }
     }
 
-    /// Bytes that may be read now, none if the caller has to wait, or an error if the
+    /// Bytes that may be passed on now, none if the caller has to wait, or an error if the
     /// connection has to end.
     fn readable_bytes(&mut self) -> io::Result<u64> {
-        let too_much = |message: &str| Err(io::Error::new(io::ErrorKind::InvalidData, message));
-        match self.phase {
-            Phase::Head if self.received_bytes >= MAX_HEAD_BYTES => too_much("head is too large"),
-            Phase::Head | Phase::Body => {
-                let bytes = self.granted_bytes.saturating_sub(self.received_bytes);
-                if bytes == 0 && !self.has_asked {
-                    self.has_asked = true;
-                    let received_bytes = self.received_bytes - self.told_bytes;
-                    self.told_bytes = self.received_bytes;
-                    let key = self.handle.key;
-                    self.handle.tell_owner(Event::Asks { key, received_bytes });
+        if self.phase == Phase::Head && self.received_bytes >= MAX_HEAD_BYTES {
+            return Err(too_much("head is too large"));
+        }
+        let bytes = self.granted_bytes.saturating_sub(self.received_bytes);
+        if bytes == 0 && !self.has_asked {
+            self.has_asked = true;
+            let received_bytes = self.received_bytes - self.told_bytes;
+            self.told_bytes = self.received_bytes;
+            let key = self.handle.key;
+            self.handle.tell_owner(Event::Asks { key, received_bytes });
+        }
+        Ok(bytes)
+    }
+
+    /// Reads up to `length` bytes. Returns none at the end of the stream.
+    fn poll_bytes(
+        &mut self,
+        context: &mut Context<'_>,
+        length: usize,
+    ) -> Poll<io::Result<Option<Bytes>>> {
+        let mut bytes = [0; READ_STEP_BYTES];
+        let mut buffer = ReadBuf::new(&mut bytes[..length.min(READ_STEP_BYTES)]);
+        ready!(self.stream.as_mut().poll_read(context, &mut buffer))?;
+        let read = buffer.filled();
+        Poll::Ready(Ok((!read.is_empty()).then(|| Bytes::copy_from_slice(read))))
+    }
+
+    /// Passes on bytes of the present head or body.
+    fn poll_pass(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.framing.is_over() {
+            // The next order wakes the connection.
+            return Poll::Pending;
+        }
+        let readable_bytes = self.readable_bytes()?;
+        if readable_bytes == 0 {
+            // The next order wakes the connection.
+            return Poll::Pending;
+        }
+        if self.step_bytes == 0 {
+            self.step_bytes = READ_STEP_BYTES;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let length = self.step_bytes.min(buffer.remaining());
+        let length =
+            usize::try_from(readable_bytes).map_or(length, |readable| readable.min(length));
+        if self.kept.is_empty() {
+            match self.poll_bytes(context, length) {
+                Poll::Ready(Ok(Some(bytes))) => self.kept = bytes,
+                Poll::Ready(Ok(None)) => return Poll::Ready(Ok(())),
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => {
+                    self.step_bytes = READ_STEP_BYTES;
+                    return Poll::Pending;
                 }
-                Ok(bytes)
             }
-            Phase::Ahead => Ok(MAX_READ_AHEAD_BYTES.saturating_sub(self.received_bytes)),
-            Phase::Dropped if self.received_bytes >= MAX_DROPPED_BYTES => {
-                too_much("refused request is too large")
+        }
+        let passed = self.framing.take(&self.kept[..length.min(self.kept.len())]);
+        buffer.put_slice(&self.kept[..passed]);
+        self.kept.advance(passed);
+        self.received_bytes += passed as u64;
+        self.step_bytes -= passed;
+        if self.phase == Phase::Head && self.framing.is_over() {
+            self.phase = Phase::HeadWhole;
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads on while a request waits for its answer, so that a caller that disconnects is
+    /// noticed.
+    fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.kept.is_empty() {
+            // The next order wakes the connection.
+            return Poll::Pending;
+        }
+        match ready!(self.poll_bytes(context, READ_STEP_BYTES))? {
+            Some(bytes) => self.kept = bytes,
+            None => return Poll::Ready(Ok(())),
+        }
+        // The next order wakes the connection.
+        Poll::Pending
+    }
+
+    /// Reads and drops the rest of a refused request.
+    fn poll_drop(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.kept = Bytes::new();
+        while let Some(bytes) = ready!(self.poll_bytes(context, READ_STEP_BYTES))? {
+            self.received_bytes += bytes.len() as u64;
+            if self.received_bytes >= MAX_DROPPED_BYTES {
+                return Poll::Ready(Err(too_much("refused request is too large")));
             }
-            Phase::Dropped => Ok(READ_STEP_BYTES),
         }
+        Poll::Ready(Ok(()))
     }
 }
 
+fn too_much(message: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, message)
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -143,34 +252,19 @@
         while let Poll::Ready(Some(order)) = this.orders.poll_recv(context) {
             this.apply(order);
         }
-        let readable_bytes = this.readable_bytes()?;
-        if readable_bytes == 0 {
-            // The next order wakes the connection.
-            return Poll::Pending;
-        }
-        if this.step_bytes == 0 {
-            this.step_bytes = READ_STEP_BYTES;
-            context.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        let bytes = readable_bytes.min(this.step_bytes);
-        let length = usize::try_from(bytes)
-            .map_or(buffer.remaining(), |bytes| bytes.min(buffer.remaining()));
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
-        let result = this.stream.as_mut().poll_read(context, &mut part);
-        let read = part.filled().len();
-        match result {
-            Poll::Ready(Ok(())) => {
-                buffer.advance(read);
-                this.received_bytes += read as u64;
-                this.step_bytes = this.step_bytes.saturating_sub(read as u64);
-                Poll::Ready(Ok(()))
-            }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => {
-                this.step_bytes = READ_STEP_BYTES;
+        match this.phase {
+            // To the HTTP library the caller has disconnected.
+            Phase::Head if this.is_leaving => Poll::Ready(Ok(())),
+            // The answers of requests in a row would wait in the HTTP library.
+            Phase::Head if this.is_write_blocked => {
+                this.blocked_reader = Some(context.waker().clone());
                 Poll::Pending
             }
+            Phase::Head | Phase::Body => this.poll_pass(context, buffer),
+            // The next order wakes the connection.
+            Phase::HeadWhole => Poll::Pending,
+            Phase::Ahead => this.poll_ahead(context),
+            Phase::Dropped => this.poll_drop(context),
         }
     }
 }
@@ -181,7 +275,14 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.stream.as_mut().poll_write(context, bytes)
+        let result = self.stream.as_mut().poll_write(context, bytes);
+        self.is_write_blocked = result.is_pending();
+        if !self.is_write_blocked
+            && let Some(reader) = self.blocked_reader.take()
+        {
+            reader.wake();
+        }
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/daemon/src/listener/owner.rs
+++ b/daemon/src/listener/owner.rs
@@ -114,6 +114,8 @@
         let mut stop: Pin<&mut S> = std::pin::pin!(stop);
         loop {
             self.take_events();
+            let actions = self.intake.end_turns(self.clock.now());
+            self.perform(actions);
             let can_accept = self.can_accept();
             let wake_at = self.wake_at();
             tokio::select! {
@@ -202,6 +204,13 @@
                         let _ = peer.orders.send(StreamOrder::Granted { bytes });
                     }
                 }
+                IntakeAction::Leave { key } => {
+                    *self.gave_way.entry(Cause::Connections).or_default() += 1;
+                    if let Some(peer) = self.peers.get(&key) {
+                        // The stream is gone if the caller has disconnected.
+                        let _ = peer.orders.send(StreamOrder::Leave);
+                    }
+                }
                 IntakeAction::Refuse { key, cause } => {
                     *self.gave_way.entry(cause).or_default() += 1;
                     let peer = self.peers.get_mut(&key);
--- a/daemon/src/listener/request.rs
+++ b/daemon/src/listener/request.rs
@@ -12,7 +12,9 @@
 use actix_http::Response;
 use actix_http::body::BoxBody;
 use actix_http::error::PayloadError;
+use actix_http::header;
 use bytes::Bytes;
+use cowslipport_lib::intake::framing::BodyLength;
 use futures_util::Stream;
 use tokio::sync::oneshot;
 
@@ -36,9 +38,9 @@
     };
     let key = handle.key;
     let payload = request.take_payload();
-    let has_body = !matches!(payload, Payload::None);
+    let body_length = body_length(&request, &payload);
     let (mut refuse, mut is_whole) = (None, None);
-    if has_body {
+    if body_length != BodyLength::None {
         let (refuse_sender, refused) = oneshot::channel();
         let (whole, whole_receiver) = oneshot::channel();
         (refuse, is_whole) = (Some(refuse_sender), Some(whole_receiver));
@@ -50,7 +52,7 @@
         };
         *request.payload() = Payload::Stream { payload: Box::pin(body) };
     }
-    handle.tell_stream(StreamOrder::Began { has_body });
+    handle.tell_stream(StreamOrder::Began { body: body_length });
     handle.tell_owner(Event::Began { key, refuse });
     let mut response = answer(request).await;
     let is_cut = is_whole.is_some_and(|mut whole| whole.try_recv().is_err());
@@ -63,6 +65,22 @@
     response
 }
 
+/// Length of the body that follows the head of a request.
+fn body_length(request: &Request, payload: &Payload) -> BodyLength {
+    if matches!(payload, Payload::None) {
+        return BodyLength::None;
+    }
+    let headers = &request.head().headers;
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return BodyLength::Chunked;
+    }
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    match length.and_then(|length| length.trim().parse().ok()) {
+        Some(bytes) => BodyLength::Sized(bytes),
+        None => BodyLength::Endless,
+    }
+}
+
 /// A body whose end is told, and which ends early if its request gives way.
 struct TrackedBody {
     payload: Payload,
--- a/lib/src/intake/connection.rs
+++ b/lib/src/intake/connection.rs
@@ -61,6 +61,10 @@
     pub(super) stage: Stage,
     /// Start of the stage.
     pub(super) since: TimeMs,
+    /// When the connection was opened.
+    pub(super) opened_at: TimeMs,
+    /// It leaves after its present answer.
+    pub(super) is_leaving: bool,
     /// Time up to which what was sent would have taken at the pace.
     paced_until: TimeMs,
     /// Bytes beyond those that each connection has.
@@ -71,7 +75,15 @@
 
 impl Connection {
     pub(super) fn new(now: TimeMs) -> Self {
-        Self { stage: Stage::Quiet, since: now, paced_until: now, granted_bytes: 0, asked_bytes: 0 }
+        Self {
+            stage: Stage::Quiet,
+            since: now,
+            opened_at: now,
+            is_leaving: false,
+            paced_until: now,
+            granted_bytes: 0,
+            asked_bytes: 0,
+        }
     }
 
     pub(super) fn enter(&mut self, stage: Stage, now: TimeMs) {
--- a/lib/src/intake/mod.rs
+++ b/lib/src/intake/mod.rs
@@ -6,6 +6,7 @@
 //! place until it is answered.
 
 mod connection;
+pub mod framing;
 
 use std::collections::VecDeque;
 
@@ -25,6 +26,13 @@
 /// for a small request over a slow link. It also bounds how many connections a second are
 /// closed and accepted while all places are taken.
 const GIVE_WAY_AFTER_MS: u64 = 100;
+/// Time for which a connection keeps its place with requests in a row while all places are
+/// taken.
+const TURN_MS: u64 = 2_000;
+/// Interval at which connections leave after their turn, and how many of them, so that
+/// most places are kept by those whose turn is not over.
+const LEAVE_INTERVAL_MS: u64 = 50;
+const MAX_LEAVING: usize = 16;
 
 /// Limits of an intake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +94,11 @@
         /// Why it gives way.
         cause: Cause,
     },
+    /// It leaves after its present answer.
+    Leave {
+        /// The connection.
+        key: ConnectionKey,
+    },
     /// It is closed. It has no request that was read whole.
     Close {
         /// The connection.
@@ -113,6 +126,8 @@
     held_bytes: u64,
     /// Connections that wait for bytes, in the order in which they asked.
     waiting: VecDeque<ConnectionKey>,
+    /// When connections last left after their turn.
+    left_at: TimeMs,
 }
 
 impl Intake {
@@ -124,6 +139,7 @@
             open: 0,
             held_bytes: 0,
             waiting: VecDeque::new(),
+            left_at: TimeMs::default(),
         }
     }
 
@@ -216,6 +232,29 @@
         actions
     }
 
+    /// Lets those leave after their present answer that have had their turn, if all places
+    /// are taken. A connection whose requests follow each other is never without one.
+    pub fn end_turns(&mut self, now: TimeMs) -> Vec<IntakeAction> {
+        if self.open < self.limits.connections || now.since(self.left_at) < LEAVE_INTERVAL_MS {
+            return Vec::new();
+        }
+        self.left_at = now;
+        let over = self.connections.iter().filter(|(_, connection)| {
+            connection.stage == Stage::Answering
+                && !connection.is_leaving
+                && now.since(connection.opened_at) >= TURN_MS
+        });
+        let mut over: Vec<_> = over.map(|(key, connection)| (connection.opened_at, key)).collect();
+        over.sort_unstable();
+        over.truncate(MAX_LEAVING);
+        for (_, key) in &over {
+            if let Some(connection) = self.connections.get_mut(*key) {
+                connection.is_leaving = true;
+            }
+        }
+        over.into_iter().map(|(_, key)| IntakeAction::Leave { key }).collect()
+    }
+
     /// Lets those go whose head or body took too long.
     pub fn expire(&mut self, now: TimeMs) -> Vec<IntakeAction> {
         let limits = self.limits;
--- a/lib/tests/test_intake.rs
+++ b/lib/tests/test_intake.rs
@@ -116,3 +116,25 @@
     assert_eq!(intake.expire(TimeMs(40_000)), []);
     assert_eq!(intake.usage().connections, [1, 0, 1]);
 }
+
+/// Guards against connections with one request after the other, which are never without
+/// one and so keep all places for good.
+#[test]
+fn connections_leave_after_their_turn_while_all_places_are_taken() {
+    let mut intake = Intake::new(LIMITS);
+    let [first, second] = [0, 100].map(|now_ms| {
+        let key = open(&mut intake, now_ms);
+        intake.begin_request(key, false, TimeMs(now_ms));
+        key
+    });
+    assert_eq!(intake.end_turns(TimeMs(9_000)), [], "there is room");
+    let third = open(&mut intake, 9_000);
+    intake.begin_request(third, false, TimeMs(9_000));
+    assert!(!intake.can_open(TimeMs(9_100)));
+    let leave = [first, second].map(|key| IntakeAction::Leave { key });
+    assert_eq!(intake.end_turns(TimeMs(9_100)), leave);
+    assert_eq!(intake.end_turns(TimeMs(9_200)), [], "both leave already");
+    intake.close(first);
+    assert!(intake.can_open(TimeMs(9_200)));
+    assert_eq!(intake.end_turns(TimeMs(11_100)), [], "there is room");
+}
