listener: a connection that leaves tells its caller, who gets the last answer

Seen by callers: with requests in a row on a full listener, a reset in place of the last answer, and no word on which requests were not carried out.

Cause: since the stream of a connection that had its turn ended for the HTTP library, which closed the socket while the caller's further requests were unread.

Change: the owner tells the request, as it does for a refusal. The answer says "Connection: close", and the stream reads and drops what follows. A request with both a length and chunks closes its connection in the same way (RFC 9112, 6.1). A request that begins after the message can be told again.

--- a/daemon/src/listener/messages.rs
+++ b/daemon/src/listener/messages.rs
@@ -11,8 +11,8 @@
 /// What a connection tells the owner.
 pub(super) enum Event {
     /// A whole head has arrived. A request with a body can be refused until its body is
-    /// whole.
-    Began { key: ConnectionKey, refuse: Option<oneshot::Sender<()>> },
+    /// whole, and the connection of any can be closed after its answer.
+    Began { key: ConnectionKey, refuse: Option<oneshot::Sender<()>>, leave: oneshot::Sender<()> },
     /// A whole body has arrived.
     BodyWhole { key: ConnectionKey },
     /// The request was answered.
@@ -31,10 +31,8 @@
     Began { body: BodyLength },
     /// A whole body has arrived.
     BodyWhole,
-    /// The request was answered.
-    Ended,
-    /// The connection ends after its present answer.
-    Leave,
+    /// The request was answered. If `closes`, the connection takes no further request.
+    Ended { closes: bool },
     /// The connection may hold this many bytes more.
     Granted { bytes: u64 },
 }
--- a/daemon/src/listener/metered.rs
+++ b/daemon/src/listener/metered.rs
@@ -33,8 +33,8 @@
 const READ_STEP_BYTES: usize = 2_048;
 /// Longest head, twice what the platform allows.
 const MAX_HEAD_BYTES: u64 = 32_768;
-/// Bytes of a refused request that are read and dropped, so that its caller reads the
-/// refusal: twice the largest body of the platform.
+/// Bytes that are read and dropped before a connection closes, so that its caller reads
+/// the last answer: twice the largest body of the platform.
 const MAX_DROPPED_BYTES: u64 = 524_288;
 
 /// What the bytes that arrive belong to.
@@ -48,7 +48,8 @@
     Body,
     /// The requests behind one that waits for its answer.
     Ahead,
-    /// The rest of a request that was refused, after which the connection closes.
+    /// What comes after the last request of a connection, or the rest of one that was
+    /// refused.
     Dropped,
 }
 
@@ -61,8 +62,7 @@
     framing: Framing,
     /// Bytes that were read and not passed on.
     kept: Bytes,
-    /// Bytes of the present head and body that were passed on, or of a refused request
-    /// that were dropped.
+    /// Bytes of the present head and body that were passed on, or bytes that were dropped.
     received_bytes: u64,
     /// Bytes of a head and a body that may be held.
     granted_bytes: u64,
@@ -71,8 +71,6 @@
     has_asked: bool,
     /// Bytes that may be passed on before the library decodes.
     step_bytes: usize,
-    /// No further request is passed on.
-    is_leaving: bool,
     /// The caller does not read its answers as fast as they are sent.
     is_write_blocked: bool,
     /// Wakes the connection, which waits to read until the caller reads on.
@@ -97,7 +95,6 @@
             told_bytes: 0,
             has_asked: false,
             step_bytes: READ_STEP_BYTES,
-            is_leaving: false,
             is_write_blocked: false,
             blocked_reader: None,
         }
@@ -116,18 +113,14 @@
                 self.phase = Phase::Body;
                 self.framing = Framing::body(body);
             }
-            StreamOrder::Ended => {
-                self.phase = match self.phase {
-                    Phase::Body | Phase::Dropped => Phase::Dropped,
-                    Phase::Head | Phase::HeadWhole | Phase::Ahead => Phase::Head,
-                };
+            StreamOrder::Ended { closes } => {
+                self.phase = if closes { Phase::Dropped } else { Phase::Head };
                 self.framing = Framing::head();
                 self.received_bytes = 0;
                 self.granted_bytes = BASE_BYTES;
                 self.told_bytes = 0;
                 self.has_asked = false;
             }
-            StreamOrder::Leave => self.is_leaving = true,
             StreamOrder::Granted { bytes } => {
                 self.granted_bytes += bytes;
                 self.has_asked = false;
@@ -225,13 +218,13 @@
         Poll::Pending
     }
 
-    /// Reads and drops the rest of a refused request.
+    /// Reads and drops what comes before the connection closes.
     fn poll_drop(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.kept = Bytes::new();
         while let Some(bytes) = ready!(self.poll_bytes(context, READ_STEP_BYTES))? {
             self.received_bytes += bytes.len() as u64;
             if self.received_bytes >= MAX_DROPPED_BYTES {
-                return Poll::Ready(Err(too_much("refused request is too large")));
+                return Poll::Ready(Err(too_much("too much after the last request")));
             }
         }
         Poll::Ready(Ok(()))
@@ -253,8 +246,6 @@
             this.apply(order);
         }
         match this.phase {
-            // To the HTTP library the caller has disconnected.
-            Phase::Head if this.is_leaving => Poll::Ready(Ok(())),
             // The answers of requests in a row would wait in the HTTP library.
             Phase::Head if this.is_write_blocked => {
                 this.blocked_reader = Some(context.waker().clone());
--- a/daemon/src/listener/owner.rs
+++ b/daemon/src/listener/owner.rs
@@ -44,6 +44,8 @@
     orders: mpsc::UnboundedSender<StreamOrder>,
     /// Refuses the request whose body is arriving.
     refuse: Option<oneshot::Sender<()>>,
+    /// Closes the connection after the answer to the present request.
+    leave: Option<oneshot::Sender<()>>,
     task: AbortHandle,
 }
 
@@ -177,10 +179,11 @@
     fn handle(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
-            Event::Began { key, refuse } => {
+            Event::Began { key, refuse, leave } => {
                 self.intake.begin_request(key, refuse.is_some(), now);
                 if let Some(peer) = self.peers.get_mut(&key) {
                     peer.refuse = refuse;
+                    peer.leave = Some(leave);
                 }
             }
             Event::BodyWhole { key } => self.intake.complete_body(key, now),
@@ -206,9 +209,10 @@
                 }
                 IntakeAction::Leave { key } => {
                     *self.gave_way.entry(Cause::Connections).or_default() += 1;
-                    if let Some(peer) = self.peers.get(&key) {
-                        // The stream is gone if the caller has disconnected.
-                        let _ = peer.orders.send(StreamOrder::Leave);
+                    let peer = self.peers.get_mut(&key);
+                    if let Some(leave) = peer.and_then(|peer| peer.leave.take()) {
+                        // The request is gone if it was just answered.
+                        let _ = leave.send(());
                     }
                 }
                 IntakeAction::Refuse { key, cause } => {
@@ -247,7 +251,7 @@
             drop(guard);
         });
         self.has_news = true;
-        self.peers.insert(key, Peer { orders, refuse: None, task });
+        self.peers.insert(key, Peer { orders, refuse: None, leave: None, task });
     }
 
     fn accept_failed(&mut self, error: std::io::Error) {
--- a/daemon/src/listener/request.rs
+++ b/daemon/src/listener/request.rs
@@ -39,6 +39,10 @@
     let key = handle.key;
     let payload = request.take_payload();
     let body_length = body_length(&request, &payload);
+    // RFC 9112, 6.1: the connection closes after the answer to a request with both.
+    let headers = &request.head().headers;
+    let is_ambiguous = headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH);
     let (mut refuse, mut is_whole) = (None, None);
     if body_length != BodyLength::None {
         let (refuse_sender, refused) = oneshot::channel();
@@ -53,14 +57,16 @@
         *request.payload() = Payload::Stream { payload: Box::pin(body) };
     }
     handle.tell_stream(StreamOrder::Began { body: body_length });
-    handle.tell_owner(Event::Began { key, refuse });
+    let (leave, mut leaves) = oneshot::channel();
+    handle.tell_owner(Event::Began { key, refuse, leave });
     let mut response = answer(request).await;
+    // Bytes of a body that is cut would be read as the next request.
     let is_cut = is_whole.is_some_and(|mut whole| whole.try_recv().is_err());
-    if is_cut {
-        // Bytes of the body would otherwise be read as the next request.
+    let closes = is_cut || is_ambiguous || leaves.try_recv().is_ok();
+    if closes {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
-    handle.tell_stream(StreamOrder::Ended);
+    handle.tell_stream(StreamOrder::Ended { closes });
     handle.tell_owner(Event::Ended { key });
     response
 }
--- a/lib/src/intake/connection.rs
+++ b/lib/src/intake/connection.rs
@@ -63,7 +63,7 @@
     pub(super) since: TimeMs,
     /// When the connection was opened.
     pub(super) opened_at: TimeMs,
-    /// It leaves after its present answer.
+    /// It leaves after the answer to its present request.
     pub(super) is_leaving: bool,
     /// Time up to which what was sent would have taken at the pace.
     paced_until: TimeMs,
--- a/lib/src/intake/mod.rs
+++ b/lib/src/intake/mod.rs
@@ -27,7 +27,7 @@
 /// closed and accepted while all places are taken.
 const GIVE_WAY_AFTER_MS: u64 = 100;
 /// Time for which a connection keeps its place with requests in a row while all places are
-/// taken.
+/// taken. Each place is free several times while an ordinary caller waits.
 const TURN_MS: u64 = 2_000;
 /// Interval at which connections leave after their turn, and how many of them, so that
 /// most places are kept by those whose turn is not over.
@@ -171,6 +171,7 @@
         if let Some(connection) = self.connections.get_mut(key) {
             let stage = if has_body { Stage::Body } else { Stage::Answering };
             connection.enter(stage, now);
+            connection.is_leaving = false;
         }
     }
 
