--- a/daemon/src/node/core_calls.rs
+++ b/daemon/src/node/core_calls.rs
@@ -10,7 +10,7 @@
 use cowslipport_lib::workload::admission::not_run;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::record;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::room_admission::RoomDecision;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::info;
--- a/daemon/src/node/mod.rs
+++ b/daemon/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod core;
 mod core_calls;
 mod core_log;
+mod core_records;
 mod membership_task;
 mod messages;
 mod order_task;
--- a/daemon/src/node/owner.rs
+++ b/daemon/src/node/owner.rs
@@ -12,7 +12,7 @@
 use cowslipport_lib::workload::order::Batch;
 use cowslipport_lib::workload::order_rate_limiter::OrderRateLimiter;
 use cowslipport_lib::workload::pool_autoscaler::PoolAutoscaler;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::report::StartAnswer;
 use cowslipport_lib::workload::start_budget::StartBudget;
 use cowslipport_lib::workload::vm::VmList;
--- a/daemon/src/node/owner_jobs.rs
+++ b/daemon/src/node/owner_jobs.rs
@@ -14,7 +14,7 @@
 use cowslipport_lib::workload::owner_record::WaveProgress;
 use cowslipport_lib::workload::record::JobStatus;
 use cowslipport_lib::workload::record::Progress;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::run_time::RunTimesRecord;
 use cowslipport_lib::workload::spec::JobSpec;
 use slog::info;
--- a/daemon/src/node/owner_vms.rs
+++ b/daemon/src/node/owner_vms.rs
@@ -2,7 +2,7 @@
 
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::owner_record::VmOrders;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::vm::VmAction;
 use cowslipport_lib::workload::vm::VmList;
 use cowslipport_lib::workload::vm::VmOrderAnswer;
--- a/daemon/src/node/owner_writer.rs
+++ b/daemon/src/node/owner_writer.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use cowslipport_lib::workload::record::Audience;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::Audience;
+use cowslipport_lib::workload::record_key::RecordKey;
 use slog::Logger;
 use slog::warn;
 use tokio::sync::mpsc;
--- a/daemon/src/node/start.rs
+++ b/daemon/src/node/start.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::store_health::StoreHealth;
 use slog::Logger;
 use slog::o;
--- a/lib/src/workload/batch.rs
+++ b/lib/src/workload/batch.rs
@@ -23,7 +23,7 @@
 use crate::workload::order::WorkerOrder;
 use crate::workload::record::JobStatus;
 use crate::workload::record::Progress;
-use crate::workload::record::RecordKey;
+use crate::workload::record_key::RecordKey;
 use crate::workload::run_time::RunProgress;
 
 /// Maximum size of a progress record. The store refuses records over 256 KiB with
--- a/lib/src/workload/dispatcher.rs
+++ b/lib/src/workload/dispatcher.rs
@@ -32,7 +32,6 @@
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
 use crate::workload::lease::LeaseTimes;
-use crate::workload::lease::LeaseTracker;
 use crate::workload::order::StopReason;
 use crate::workload::order::WorkerOrder;
 use crate::workload::owner_record::NodeIncarnation;
@@ -41,14 +40,12 @@
 use crate::workload::pool_room::PoolRoom;
 use crate::workload::record::JobOutcome;
 use crate::workload::record::Progress;
-use crate::workload::record::RecordKey;
+use crate::workload::record_key::RecordKey;
 use crate::workload::renewal::Renewals;
-use crate::workload::report::WorkerEntry;
 use crate::workload::run_time::RunTimes;
 use crate::workload::scheduling::SchedulingFeatures;
 use crate::workload::spec::JobSpec;
 use crate::workload::start_budget::StartBudget;
-use crate::workload::worker::Listing;
 use crate::workload::worker::Worker;
 
 /// Whether a worker has to be polled.
@@ -83,7 +80,7 @@
     /// Cancellations that arrived before the submission of their job.
     early_cancellations: BTreeSet<JobKey>,
     pub(crate) workers: Arena<WorkerId, Worker>,
-    worker_names: BTreeMap<String, WorkerId>,
+    pub(crate) worker_names: BTreeMap<String, WorkerId>,
     /// Declared resources of the placed tasks of each organisation.
     pub(crate) used_by_organisation: BTreeMap<OrganisationId, Resources>,
     pub(crate) data_centres_out: BTreeSet<String>,
@@ -318,94 +315,11 @@
         job.pool = catalog.pool_id(&pool);
     }
 
-    /// Applies a worker's registry entry.
-    pub fn worker_listed(&mut self, catalog: &mut Catalog, entry: &WorkerEntry) -> WorkerId {
-        let id = self.worker_id(&entry.name);
-        let listing = Listing {
-            pool: catalog.pool_id(&entry.pool),
-            data_centre: entry.data_centre.clone(),
-            rack: entry.rack.clone(),
-            capacity: entry.capacity,
-            labels: entry.labels.clone(),
-            is_draining: entry.is_draining,
-            started_unix_ms: entry.started_unix_ms,
-        };
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.listing = Some(listing);
-        }
-        self.activity_changes.insert(id);
-        id
-    }
-
-    /// Applies the removal of a worker's registry entry. The tasks of the
-    /// worker keep their placements until its leases have expired.
-    pub fn worker_unlisted(&mut self, name: &str) -> Option<WorkerId> {
-        let id = *self.worker_names.get(name)?;
-        self.workers.get_mut(id)?.listing = None;
-        self.activity_changes.insert(id);
-        Some(id)
-    }
-
-    /// Id of the worker with this name. A new name gets an id.
-    pub fn worker_id(&mut self, name: &str) -> WorkerId {
-        if let Some(id) = self.worker_names.get(name) {
-            return *id;
-        }
-        let id = self.workers.insert(Worker::new(name, LeaseTracker::inherited()));
-        self.worker_names.insert(name.to_owned(), id);
-        id
-    }
-
-    /// Name of a worker; empty if the id is unknown.
-    pub fn worker_name(&self, id: WorkerId) -> &str {
-        self.workers.get(id).map_or("", |worker| worker.name.as_str())
-    }
-
-    /// True if tasks are placed on a worker.
-    pub fn has_tasks(&self, id: WorkerId) -> bool {
-        self.workers.get(id).is_some_and(|worker| !worker.tasks.is_empty())
-    }
-
-    /// Whether a worker has to be polled.
-    pub fn activity(&self, id: WorkerId) -> WorkerActivity {
-        match self.workers.get(id) {
-            Some(worker) if !worker.tasks.is_empty() => WorkerActivity::Polled,
-            Some(worker) if !worker.is_listing_current() => WorkerActivity::Polled,
-            Some(worker) if worker.listing.is_some() && self.renewals.needs_answer_of(id) => {
-                WorkerActivity::Polled
-            }
-            Some(worker) if worker.listing.is_some() => WorkerActivity::Idle,
-            Some(_) | None => WorkerActivity::Departed,
-        }
-    }
-
-    /// Takes the workers whose activity, or whether their leases may be
-    /// renewed, may have changed since the last call.
-    pub fn take_activity_changes(&mut self) -> BTreeSet<WorkerId> {
-        std::mem::take(&mut self.activity_changes)
-    }
-
     /// Name of a task of an open job.
     pub fn task_name(&self, key: TaskKey) -> Option<TaskName> {
         Some(self.jobs.get(key.step.job)?.task_name(key))
     }
 
-    /// Takes a data centre out of service or puts it back into service.
-    pub fn set_data_centre_out(&mut self, name: &str, is_out: bool) {
-        match is_out {
-            true => self.data_centres_out.insert(name.to_owned()),
-            false => self.data_centres_out.remove(name),
-        };
-    }
-
-    /// Cordons a worker, so that it gets no new tasks, or lifts the cordon.
-    pub fn set_cordoned(&mut self, name: &str, is_cordoned: bool) {
-        let id = self.worker_id(name);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.is_cordoned = is_cordoned;
-        }
-    }
-
     /// Completes a job whose tasks are all done, and removes an ended or
     /// cancelled job once it has no placement left.
     pub(crate) fn close_if_finished(&mut self, id: JobId) {
--- a/lib/src/workload/ended.rs
+++ b/lib/src/workload/ended.rs
@@ -6,7 +6,7 @@
 
 use crate::time::TimeMs;
 use crate::workload::key::JobKey;
-use crate::workload::record::RecordKey;
+use crate::workload::record_key::RecordKey;
 
 /// Jobs whose records are deleted in one batch, which limits a batch to about a
 /// hundred short records. While jobs are due, each round of the owner makes a
--- a/lib/src/workload/maintenance/inherited.rs
+++ b/lib/src/workload/maintenance/inherited.rs
@@ -5,9 +5,9 @@
 
 use crate::time::TimeMs;
 use crate::workload::maintenance::MaintenanceScheduler;
-use crate::workload::maintenance::Stage;
-use crate::workload::maintenance::VmMaintenance;
-use crate::workload::maintenance::Wave;
+use crate::workload::maintenance::wave::Stage;
+use crate::workload::maintenance::wave::VmMaintenance;
+use crate::workload::maintenance::wave::Wave;
 use crate::workload::owner_record::OpenMaintenance;
 
 impl MaintenanceScheduler {
--- a/lib/src/workload/order.rs
+++ b/lib/src/workload/order.rs
@@ -7,7 +7,7 @@
 use crate::workload::key::TaskKey;
 use crate::workload::key::TaskName;
 use crate::workload::key::WorkerId;
-use crate::workload::record::RecordKey;
+use crate::workload::record_key::RecordKey;
 
 /// An order to a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/lib/src/workload/unreachable.rs
+++ b/lib/src/workload/unreachable.rs
@@ -13,7 +13,7 @@
 use crate::workload::lease::LeaseTracker;
 use crate::workload::lease::UnreachableRecord;
 use crate::workload::owner_record::Unreachable;
-use crate::workload::record::RecordKey;
+use crate::workload::record_key::RecordKey;
 use crate::workload::report::LeaseGrant;
 use crate::workload::vm::VmEntry;
 use crate::workload::vm::VmList;
--- a/lib/tests/test_workload_gangs.rs
+++ b/lib/tests/test_workload_gangs.rs
@@ -7,9 +7,9 @@
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::record::JobOutcome;
 use cowslipport_lib::workload::record::Progress;
-use cowslipport_lib::workload::record::RecordKey;
 use cowslipport_lib::workload::record::StepProgress;
 use cowslipport_lib::workload::record::TaskProgress;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::spec::StepSpec;
 
--- a/lib/tests/test_workload_link.rs
+++ b/lib/tests/test_workload_link.rs
@@ -6,7 +6,7 @@
 use cowslipport_lib::time::TimeMs;
 use cowslipport_lib::workload::owner_record::OwnershipRecord;
 use cowslipport_lib::workload::record::JobOutcome;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::spec::JobSpec;
 use cowslipport_lib::workload::spec::StepSpec;
 use cowslipport_lib::workload::start_budget::StartBudget;
--- a/lib/tests/test_workload_owners.rs
+++ b/lib/tests/test_workload_owners.rs
@@ -8,7 +8,7 @@
 use cowslipport_lib::workload::key::TaskName;
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::record::JobOutcome;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::report::EndedTask;
 use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::report::RunningTask;
--- a/lib/tests/test_workload_renewals.rs
+++ b/lib/tests/test_workload_renewals.rs
@@ -11,7 +11,7 @@
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::owner_record::OwnershipRecord;
 use cowslipport_lib::workload::owner_record::Witness;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::spec::StepSpec;
 use rand::Rng;
 use rand::SeedableRng;
--- a/lib/tests/test_workload_restarts.rs
+++ b/lib/tests/test_workload_restarts.rs
@@ -6,7 +6,6 @@
 
 use cowslipport_lib::generational_arena::GenerationalKey;
 use cowslipport_lib::time::TimeMs;
-use cowslipport_lib::workload::dispatcher::WorkerActivity;
 use cowslipport_lib::workload::key::JobId;
 use cowslipport_lib::workload::key::JobKey;
 use cowslipport_lib::workload::key::StepKey;
@@ -21,7 +20,6 @@
 use crate::workload_fake::Fleet;
 use crate::workload_fake::LEASE_MAX_MS;
 use crate::workload_fake::LEASE_MS;
-use crate::workload_fake::SHORT_WORK;
 use crate::workload_fake::SLOW_START_MS;
 use crate::workload_fake::Work;
 use crate::workload_fake::cores;
@@ -433,46 +431,3 @@
     assert_eq!(fleet.worker("w1").running.len(), 1);
     fleet.assert_no_violations();
 }
-
-/// A worker restarts with other labels and less capacity, and its registry entry is
-/// still that of its former incarnation: tasks must not start there by that entry.
-#[test]
-fn restarted_worker_gets_no_tasks_by_its_former_entry() {
-    let mut fleet = Fleet::new(1, cores(4));
-    fleet.advance(100);
-    fleet.restart_worker("w0");
-    fleet.worker("w0").cannot_register = true;
-    fleet.worker("w0").labels.clear();
-    fleet.worker("w0").capacity = cores(2);
-    let required = StepSpec { required_label: Some("kind".to_owned()), ..step(1, cores(1)) };
-    fleet.submit(1, job(vec![required]), SHORT_WORK);
-    let any = fleet.submit(2, job(vec![step(3, cores(1))]), SHORT_WORK);
-    fleet.advance(1_000);
-    assert_eq!(fleet.starts, 0);
-    fleet.worker("w0").cannot_register = false;
-    fleet.advance(4_000);
-    assert_eq!(fleet.outcome(any), Some(JobOutcome::Completed), "its own entry counts");
-    assert_eq!(fleet.starts, 3);
-    fleet.assert_no_violations();
-}
-
-/// The registry shows the restart of an idle worker, which is not polled: it must be
-/// polled, or it would get no task any more.
-#[test]
-fn idle_worker_is_polled_after_a_restart() {
-    let mut fleet = Fleet::new(1, cores(4));
-    fleet.advance(100);
-    let activity = |fleet: &mut Fleet| {
-        let owner = fleet.owner.as_mut().expect("an owner");
-        let worker = owner.worker_id("w0");
-        owner.activity(worker)
-    };
-    assert_eq!(activity(&mut fleet), WorkerActivity::Idle);
-    fleet.unpolled_worker = Some("w0".to_owned());
-    fleet.restart_worker("w0");
-    fleet.list_workers();
-    assert_eq!(activity(&mut fleet), WorkerActivity::Polled);
-    fleet.unpolled_worker = None;
-    fleet.advance(20);
-    assert_eq!(activity(&mut fleet), WorkerActivity::Idle);
-}
--- a/lib/tests/test_workload_room_admission.rs
+++ b/lib/tests/test_workload_room_admission.rs
@@ -9,7 +9,7 @@
 use cowslipport_lib::workload::pool_room::OrderPlace;
 use cowslipport_lib::workload::pool_room::PoolRoom;
 use cowslipport_lib::workload::pool_room::WaitingWork;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::return_schedule::ReturnSchedule;
 use cowslipport_lib::workload::return_schedule::ReturnShare;
 use cowslipport_lib::workload::room_admission::RoomAdmission;
--- a/lib/tests/test_workload_run_times.rs
+++ b/lib/tests/test_workload_run_times.rs
@@ -12,7 +12,7 @@
 use cowslipport_lib::workload::order::Order;
 use cowslipport_lib::workload::order::StopReason;
 use cowslipport_lib::workload::record::JobOutcome;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::run_time::RunTimesRecord;
 use cowslipport_lib::workload::spec::StepSpec;
 
--- a/lib/tests/test_workload_started_jobs.rs
+++ b/lib/tests/test_workload_started_jobs.rs
@@ -37,6 +37,11 @@
     fleet
 }
 
+/// The same with a worker that refuses every start.
+fn fleet_with_refused_job() -> Fleet {
+    fleet_with_job(|fleet| fleet.refusing_worker = Some(WORKER.to_owned()), LONG_WORK)
+}
+
 fn check_queued_for(fleet: &mut Fleet, ms: u64) {
     let until = fleet.now + ms;
     while fleet.now < until {
@@ -63,8 +68,7 @@
 /// Every start is refused: the job counted as started from its first placement.
 #[test]
 fn job_with_refused_starts_is_queued() {
-    let refuse = |fleet: &mut Fleet| fleet.refusing_worker = Some(WORKER.to_owned());
-    let mut fleet = fleet_with_job(refuse, LONG_WORK);
+    let mut fleet = fleet_with_refused_job();
     check_queued_for(&mut fleet, DELAY_MS);
     fleet.refusing_worker = None;
     check_shown(&mut fleet);
@@ -73,8 +77,7 @@
 /// The same under an owner that recovers in between, which read "started" from the store.
 #[test]
 fn job_with_refused_starts_is_queued_under_the_next_owner() {
-    let refuse = |fleet: &mut Fleet| fleet.refusing_worker = Some(WORKER.to_owned());
-    let mut fleet = fleet_with_job(refuse, LONG_WORK);
+    let mut fleet = fleet_with_refused_job();
     check_queued_for(&mut fleet, DELAY_MS);
     fleet.replace_owner(false);
     check_queued_for(&mut fleet, DELAY_MS);
@@ -160,8 +163,7 @@
 /// A job that is cancelled while its starts are refused has not started.
 #[test]
 fn cancelled_job_with_refused_starts_has_not_started() {
-    let refuse = |fleet: &mut Fleet| fleet.refusing_worker = Some(WORKER.to_owned());
-    let mut fleet = fleet_with_job(refuse, LONG_WORK);
+    let mut fleet = fleet_with_refused_job();
     fleet.advance(DELAY_MS);
     fleet.cancel(JOB);
     check_queued_for(&mut fleet, DELAY_MS);
--- a/lib/tests/test_workload_unrecorded_owners.rs
+++ b/lib/tests/test_workload_unrecorded_owners.rs
@@ -7,7 +7,7 @@
 
 use cowslipport_lib::workload::owner_record::NodeIncarnation;
 use cowslipport_lib::workload::owner_record::OwnershipRecord;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::spec::StepSpec;
 use rand::Rng;
 use rand::SeedableRng;
@@ -77,6 +77,10 @@
 /// No task runs twice, and those of the workers that are cut off run elsewhere.
 fn check_successor(mut fleet: Fleet) {
     fleet.replace_owner(false);
+    check_tasks(fleet);
+}
+
+fn check_tasks(mut fleet: Fleet) {
     fleet.advance(WATCHED_MS);
     fleet.assert_no_violations();
     assert_eq!(fleet.running(), WORKERS);
@@ -121,9 +125,7 @@
     let now = fleet.time();
     let restarted = NodeIncarnation { incarnation: u64::MAX, ..recorded };
     fleet.owner.as_mut().expect("an owner").node_started(now, &restarted);
-    fleet.advance(WATCHED_MS);
-    fleet.assert_no_violations();
-    assert_eq!(fleet.running(), WORKERS);
+    check_tasks(fleet);
 }
 
 /// The same after two owners without a record, which are cut off with other workers.
--- a/lib/tests/workload_fake/owner.rs
+++ b/lib/tests/workload_fake/owner.rs
@@ -11,7 +11,7 @@
 use cowslipport_lib::workload::owner_record::OwnershipRecord;
 use cowslipport_lib::workload::owner_record::Unreachable;
 use cowslipport_lib::workload::record::Progress;
-use cowslipport_lib::workload::record::RecordKey;
+use cowslipport_lib::workload::record_key::RecordKey;
 use cowslipport_lib::workload::report::LeaseGrant;
 use cowslipport_lib::workload::report::StartAnswer;
 use cowslipport_lib::workload::report::StartReply;
